--- /dev/null
+++ b/crates/decisions/src/host.rs
@@ -0,0 +1,81 @@
+//! What the decisions ask of whoever hosts them, and the plain types that pass between the two.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Commands and servers keep the ids that their front gives them.
+pub type Id = Rc<str>;
+
+pub trait Host {
+    fn relay(&mut self, cmd: &Id, server: &Id, not_past: Duration);
+    fn decline(&mut self, cmd: &Id, come_back: Option<Duration>);
+    fn terminate(&mut self, cmd: &Id);
+    fn cancel(&mut self, cmd: &Id, relay: u32);
+    fn check(&mut self, server: &Id);
+    fn wake_in(&mut self, span: Duration);
+    fn subscribe(&mut self);
+    fn fetch_list(&mut self);
+    fn note(&mut self, text: &str);
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub server: Id,
+    pub zone: u32,
+    pub cell: u32,
+    pub state: State,
+    pub nominal: f64,
+    pub up_since: Option<Duration>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub id: Id,
+    pub verb: usize,
+    pub due: Duration,
+    pub tenant: usize,
+    pub repeat: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Ok,
+    Error,
+    Full,
+    Timeout,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    Moot,
+}
+
+impl Outcome {
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Ended {
+    pub cmd: Id,
+    pub closed: bool,
+    pub outcome: Outcome,
+    pub relay: u32,
+    pub latency: Duration,
+    pub server: Id,
+    pub load: Load,
+}
+
+/// A server's own word on its load; what it does not report stays empty.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    pub queue: Option<f64>,
+    pub in_flight: Option<f64>,
+}
--- /dev/null
+++ b/crates/decisions/src/policy.rs
@@ -0,0 +1,983 @@
+//! Every decision of landingspread: which server a command is relayed to, whether it is relayed again,
+//! how long it is held, and when it is given up.
+//!
+//! A front calls `Policy::start` once and then one method for each thing that happens, in the order in which
+//! it happened; each acts by calling the `Host` handed over at start. The host trait and the plain types stand
+//! in `host.rs`, the settings in `terms.rs`, the reasons in `docs/design.md`.
+
+use crate::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
+use crate::terms::{Group, Repeats, Terms};
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+/// Straight failures that mark a server. The source's 50 never come together in a lower tier's trickle.
+const MARK_AFTER: u32 = 4;
+/// No more than this share of the ready servers is marked: past it the cause is not a server (nbsrv cut-off).
+const MARKED_AT_MOST: f64 = 0.5;
+const CHECK_EVERY: Duration = Duration::from_secs(1);
+const TRIAL_AFTER: Duration = Duration::from_secs(5);
+/// Checks to pass before a return; doubled by each relapse up to the source's 30.
+const RISE: u32 = 2;
+const RISE_MOST: u32 = 30;
+const RELAPSE_WITHIN: Duration = Duration::from_secs(30);
+/// A report counts for e^(-age/DECAY).
+const DECAY: f64 = 1.0;
+/// The draw's weights are raised to this power.
+const SHARPNESS: i32 = 2;
+/// What all copies together may have out at a server of which nothing is known yet, and the most ever.
+const BOUND_START: f64 = 6.0;
+const BOUND_MOST: f64 = 64.0;
+const BOUND_CUT: f64 = 0.87;
+const BOUND_RISE: f64 = 1.0;
+/// Below this share of the response goal an answer raises the bound.
+const EASY: f64 = 0.5;
+/// Further relays of commands that may have run, as a share of the commands taken.
+const RELAY_SHARE: f64 = 0.1;
+const RELAY_BURST: f64 = 8.0;
+/// Points of the goal that load checks may cost, and the most checks a command.
+const CHECK_POINTS: f64 = 0.003;
+const CHECK_SHARE_MOST: f64 = 0.2;
+/// A command is held while its expected answer lies within this share of the time left to its goal.
+const HOLD: f64 = 0.6;
+/// A relay is overdue at this many times the time in which nine of ten are answered.
+const OVERDUE: f64 = 2.0;
+/// How steeply the price of a crossing lowers a far server's weight.
+const CROSSING_AVERSION: f64 = 60.0;
+const SWEEP: Duration = Duration::from_millis(20);
+const RATE_SPAN: f64 = 4.0;
+
+/// Few coarse bins, each 1.6 times as wide as the last; halved when full, so that the old fades.
+#[derive(Clone, Debug, Default)]
+struct Histogram {
+    bins: [u32; 18],
+    total: u32,
+}
+
+impl Histogram {
+    const FLOOR: f64 = 0.004;
+    const STEP: f64 = 1.6;
+    const FULL: u32 = 256;
+
+    fn add(&mut self, value: f64, full: u32) {
+        let bin = (value.max(Self::FLOOR) / Self::FLOOR).log(Self::STEP) as usize;
+        if let Some(count) = self.bins.get_mut(bin) {
+            *count += 1;
+        } else if let Some(count) = self.bins.last_mut() {
+            *count += 1;
+        }
+        self.total += 1;
+        if self.total >= full {
+            self.bins.iter_mut().for_each(|count| *count /= 2);
+            self.total = self.bins.iter().sum();
+        }
+    }
+
+    fn upper(bin: usize) -> f64 {
+        Self::FLOOR * Self::STEP.powi(bin as i32 + 1)
+    }
+
+    fn mean(&self) -> Option<f64> {
+        let middle = |(bin, count): (usize, &u32)| Self::upper(bin) * 0.8 * f64::from(*count);
+        (self.total > 0)
+            .then(|| self.bins.iter().enumerate().map(middle).sum::<f64>() / f64::from(self.total))
+    }
+
+    fn quantile(&self, share: f64) -> Option<f64> {
+        let wanted = share * f64::from(self.total);
+        let mut seen = 0.0;
+        for (bin, count) in self.bins.iter().enumerate() {
+            seen += f64::from(*count);
+            if seen >= wanted && seen > 0.0 {
+                return Some(Self::upper(bin));
+            }
+        }
+        None
+    }
+}
+
+/// A rate a second that forgets evenly over `RATE_SPAN`.
+#[derive(Clone, Debug, Default)]
+struct Rate {
+    count: f64,
+    at: Duration,
+}
+
+impl Rate {
+    fn add(&mut self, now: Duration, amount: f64) {
+        self.count = self.count(now) + amount;
+        self.at = now;
+    }
+
+    fn count(&self, now: Duration) -> f64 {
+        self.count * (-now.saturating_sub(self.at).as_secs_f64() / RATE_SPAN).exp()
+    }
+
+    fn per_s(&self, now: Duration) -> f64 {
+        self.count(now) / RATE_SPAN
+    }
+}
+
+#[derive(Debug)]
+struct Mark {
+    passes: u32,
+    next: Duration,
+    trying: bool,
+}
+
+#[derive(Debug)]
+struct Server {
+    zone: u32,
+    cell: u32,
+    ready: bool,
+    nominal: f64,
+    up_since: Option<Duration>,
+    runs: Vec<u32>,
+    mark: Option<Mark>,
+    rise: u32,
+    returned: Duration,
+    ramp_from: Option<Duration>,
+    cold_credit: f64,
+    credited: Duration,
+    report: Option<(f64, Duration)>,
+    sends: f64,
+    checked: Duration,
+    checking: bool,
+    out: u32,
+    overdue: u32,
+    bound: f64,
+    pace: Histogram,
+}
+
+impl Server {
+    fn new(entry: &Listed, verbs: usize) -> Self {
+        Server {
+            zone: entry.zone,
+            cell: entry.cell,
+            ready: true,
+            nominal: 1.0,
+            up_since: None,
+            runs: vec![0; verbs],
+            mark: None,
+            rise: RISE,
+            returned: Duration::ZERO,
+            ramp_from: None,
+            cold_credit: 0.0,
+            credited: Duration::ZERO,
+            report: None,
+            sends: 0.0,
+            checked: Duration::ZERO,
+            checking: false,
+            out: 0,
+            overdue: 0,
+            bound: BOUND_START,
+            pace: Histogram::default(),
+        }
+    }
+
+    /// A process that started anew has nothing to do with what was learned of the old one.
+    fn restarted(&mut self, at: Duration) {
+        self.runs.iter_mut().for_each(|run| *run = 0);
+        self.mark = None;
+        self.report = None;
+        self.sends = 0.0;
+        self.bound = BOUND_START;
+        self.ramp_from = Some(at);
+    }
+
+    fn slowness(&self) -> f64 {
+        if self.pace.total < 4 { 1.0 } else { self.pace.mean().unwrap_or(1.0).clamp(0.2, 10.0) }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Out,
+    MayHaveRun,
+    NeverRan,
+}
+
+#[derive(Debug)]
+struct Relay {
+    server: Id,
+    zone: u32,
+    cell: u32,
+    sent: Duration,
+    fate: Fate,
+    overdue: bool,
+}
+
+#[derive(Debug)]
+struct Cmd {
+    verb: usize,
+    /// Past this an answer earns nothing.
+    good_until: Duration,
+    relays: Vec<Relay>,
+    finished: bool,
+    streaming: bool,
+    beyond: bool,
+}
+
+impl Cmd {
+    fn out(&self) -> usize {
+        self.relays.iter().filter(|relay| relay.fate == Fate::Out).count()
+    }
+
+    fn may_have_run(&self) -> bool {
+        self.relays.iter().any(|relay| relay.fate != Fate::NeverRan)
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct VerbRecord {
+    latency: Histogram,
+    asked: Rate,
+    answered: Rate,
+}
+
+#[derive(Debug, Default)]
+struct Asking {
+    /// When to call next; `None` while a call is out or the subscription stands.
+    next: Option<Duration>,
+    calling: bool,
+    failures: u32,
+}
+
+pub struct Policy<H: Host> {
+    host: H,
+    terms: Terms,
+    now: Duration,
+    seed: u64,
+    draws: u64,
+    servers: BTreeMap<Id, Server>,
+    cmds: BTreeMap<Id, Cmd>,
+    held: Vec<Id>,
+    verbs: Vec<VerbRecord>,
+    tenants: Vec<Rate>,
+    sent: Rate,
+    ended: Rate,
+    spare_relays: f64,
+    spare_checks: f64,
+    asking: Asking,
+}
+
+// Lifecycle
+
+impl<H: Host> Policy<H> {
+    pub fn start(host: H, terms: Terms, seed: u64, now: Duration) -> Self {
+        let verbs = vec![VerbRecord::default(); terms.verbs.len()];
+        let tenants = vec![Rate::default(); terms.quotas.len()];
+        let mut policy = Policy {
+            host,
+            terms,
+            now,
+            seed,
+            draws: 0,
+            servers: BTreeMap::new(),
+            cmds: BTreeMap::new(),
+            held: Vec::new(),
+            verbs,
+            tenants,
+            sent: Rate::default(),
+            ended: Rate::default(),
+            spare_relays: RELAY_BURST,
+            spare_checks: 0.0,
+            asking: Asking::default(),
+        };
+        if policy.terms.must_ask {
+            // Copies that start together must not all call the one list service at once.
+            policy.asking.next = Some(now + Duration::from_secs_f64(policy.chance()));
+        }
+        policy.host.wake_in(policy.sweep_span());
+        policy
+    }
+
+    fn sweep_span(&self) -> Duration {
+        SWEEP.max(self.terms.resolution)
+    }
+
+    pub fn woken(&mut self, now: Duration) {
+        self.now = now;
+        self.host.wake_in(self.sweep_span());
+        self.ask_when_time();
+        self.watch_relays();
+        self.check_servers();
+        self.place_held();
+        self.thin_held();
+    }
+
+    fn chance(&mut self) -> f64 {
+        self.draws += 1;
+        let mut hasher = DefaultHasher::new();
+        (self.seed, self.draws).hash(&mut hasher);
+        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+// The list of servers
+
+impl<H: Host> Policy<H> {
+    pub fn list_cached(&mut self, now: Duration, entries: &[Listed]) {
+        self.now = now;
+        self.replace_list(entries);
+    }
+
+    pub fn list_told(&mut self, now: Duration, entries: &[Listed]) {
+        self.now = now;
+        self.call_answered();
+        self.replace_list(entries);
+    }
+
+    pub fn list_changed(&mut self, now: Duration, entries: &[Listed]) {
+        self.now = now;
+        self.call_answered();
+        entries.iter().for_each(|entry| self.take_entry(entry));
+        self.place_held();
+    }
+
+    pub fn list_call_failed(&mut self, now: Duration) {
+        self.now = now;
+        self.asking.calling = false;
+        // Calls that all come again at once would fail again together.
+        let longest = 0.5 * f64::from(1u32 << self.asking.failures.min(3));
+        self.asking.failures += 1;
+        let wait = Duration::from_secs_f64(longest * (0.5 + 0.5 * self.chance()));
+        self.asking.next = Some(now + wait);
+    }
+
+    fn call_answered(&mut self) {
+        self.asking = Asking::default();
+    }
+
+    fn ask_when_time(&mut self) {
+        if !self.asking.calling && self.asking.next.is_some_and(|at| at <= self.now) {
+            self.asking.calling = true;
+            self.asking.next = None;
+            self.host.subscribe();
+        }
+    }
+
+    fn replace_list(&mut self, entries: &[Listed]) {
+        for (id, server) in &mut self.servers {
+            server.ready = server.ready && entries.iter().any(|entry| entry.server == *id);
+        }
+        entries.iter().for_each(|entry| self.take_entry(entry));
+        self.place_held();
+    }
+
+    fn take_entry(&mut self, entry: &Listed) {
+        let verbs = self.terms.verbs.len();
+        if entry.state != State::Ready {
+            if let Some(server) = self.servers.get_mut(&entry.server) {
+                server.ready = false;
+            }
+            return;
+        }
+        let new = !self.servers.contains_key(&entry.server);
+        let server = self.servers.entry(entry.server.clone()).or_insert_with(|| Server::new(entry, verbs));
+        server.ready = true;
+        server.nominal = if entry.nominal > 0.0 { entry.nominal } else { 1.0 };
+        let fresh = |at: &Duration| *at + self.terms.cold.warm_after > self.now;
+        if let Some(at) = entry.up_since.filter(|at| new || server.up_since != Some(*at)) {
+            server.up_since = Some(at);
+            if fresh(&at) || !new {
+                server.restarted(at);
+            }
+        }
+    }
+}
+
+// Commands
+
+impl<H: Host> Policy<H> {
+    pub fn cmd_came(&mut self, now: Duration, arrival: Arrival) {
+        self.now = now;
+        let Some(verb) = self.terms.verbs.get(arrival.verb) else {
+            self.host.terminate(&arrival.id);
+            return;
+        };
+        let good_until =
+            if verb.overdue_utility > 0.0 { arrival.due } else { arrival.due.min(now + verb.goal) };
+        self.verbs[arrival.verb].asked.add(now, 1.0);
+        self.spare_relays = (self.spare_relays + RELAY_SHARE).min(RELAY_BURST);
+        self.spare_checks += (CHECK_POINTS / self.terms.prices.check.max(1e-6)).min(CHECK_SHARE_MOST);
+        let beyond = self.beyond_quota(arrival.tenant);
+        let cmd = Cmd {
+            verb: arrival.verb,
+            good_until,
+            relays: Vec::new(),
+            finished: false,
+            streaming: false,
+            beyond,
+        };
+        self.cmds.insert(arrival.id.clone(), cmd);
+        if self.held.is_empty() && self.place(&arrival.id) {
+            return;
+        }
+        self.held.push(arrival.id);
+        self.place_held();
+        self.thin_held();
+    }
+
+    pub fn client_left(&mut self, now: Duration, id: &Id) {
+        self.now = now;
+        self.held.retain(|held| held != id);
+        if let Some(cmd) = self.cmds.get_mut(id) {
+            cmd.finished = true;
+            self.cancel_out(id);
+            self.forget_when_over(id);
+        }
+    }
+
+    pub fn answer_began(&mut self, now: Duration, id: &Id, _relay: u32) {
+        self.now = now;
+        if let Some(cmd) = self.cmds.get_mut(id) {
+            cmd.streaming = true;
+        }
+    }
+
+    /// Traffic past a tenant's share earns little: that part of it, by chance, ranks lower.
+    fn beyond_quota(&mut self, tenant: usize) -> bool {
+        if self.terms.tier > 0 {
+            return false;
+        }
+        let (Some(rate), Some(quota)) = (self.tenants.get_mut(tenant), self.terms.quotas.get(tenant)) else {
+            return false;
+        };
+        rate.add(self.now, 1.0);
+        let (asked, quota) = (rate.per_s(self.now) * self.terms.balancers, *quota);
+        asked > quota && self.chance() > quota / asked
+    }
+
+    fn expected(&self, verb: usize) -> f64 {
+        self.verbs.get(verb).and_then(|record| record.latency.mean()).unwrap_or(0.0)
+    }
+
+    /// What a command earns for each second that it keeps a place: its part of the whole and, while its verb
+    /// is the worst answered, of the goal's part for that.
+    fn rank(&self, cmd: &Cmd) -> f64 {
+        let Some(verb) = self.terms.verbs.get(cmd.verb) else { return 0.0 };
+        let time = self.expected(cmd.verb).max(0.01);
+        let size = if self.terms.utility_by_work { time } else { 1.0 };
+        let (mut utility, mut asked_all) = (0.0, 0.0);
+        let (mut worst, mut worst_share) = (cmd.verb, f64::MAX);
+        for (at, record) in self.verbs.iter().enumerate() {
+            let asked = record.asked.count(self.now);
+            let size = if self.terms.utility_by_work { self.expected(at).max(0.01) } else { 1.0 };
+            utility += asked * size * self.terms.verbs[at].utility;
+            asked_all += asked * size;
+            let share = record.answered.count(self.now) / asked.max(1.0);
+            if asked > 1.0 && share < worst_share {
+                (worst, worst_share) = (at, share);
+            }
+        }
+        let asked = self.verbs[cmd.verb].asked.count(self.now).max(1.0);
+        let mut earns = self.terms.goal.whole * verb.utility * size * asked_all / utility.max(1e-9);
+        if worst == cmd.verb {
+            earns += self.terms.goal.worst_verb * asked_all / asked;
+        }
+        if cmd.beyond {
+            earns *= self.terms.beyond_quota;
+        }
+        earns / time
+    }
+
+    fn sort_held(&mut self) {
+        let mut ranked: Vec<(f64, Id)> = Vec::with_capacity(self.held.len());
+        for id in &self.held {
+            if let Some(cmd) = self.cmds.get(id) {
+                ranked.push((self.rank(cmd), id.clone()));
+            }
+        }
+        ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
+        self.held = ranked.into_iter().map(|(_, id)| id).collect();
+    }
+
+    fn place_held(&mut self) {
+        if self.held.is_empty() {
+            return;
+        }
+        self.sort_held();
+        let waiting = std::mem::take(&mut self.held);
+        for id in waiting {
+            if !self.place(&id) {
+                self.held.push(id);
+            }
+        }
+    }
+
+    /// Gives up at once what would most likely not be answered within its goal: waiting in vain costs more
+    /// than a quick word.
+    fn thin_held(&mut self) {
+        let rate = self.ended.per_s(self.now);
+        let mut ahead = 0.0;
+        for id in self.held.clone() {
+            let Some(cmd) = self.cmds.get(&id) else { continue };
+            let left = cmd.good_until.saturating_sub(self.now).as_secs_f64();
+            let wait = (ahead + 1.0) / rate.max(1.0);
+            if wait + self.expected(cmd.verb) > HOLD * left {
+                self.held.retain(|held| *held != id);
+                self.give_up(&id);
+            } else {
+                ahead += 1.0;
+            }
+        }
+    }
+
+    /// Relays the command now if some server has room for it.
+    fn place(&mut self, id: &Id) -> bool {
+        let Some(server) = self.draw(id) else { return false };
+        self.send(id, &server);
+        true
+    }
+
+    fn send(&mut self, id: &Id, to: &Id) {
+        let (Some(cmd), Some(server)) = (self.cmds.get_mut(id), self.servers.get_mut(to)) else { return };
+        let (zone, cell) = (server.zone, server.cell);
+        let relay = Relay { server: to.clone(), zone, cell, sent: self.now, fate: Fate::Out, overdue: false };
+        cmd.relays.push(relay);
+        server.out += 1;
+        server.sends += 1.0;
+        server.cold_credit -= 1.0;
+        if let Some(mark) = &mut server.mark {
+            mark.trying = true;
+        }
+        self.sent.add(self.now, 1.0);
+        self.host.relay(id, to, cmd.good_until);
+    }
+
+    fn may_decline(&self, cmd: &Cmd) -> bool {
+        match self.repeats(cmd) {
+            Repeats::Pure | Repeats::Receipted(Group::All) => true,
+            _ => !cmd.may_have_run(),
+        }
+    }
+
+    fn repeats(&self, cmd: &Cmd) -> Repeats {
+        self.terms.verbs.get(cmd.verb).map_or(Repeats::Effectful, |verb| verb.repeats)
+    }
+
+    /// The final answer of a command that will not be answered.
+    fn give_up(&mut self, id: &Id) {
+        let Some(cmd) = self.cmds.get(id) else { return };
+        if cmd.finished {
+            return;
+        }
+        if self.may_decline(cmd) {
+            self.host.decline(id, self.terms.allowed.come_back);
+        } else {
+            self.host.terminate(id);
+        }
+        if let Some(cmd) = self.cmds.get_mut(id) {
+            cmd.finished = true;
+        }
+        self.cancel_out(id);
+        self.forget_when_over(id);
+    }
+
+    fn cancel_out(&mut self, id: &Id) {
+        let Some(cmd) = self.cmds.get(id).filter(|cmd| self.terms.allowed.cancel && !cmd.streaming) else {
+            return;
+        };
+        for (number, relay) in (0u32..).zip(&cmd.relays) {
+            if relay.fate == Fate::Out {
+                self.host.cancel(id, number);
+            }
+        }
+    }
+
+    fn forget_when_over(&mut self, id: &Id) {
+        if self.cmds.get(id).is_some_and(|cmd| cmd.finished && cmd.out() == 0) {
+            self.cmds.remove(id);
+        }
+    }
+
+    /// Rule 2, for a further relay to a server in this zone and cell.
+    fn may_relay(&self, cmd: &Cmd, zone: u32, cell: u32) -> bool {
+        if cmd.finished || cmd.streaming || cmd.relays.len() as u32 >= self.terms.allowed.relays {
+            return false;
+        }
+        if cmd.good_until <= self.now || (cmd.out() > 0 && !self.terms.allowed.parallel) {
+            return false;
+        }
+        let memory = self.terms.verbs.get(cmd.verb).map_or(Duration::ZERO, |verb| verb.memory);
+        match self.repeats(cmd) {
+            Repeats::Pure => true,
+            Repeats::Effectful => !cmd.may_have_run(),
+            Repeats::Receipted(group) => {
+                cmd.relays.iter().filter(|r| r.fate != Fate::NeverRan).all(|relay| {
+                    let drops = match group {
+                        Group::All => true,
+                        Group::Zone => relay.zone == zone,
+                        Group::Cell => relay.cell == cell && relay.zone == zone,
+                    };
+                    drops && self.now + self.terms.resolution < relay.sent + memory
+                })
+            }
+        }
+    }
+}
+
+// Outcomes
+
+impl<H: Host> Policy<H> {
+    pub fn relay_ended(&mut self, now: Duration, ended: Ended) {
+        self.now = now;
+        let Some(cmd) = self.cmds.get_mut(&ended.cmd) else { return };
+        let Some(relay) = cmd.relays.get_mut(ended.relay as usize) else { return };
+        if relay.fate != Fate::Out {
+            return;
+        }
+        relay.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
+        let (verb, overdue, server) = (cmd.verb, relay.overdue, relay.server.clone());
+        cmd.finished |= ended.closed;
+        let in_time = now <= cmd.good_until;
+        self.ended.add(now, 1.0);
+        self.take_report(&server, ended.load);
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.out = server.out.saturating_sub(1);
+            server.overdue = server.overdue.saturating_sub(u32::from(overdue));
+        }
+        if ended.outcome == Outcome::Ok {
+            self.count_answer(&server, verb, ended.latency, in_time);
+        } else {
+            self.count_failure(&server, verb, ended.outcome, overdue);
+        }
+        self.go_on(&ended.cmd);
+        self.place_held();
+    }
+
+    fn go_on(&mut self, id: &Id) {
+        let Some(cmd) = self.cmds.get(id) else { return };
+        if cmd.finished {
+            self.held.retain(|held| held != id);
+            self.cancel_out(id);
+            self.forget_when_over(id);
+        } else if cmd.out() == 0 {
+            let repeated = cmd.may_have_run();
+            let left = cmd.good_until.saturating_sub(self.now).as_secs_f64();
+            let hopeful = left > self.expected(cmd.verb);
+            if hopeful && (!repeated || self.spare_relays >= 1.0) && self.place(id) {
+                self.spare_relays -= if repeated { 1.0 } else { 0.0 };
+            } else {
+                self.give_up(id);
+            }
+        }
+    }
+
+    fn take_report(&mut self, id: &Id, load: Load) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        if let Some(figure) = load.queue.or(load.in_flight) {
+            server.report = Some((figure, self.now));
+            server.sends = 0.0;
+        }
+    }
+
+    fn count_answer(&mut self, id: &Id, verb: usize, latency: Duration, in_time: bool) {
+        let (now, balancers) = (self.now, self.terms.balancers);
+        let (Some(server), Some(record)) = (self.servers.get_mut(id), self.verbs.get_mut(verb)) else {
+            return;
+        };
+        let Some(goal) = self.terms.verbs.get(verb).map(|verb| verb.goal.as_secs_f64()) else { return };
+        let took = latency.as_secs_f64();
+        if let Some(mean) = record.latency.mean() {
+            server.pace.add(took / mean, 32);
+        }
+        record.latency.add(took, Histogram::FULL);
+        if in_time {
+            record.answered.add(now, 1.0);
+        }
+        if let Some(run) = server.runs.get_mut(verb) {
+            *run = 0;
+        }
+        if took > goal || !in_time {
+            self.cut_bound(id);
+        } else if took < EASY * goal && f64::from(server.out + 1) * balancers + 1.0 >= server.bound {
+            server.bound = (server.bound + BOUND_RISE / server.bound).min(BOUND_MOST);
+        }
+        self.pass(id);
+    }
+
+    fn cut_bound(&mut self, id: &Id) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        server.bound = (server.bound * BOUND_CUT).max(1.0);
+    }
+
+    fn count_failure(&mut self, id: &Id, verb: usize, outcome: Outcome, counted: bool) {
+        if matches!(outcome, Outcome::Moot | Outcome::Cancelled) {
+            return;
+        }
+        if matches!(outcome, Outcome::Timeout | Outcome::Full) {
+            self.cut_bound(id);
+        }
+        if !counted {
+            self.lengthen_run(id, verb);
+        }
+    }
+
+    /// The run is kept by verb: what a server answers of one verb must not hide that it fails another.
+    fn lengthen_run(&mut self, id: &Id, verb: usize) {
+        let Some(server) = self.servers.get_mut(id) else { return };
+        if let Some(mark) = &mut server.mark {
+            (mark.passes, mark.trying) = (0, false);
+            mark.next = self.now + if self.terms.allowed.checks { CHECK_EVERY } else { TRIAL_AFTER };
+            return;
+        }
+        let Some(run) = server.runs.get_mut(verb) else { return };
+        *run += 1;
+        if *run >= MARK_AFTER {
+            self.mark(id);
+        }
+    }
+
+    /// Relays that stay out far longer than measured count as failures before any time-out says so: a server
+    /// that answers nothing would otherwise go on taking its share until then.
+    fn watch_relays(&mut self) {
+        let mut late: Vec<(Id, usize, Id, u32)> = Vec::new();
+        for (id, cmd) in &mut self.cmds {
+            let Some(usual) = self.verbs.get(cmd.verb).and_then(|record| record.latency.quantile(0.9)) else {
+                continue;
+            };
+            for (number, relay) in (0u32..).zip(&mut cmd.relays) {
+                let since = self.now.saturating_sub(relay.sent).as_secs_f64();
+                if relay.fate == Fate::Out && !relay.overdue && !cmd.streaming && since > OVERDUE * usual {
+                    relay.overdue = true;
+                    late.push((id.clone(), cmd.verb, relay.server.clone(), number));
+                }
+            }
+        }
+        for (id, verb, server, number) in late {
+            if let Some(server) = self.servers.get_mut(&server) {
+                server.overdue += 1;
+            }
+            self.lengthen_run(&server, verb);
+            self.second_relay(&id, number);
+        }
+    }
+
+    /// Within the budget, what is overdue at one server is tried at another while the goal can still be met.
+    fn second_relay(&mut self, id: &Id, number: u32) {
+        let Some(cmd) = self.cmds.get(id) else { return };
+        let left = cmd.good_until.saturating_sub(self.now).as_secs_f64();
+        if cmd.finished || self.spare_relays < 1.0 || left < 1.5 * self.expected(cmd.verb) {
+            return;
+        }
+        if self.terms.allowed.parallel {
+            if cmd.out() == 1 && self.place(id) {
+                self.spare_relays -= 1.0;
+            }
+        } else if self.terms.allowed.cancel && self.repeats(cmd) == Repeats::Pure {
+            // Its outcome brings the command back to `go_on`, which pays for the next relay.
+            self.host.cancel(id, number);
+        }
+    }
+}
+
+// Marks, checks and the ramp
+
+impl<H: Host> Policy<H> {
+    fn mark(&mut self, id: &Id) {
+        let ready = self.servers.values().filter(|server| server.ready).count() as f64;
+        let marked =
+            self.servers.values().filter(|server| server.ready && server.mark.is_some()).count() as f64;
+        // When most of the fleet fails, the cause is load or something shared: marking on would push all the
+        // traffic onto the rest.
+        if marked + 1.0 > ready * MARKED_AT_MOST {
+            return;
+        }
+        let wait = if self.terms.allowed.checks { CHECK_EVERY } else { TRIAL_AFTER };
+        let Some(server) = self.servers.get_mut(id) else { return };
+        let relapse = !server.returned.is_zero() && self.now < server.returned + RELAPSE_WITHIN;
+        server.rise = if relapse { (server.rise * 2).min(RISE_MOST) } else { RISE };
+        server.mark = Some(Mark { passes: 0, next: self.now + wait, trying: false });
+        self.host.note(&format!("mark {id}"));
+    }
+
+    fn pass(&mut self, id: &Id) {
+        let now = self.now;
+        let wait = if self.terms.allowed.checks { CHECK_EVERY } else { Duration::ZERO };
+        let Some(server) = self.servers.get_mut(id) else { return };
+        let Some(mark) = &mut server.mark else { return };
+        mark.passes += 1;
+        (mark.trying, mark.next) = (false, now + wait);
+        if mark.passes >= server.rise {
+            server.mark = None;
+            server.returned = now;
+            server.ramp_from = Some(now);
+            server.runs.iter_mut().for_each(|run| *run = 0);
+            server.pace = Histogram::default();
+            server.bound = BOUND_START;
+            self.host.note(&format!("return {id}"));
+        }
+    }
+
+    pub fn check_ended(&mut self, now: Duration, outcome: Outcome, id: &Id, load: Load) {
+        self.now = now;
+        self.take_report(id, load);
+        let Some(server) = self.servers.get_mut(id) else { return };
+        server.checking = false;
+        if outcome == Outcome::Ok {
+            self.pass(id);
+        } else if let Some(mark) = &mut server.mark {
+            (mark.passes, mark.next) = (0, now + CHECK_EVERY);
+        }
+    }
+
+    fn check_servers(&mut self) {
+        if !self.terms.allowed.checks {
+            return;
+        }
+        let now = self.now;
+        for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.ready && !server.checking) {
+            let wanted = match &server.mark {
+                Some(mark) => mark.next <= now,
+                None => false,
+            };
+            if wanted {
+                (server.checking, server.checked) = (true, now);
+                self.host.check(id);
+            }
+        }
+        self.check_load();
+    }
+
+    /// Reports that come with checks alone are fetched from the server heard of longest ago, as far as the
+    /// price of checks allows.
+    fn check_load(&mut self) {
+        if !self.terms.reports_on_checks {
+            return;
+        }
+        self.spare_checks = self.spare_checks.min(4.0);
+        while self.spare_checks >= 1.0 {
+            let now = self.now;
+            let idle = |server: &Server| {
+                server.ready && !server.checking && server.mark.is_none() && server.checked + SWEEP * 10 < now
+            };
+            let oldest =
+                self.servers.iter_mut().filter(|(_, server)| idle(server)).min_by_key(|(_, s)| s.checked);
+            let Some((id, server)) = oldest else { return };
+            (server.checking, server.checked) = (true, now);
+            self.host.check(id);
+            self.spare_checks -= 1.0;
+        }
+    }
+
+    /// How much of its full share a server gets: all of it unless it started or returned of late.
+    fn ramp(&self, server: &Server) -> f64 {
+        let Some(from) = server.ramp_from else { return 1.0 };
+        let age = self.now.saturating_sub(from).as_secs_f64();
+        let done = age / self.terms.cold.warm_after.as_secs_f64().max(1e-3);
+        (self.terms.cold.share + (1.0 - self.terms.cold.share) * done).min(1.0)
+    }
+
+    /// Rule 4: while a server ramps, this copy sends it no more than the ramp's share of what it sends the
+    /// others on average, so that all copies together stay under what the server can do.
+    fn credit_cold(&mut self) {
+        let ready = self.servers.values().filter(|server| server.ready).count().max(1) as f64;
+        let usual = (self.sent.per_s(self.now) / ready).max(4.0 / self.terms.balancers);
+        let (now, terms) = (self.now, &self.terms.cold);
+        for server in self.servers.values_mut() {
+            let since = now.saturating_sub(server.credited).as_secs_f64().min(1.0);
+            server.credited = now;
+            let Some(from) = server.ramp_from else { continue };
+            let done = now.saturating_sub(from).as_secs_f64() / terms.warm_after.as_secs_f64().max(1e-3);
+            if done >= 1.0 {
+                server.ramp_from = None;
+                continue;
+            }
+            let share = terms.share + (1.0 - terms.share) * done;
+            server.cold_credit = (server.cold_credit + since * usual * share).clamp(-2.0, 1.5);
+        }
+    }
+}
+
+// The draw
+
+struct Candidate {
+    id: Id,
+    /// Its part by load, and by size alone; the older the report, the more the second counts.
+    by_load: f64,
+    by_size: f64,
+    fresh: f64,
+    factor: f64,
+}
+
+impl<H: Host> Policy<H> {
+    fn draw(&mut self, id: &Id) -> Option<Id> {
+        self.credit_cold();
+        let cmd = self.cmds.get(id)?;
+        let all_marked = self.servers.values().all(|server| !server.ready || server.mark.is_some());
+        let mean = self.mean_report();
+        let nominal = self.mean_nominal();
+        let mut candidates: Vec<Candidate> = Vec::with_capacity(self.servers.len());
+        for (server_id, server) in &self.servers {
+            if self.fits(cmd, server_id, server, all_marked) {
+                candidates.push(self.candidate(server_id, server, mean, nominal));
+            }
+        }
+        let by_load: f64 = candidates.iter().map(|c| c.by_load).sum();
+        let by_size: f64 = candidates.iter().map(|c| c.by_size).sum();
+        let weight = |c: &Candidate| {
+            c.factor * (c.fresh * c.by_load / by_load + (1.0 - c.fresh) * c.by_size / by_size).max(1e-12)
+        };
+        let total: f64 = candidates.iter().map(weight).sum();
+        let mut left = self.chance() * total;
+        for candidate in &candidates {
+            left -= weight(candidate);
+            if left <= 0.0 {
+                return Some(candidate.id.clone());
+            }
+        }
+        candidates.pop().map(|candidate| candidate.id)
+    }
+
+    fn fits(&self, cmd: &Cmd, id: &Id, server: &Server, all_marked: bool) -> bool {
+        if !server.ready || !self.may_relay(cmd, server.zone, server.cell) {
+            return false;
+        }
+        if cmd.relays.iter().any(|relay| relay.server == *id) {
+            return false;
+        }
+        if server.ramp_from.is_some() && server.cold_credit < 1.0 {
+            return false;
+        }
+        match &server.mark {
+            Some(mark) if !all_marked => {
+                let trial = !self.terms.allowed.checks && !mark.trying && mark.next <= self.now;
+                trial && self.repeats(cmd) == Repeats::Pure
+            }
+            _ => f64::from(server.out) < (server.bound / self.terms.balancers).max(1.0),
+        }
+    }
+
+    fn candidate(&self, id: &Id, server: &Server, mean: f64, nominal: f64) -> Candidate {
+        let size = server.nominal / nominal / server.slowness();
+        let own = f64::from(server.out) * self.terms.balancers;
+        let (figure, fresh) = match server.report {
+            Some((figure, at)) => {
+                let age = self.now.saturating_sub(at).as_secs_f64();
+                (figure + server.sends * self.terms.balancers, (-age / DECAY).exp())
+            }
+            None => (mean + own, 1.0),
+        };
+        // A report that hides what this copy itself has out there, or whose server answers nothing, must not
+        // age its way back to an even share.
+        let figure = figure.max(own) + f64::from(server.overdue) * self.terms.balancers;
+        let fresh = if server.overdue > 0 { 1.0 } else { fresh };
+        let by_load = (size / (1.0 + figure / size)).powi(SHARPNESS);
+        let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
+        let factor = self.ramp(server) * (-far * CROSSING_AVERSION).exp();
+        Candidate { id: id.clone(), by_load, by_size: size.powi(SHARPNESS), fresh, factor }
+    }
+
+    fn mean_report(&self) -> f64 {
+        let reports: Vec<f64> =
+            self.servers.values().filter_map(|s| s.report.map(|(figure, _)| figure)).collect();
+        if reports.is_empty() { 0.0 } else { reports.iter().sum::<f64>() / reports.len() as f64 }
+    }
+
+    fn mean_nominal(&self) -> f64 {
+        let ready = || self.servers.values().filter(|server| server.ready);
+        (ready().map(|server| server.nominal).sum::<f64>() / (ready().count().max(1) as f64)).max(1e-9)
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/terms.rs
@@ -0,0 +1,228 @@
+//! The settings an instance is handed at start, decoded once.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    Pure,
+    Receipted(Group),
+    Effectful,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct Verb {
+    pub repeats: Repeats,
+    pub memory: Duration,
+    pub goal: Duration,
+    pub limit: Duration,
+    pub utility: f64,
+    pub overdue_utility: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Allowed {
+    pub checks: bool,
+    pub cancel: bool,
+    pub parallel: bool,
+    pub relays: u32,
+    pub come_back: Option<Duration>,
+}
+
+#[derive(Clone, Debug)]
+pub struct ColdRule {
+    pub share: f64,
+    pub warm_after: Duration,
+    pub multiple: f64,
+    pub window: Duration,
+}
+
+#[derive(Clone, Debug)]
+pub struct Prices {
+    pub crossing: f64,
+    pub check: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct GoalWeights {
+    pub whole: f64,
+    pub worst_verb: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub balancers: f64,
+    pub tier: u32,
+    pub zone: u32,
+    pub must_ask: bool,
+    pub ask_every: Duration,
+    pub resolution: Duration,
+    pub reports_on_checks: bool,
+    pub utility_by_work: bool,
+    pub beyond_quota: f64,
+    pub quotas: Vec<f64>,
+    pub verbs: Vec<Verb>,
+    pub allowed: Allowed,
+    pub cold: ColdRule,
+    pub prices: Prices,
+    pub goal: GoalWeights,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+pub struct Unreadable {
+    pub path: String,
+    pub value: Option<String>,
+}
+
+impl fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.value {
+            Some(value) => write!(f, "setting {} can't be read: {value:?}", self.path),
+            None => write!(f, "setting {} is missing", self.path),
+        }
+    }
+}
+
+impl std::error::Error for Unreadable {}
+
+struct Pairs<'a>(BTreeMap<&'a str, &'a str>);
+
+impl Pairs<'_> {
+    fn need<T: FromStr>(&self, path: &str) -> Result<T, Unreadable> {
+        self.maybe(path)?.ok_or(Unreadable { path: path.into(), value: None })
+    }
+
+    fn maybe<T: FromStr>(&self, path: &str) -> Result<Option<T>, Unreadable> {
+        let Some(raw) = self.0.get(path).filter(|raw| **raw != "-") else { return Ok(None) };
+        let parsed = raw.parse().map_err(|_| self.unreadable(path))?;
+        Ok(Some(parsed))
+    }
+
+    fn figure(&self, path: &str, absent: f64) -> Result<f64, Unreadable> {
+        match self.maybe::<f64>(path)? {
+            Some(figure) if !figure.is_finite() || figure < 0.0 => Err(self.unreadable(path)),
+            figure => Ok(figure.unwrap_or(absent)),
+        }
+    }
+
+    fn flag(&self, path: &str) -> Result<bool, Unreadable> {
+        match self.0.get(path) {
+            None | Some(&"-" | &"false" | &"0") => Ok(false),
+            Some(&"true" | &"1") => Ok(true),
+            Some(_) => Err(self.unreadable(path)),
+        }
+    }
+
+    fn span(&self, path: &str) -> Result<Duration, Unreadable> {
+        Ok(Duration::from_micros(self.need(path)?))
+    }
+
+    fn maybe_span(&self, path: &str) -> Result<Option<Duration>, Unreadable> {
+        Ok(self.maybe(path)?.map(Duration::from_micros))
+    }
+
+    fn count(&self, path: &str) -> Result<usize, Unreadable> {
+        let count = self.maybe(path)?.unwrap_or(0);
+        if count > 10_000 { Err(self.unreadable(path)) } else { Ok(count) }
+    }
+
+    fn unreadable(&self, path: &str) -> Unreadable {
+        Unreadable { path: path.into(), value: self.0.get(path).map(|raw| (*raw).into()) }
+    }
+
+    fn verb(&self, at: usize) -> Result<Verb, Unreadable> {
+        let path = |leaf: &str| format!("Verbs.{at}.{leaf}");
+        let repeats = match self.need::<String>(&path("Effect"))?.as_str() {
+            "idempotent" => Repeats::Pure,
+            "deduplicated" => Repeats::Receipted(self.group(&path("KeyScope"))?),
+            "at_most_once" => Repeats::Effectful,
+            _ => return Err(self.unreadable(&path("Effect"))),
+        };
+        let memory = match repeats {
+            Repeats::Receipted(_) => self.span(&path("MemorySpan"))?,
+            _ => Duration::ZERO,
+        };
+        let limit = self.span(&path("TimeLimit"))?;
+        Ok(Verb {
+            repeats,
+            memory,
+            limit,
+            goal: self.maybe_span(&path("ResponseGoal"))?.unwrap_or(limit),
+            utility: self.figure(&path("Utility"), 1.0)?,
+            overdue_utility: self.figure(&path("OverdueUtility"), 0.0)?,
+        })
+    }
+
+    fn group(&self, path: &str) -> Result<Group, Unreadable> {
+        match self.need::<String>(path)?.as_str() {
+            "all" => Ok(Group::All),
+            "zone" => Ok(Group::Zone),
+            "cell" => Ok(Group::Cell),
+            _ => Err(self.unreadable(path)),
+        }
+    }
+
+    fn allowed(&self) -> Result<Allowed, Unreadable> {
+        let come_back = self.maybe_span("PolicyLimits.MaxRetryAfter")?.filter(|span| !span.is_zero());
+        let heard = self.flag("PolicyLimits.RetryAfter")?;
+        Ok(Allowed {
+            checks: self.flag("PolicyLimits.Probes")?,
+            cancel: self.flag("PolicyLimits.MayCancel")?,
+            parallel: self.flag("PolicyLimits.ParallelTries")?,
+            relays: self.maybe("PolicyLimits.MostRelays")?.unwrap_or(1),
+            come_back: come_back.filter(|_| heard),
+        })
+    }
+}
+
+impl Terms {
+    /// Reads `path=value` pairs; keys that nothing here uses are skipped.
+    pub fn decode(text: &str) -> Result<Terms, Unreadable> {
+        let pairs = Pairs(text.split(' ').filter_map(|pair| pair.split_once('=')).collect());
+        let verbs = pairs.count("Verbs.count")?;
+        let tenants = pairs.count("Tenants.count")?;
+        let quota = |at| pairs.figure(&format!("Tenants.{at}.QuotaRps"), f64::MAX);
+        let must_ask = match pairs.need::<String>("Discovery")?.as_str() {
+            "automatic" => false,
+            "subscribe" => true,
+            _ => return Err(pairs.unreadable("Discovery")),
+        };
+        Ok(Terms {
+            balancers: pairs.figure("Balancers", 1.0)?.max(1.0),
+            tier: pairs.maybe("Tier")?.unwrap_or(0),
+            zone: pairs.maybe("MyZone")?.unwrap_or(0),
+            must_ask,
+            ask_every: pairs.maybe_span("Rules.AskEvery")?.unwrap_or(Duration::MAX),
+            resolution: pairs.maybe_span("Resolution")?.unwrap_or(Duration::ZERO),
+            reports_on_checks: pairs.maybe::<String>("Report.How")?.as_deref() == Some("probe"),
+            utility_by_work: pairs.maybe::<String>("UtilityBasis")?.as_deref() == Some("work"),
+            beyond_quota: pairs.figure("BeyondShareUtility", 1.0)?,
+            quotas: (0..tenants).map(quota).collect::<Result<_, _>>()?,
+            verbs: (0..verbs).map(|at| pairs.verb(at)).collect::<Result<_, _>>()?,
+            allowed: pairs.allowed()?,
+            cold: ColdRule {
+                share: pairs.need("Rules.ColdShare")?,
+                warm_after: pairs.span("Rules.Cold")?,
+                multiple: pairs.need("Rules.TipMultiple")?,
+                window: pairs.span("Rules.Fall")?,
+            },
+            prices: Prices {
+                crossing: pairs.figure("Costs.CrossZone", 0.0)?,
+                check: pairs.figure("Costs.Probe", 0.0)?,
+            },
+            goal: GoalWeights {
+                whole: pairs.figure("Goal.Whole", 1.0)?,
+                worst_verb: pairs.figure("Goal.WorstClass", 0.0)?,
+            },
+        })
+    }
+}
--- /dev/null
+++ b/crates/wirehost/src/main.rs
@@ -0,0 +1,39 @@
+//! Hosts many decision instances on the simulator's wire: standard input in, standard output back.
+
+mod wire;
+
+use std::io::{self, BufRead, BufWriter, Write};
+use std::process::ExitCode;
+
+fn run() -> io::Result<()> {
+    let mut input = io::stdin().lock();
+    let mut output = BufWriter::new(io::stdout().lock());
+    let mut hosting = wire::Hosting::default();
+    let mut line = Vec::new();
+    for number in 1u64.. {
+        line.clear();
+        if input.read_until(b'\n', &mut line)? == 0 {
+            break;
+        }
+        let text = String::from_utf8_lossy(&line);
+        match hosting.read_line(text.trim_end_matches(['\n', '\r'])) {
+            Ok(None) => {}
+            Ok(Some(reply)) => {
+                output.write_all(reply.as_bytes())?;
+                output.flush()?;
+            }
+            Err(wrong) => eprintln!("line {number}: {wrong}: {:.200}", text.trim_end()),
+        }
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(wrong) => {
+            eprintln!("landingspread-wirehost: {wrong}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/wirehost/src/wire.rs
@@ -0,0 +1,300 @@
+//! Reads the wire's lines into calls on the instances and writes what they ask for. Decides nothing.
+
+use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
+use landingspread_decisions::policy::Policy;
+use landingspread_decisions::terms::Terms;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt::{self, Write};
+use std::rc::Rc;
+use std::str::FromStr;
+use std::time::Duration;
+
+type Reply = Rc<RefCell<String>>;
+
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed(String);
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+fn malformed<T>(what: impl Into<String>) -> Result<T, Malformed> {
+    Err(Malformed(what.into()))
+}
+
+/// Writes one instance's messages; all instances of the process write to one reply.
+pub struct WireHost {
+    name: String,
+    reply: Reply,
+}
+
+impl WireHost {
+    fn say(&self, message: &str, rest: fmt::Arguments<'_>) {
+        let mut reply = self.reply.borrow_mut();
+        // Writing to a String cannot fail.
+        let _ = writeln!(reply, "{message} {}{rest}", self.name);
+    }
+}
+
+impl Host for WireHost {
+    fn relay(&mut self, cmd: &Id, server: &Id, not_past: Duration) {
+        self.say("ROUTE", format_args!(" {cmd} {} {server}", not_past.as_micros()));
+    }
+
+    fn decline(&mut self, cmd: &Id, come_back: Option<Duration>) {
+        self.say("DECLINE", format_args!(" {cmd} {}", come_back.unwrap_or_default().as_micros()));
+    }
+
+    fn terminate(&mut self, cmd: &Id) {
+        self.say("ABORT", format_args!(" {cmd}"));
+    }
+
+    fn cancel(&mut self, cmd: &Id, relay: u32) {
+        self.say("UNDO_SEND", format_args!(" {cmd} {relay}"));
+    }
+
+    fn check(&mut self, server: &Id) {
+        self.say("TOUCH", format_args!(" {server}"));
+    }
+
+    fn wake_in(&mut self, span: Duration) {
+        self.say("DEFER", format_args!(" {} sweep", span.as_micros()));
+    }
+
+    fn subscribe(&mut self) {
+        self.say("SUBSCRIBE", format_args!(" 1"));
+    }
+
+    fn fetch_list(&mut self) {
+        self.say("REFRESH", format_args!(""));
+    }
+
+    fn note(&mut self, text: &str) {
+        self.say("TRACE", format_args!(" {text}"));
+    }
+}
+
+struct Fields<'a>(std::str::Split<'a, char>);
+
+impl<'a> Fields<'a> {
+    fn text(&mut self, name: &str) -> Result<&'a str, Malformed> {
+        match self.0.next().filter(|part| !part.is_empty()) {
+            Some(part) => Ok(part),
+            None => malformed(format!("{name} is missing")),
+        }
+    }
+
+    fn maybe<T: FromStr>(&mut self, name: &str) -> Result<Option<T>, Malformed> {
+        match self.0.next() {
+            None | Some("-" | "") => Ok(None),
+            Some(part) => match part.parse() {
+                Ok(value) => Ok(Some(value)),
+                Err(_) => malformed(format!("{name} can't be read: {part:?}")),
+            },
+        }
+    }
+
+    fn need<T: FromStr>(&mut self, name: &str) -> Result<T, Malformed> {
+        match self.maybe(name)? {
+            Some(value) => Ok(value),
+            None => malformed(format!("{name} is missing")),
+        }
+    }
+
+    fn span(&mut self, name: &str) -> Result<Duration, Malformed> {
+        Ok(Duration::from_micros(self.need(name)?))
+    }
+
+    fn id(&mut self, name: &str) -> Result<Id, Malformed> {
+        Ok(self.text(name)?.into())
+    }
+
+    fn flag(&mut self, name: &str) -> Result<bool, Malformed> {
+        match self.text(name)? {
+            "1" => Ok(true),
+            "0" => Ok(false),
+            part => malformed(format!("{name} can't be read: {part:?}")),
+        }
+    }
+
+    fn outcome(&mut self) -> Result<Outcome, Malformed> {
+        Ok(match self.text("Rc")? {
+            "10" => Outcome::Ok,
+            "20" => Outcome::Error,
+            "30" => Outcome::Full,
+            "40" => Outcome::Timeout,
+            "50" => Outcome::ConnectFailed,
+            "60" => Outcome::Reset,
+            "70" => Outcome::Cancelled,
+            "80" => Outcome::Moot,
+            part => return malformed(format!("Rc is unknown: {part:?}")),
+        })
+    }
+
+    fn load(&mut self) -> Load {
+        let mut load = Load::default();
+        for pair in self.0.next().unwrap_or("-").split(',') {
+            let Some((key, value)) = pair.split_once(':') else { continue };
+            let value = value.parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0);
+            match key {
+                "waiting" => load.queue = value,
+                "active" => load.in_flight = value,
+                _ => {}
+            }
+        }
+        load
+    }
+}
+
+#[derive(Default)]
+struct OpenList {
+    number: usize,
+    left: usize,
+}
+
+#[derive(Default)]
+pub struct Hosting {
+    now: Duration,
+    reply: Reply,
+    instances: BTreeMap<String, Policy<WireHost>>,
+    lists: BTreeMap<usize, Vec<Listed>>,
+    open: OpenList,
+}
+
+impl Hosting {
+    /// Takes one line; the line that ends a batch gives the whole reply back.
+    pub fn read_line(&mut self, line: &str) -> Result<Option<String>, Malformed> {
+        let mut fields = Fields(line.split(' '));
+        let message = fields.0.next().unwrap_or("");
+        match message {
+            "" => {}
+            "TURN" => self.now = fields.span("Moment")?,
+            "END" => {
+                let mut reply = std::mem::take(&mut *self.reply.borrow_mut());
+                reply.push_str("DONE\n");
+                return Ok(Some(reply));
+            }
+            "MANIFEST" => self.open_list(&mut fields)?,
+            "ITEM" => self.add_entry(&mut fields)?,
+            _ => self.tell_instance(message, &mut fields)?,
+        }
+        Ok(None)
+    }
+
+    fn open_list(&mut self, fields: &mut Fields<'_>) -> Result<(), Malformed> {
+        let (number, left) = (fields.need("List")?, fields.need("Members")?);
+        self.open = OpenList { number, left };
+        self.lists.insert(number, Vec::new());
+        Ok(())
+    }
+
+    fn add_entry(&mut self, fields: &mut Fields<'_>) -> Result<(), Malformed> {
+        if self.open.left == 0 {
+            return malformed("ITEM outside a list");
+        }
+        // Counted before it is read: an entry that can't be read must not swallow the next list's.
+        self.open.left -= 1;
+        let entry = read_entry(fields)?;
+        self.lists.entry(self.open.number).or_default().push(entry);
+        Ok(())
+    }
+
+    fn tell_instance(&mut self, message: &str, fields: &mut Fields<'_>) -> Result<(), Malformed> {
+        let name = fields.text("SidecarId")?;
+        match message {
+            "BORN" => return self.born(name, fields),
+            "KILL" => {
+                self.instances.remove(name);
+                return Ok(());
+            }
+            _ => {}
+        }
+        let now = self.now;
+        let Some(instance) = self.instances.get_mut(name) else {
+            return malformed(format!("{message} for an instance that does not run"));
+        };
+        match message {
+            "TOPOLOGY" => {
+                let mode = fields.text("Mode")?;
+                fields.text("Index")?;
+                if mode == "0" {
+                    instance.list_call_failed(now);
+                    return Ok(());
+                }
+                let Some(entries) = self.lists.get(&fields.need("List")?) else {
+                    return malformed("TOPOLOGY names a list that was never given");
+                };
+                match mode {
+                    "2" => instance.list_cached(now, entries),
+                    "3" => instance.list_changed(now, entries),
+                    "4" => instance.list_told(now, entries),
+                    _ => return malformed(format!("Mode is unknown: {mode:?}")),
+                }
+            }
+            "REQUEST" => {
+                let (id, verb, due) = (fields.id("Req")?, fields.need("Grade")?, fields.span("Due")?);
+                fields.0.next();
+                let tenant = fields.maybe("Team")?.unwrap_or(0);
+                fields.0.next();
+                let repeat = fields.maybe::<u32>("Options")?.unwrap_or(0) & 2 != 0;
+                instance.cmd_came(now, Arrival { id, verb, due, tenant, repeat });
+            }
+            "REPLY" => {
+                let (cmd, closed, outcome) = (fields.id("Req")?, fields.flag("Terminal")?, fields.outcome()?);
+                let (relay, latency) = (fields.need("Shot")?, fields.span("Latency")?);
+                let (server, load) = (fields.id("Endpoint")?, fields.load());
+                instance.relay_ended(now, Ended { cmd, closed, outcome, relay, latency, server, load });
+            }
+            "FIRST_BYTE" => instance.answer_began(now, &fields.id("Req")?, fields.need("Shot")?),
+            "ELAPSED" => instance.woken(now),
+            "VANISHED" => instance.client_left(now, &fields.id("Req")?),
+            "PONG" => {
+                let (outcome, server) = (fields.outcome()?, fields.id("Endpoint")?);
+                fields.span("Latency")?;
+                instance.check_ended(now, outcome, &server, fields.load());
+            }
+            // Peers' words are not used yet: what a peer says is heard and passed over.
+            "FROM_PEER" => {}
+            _ => return malformed(format!("unknown message {message:?}")),
+        }
+        Ok(())
+    }
+
+    fn born(&mut self, name: &str, fields: &mut Fields<'_>) -> Result<(), Malformed> {
+        let seed = fields.need("Prng")?;
+        let info: Vec<&str> = fields.0.by_ref().collect();
+        let host = WireHost { name: name.into(), reply: self.reply.clone() };
+        match Terms::decode(&info.join(" ")) {
+            Ok(terms) => {
+                self.instances.insert(name.into(), Policy::start(host, terms, seed, self.now));
+                Ok(())
+            }
+            Err(wrong) => {
+                host.say("GIVE_IN", format_args!(" {wrong}"));
+                malformed(wrong.to_string())
+            }
+        }
+    }
+}
+
+fn read_entry(fields: &mut Fields<'_>) -> Result<Listed, Malformed> {
+    let (server, zone) = (fields.id("Endpoint")?, fields.need("Locality")?);
+    fields.0.next();
+    let cell = fields.maybe("Group")?.unwrap_or(0);
+    let state = match fields.text("Health")? {
+        "1" => State::Ready,
+        "2" => State::Draining,
+        "0" => State::Gone,
+        part => return malformed(format!("Health is unknown: {part:?}")),
+    };
+    let nominal = fields.maybe("Nominal")?.unwrap_or(1.0);
+    let up_since = fields.maybe("CameUp")?.filter(|at| *at != 0).map(Duration::from_micros);
+    Ok(Listed { server, zone, cell, state, nominal, up_since })
+}
+
+#[cfg(test)]
+#[path = "../tests/wire.rs"]
+mod tests;
