--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -903,8 +903,22 @@
 }
 
 impl<H: Host> Policy<H> {
+    /// A copy's part of a bound can be less than one relay: what all its servers together leave it still holds,
+    /// or many copies would each have one out at every server.
+    fn crowded(&self) -> bool {
+        let (mut out, mut room) = (0.0, 0.0);
+        for server in self.servers.values().filter(|server| server.ready && server.mark.is_none()) {
+            out += f64::from(server.out);
+            room += server.bound / self.terms.balancers;
+        }
+        room > 0.0 && out >= room.max(1.0)
+    }
+
     fn draw(&mut self, id: &Id) -> Option<Id> {
         self.credit_cold();
+        if self.crowded() {
+            return None;
+        }
         let cmd = self.cmds.get(id)?;
         let all_marked = self.servers.values().all(|server| !server.ready || server.mark.is_some());
         let mean = self.mean_report();
