--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -27,7 +27,7 @@
 const SHARPNESS: i32 = 2;
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
 const BOUND_START: f64 = 6.0;
-const BOUND_MOST: f64 = 64.0;
+const BOUND_MOST: f64 = 10.0;
 const BOUND_CUT: f64 = 0.87;
 const BOUND_RISE: f64 = 1.0;
 /// Below this share of the response goal an answer raises the bound.
@@ -675,11 +675,14 @@
 
     fn count_answer(&mut self, id: &Id, verb: usize, latency: Duration, in_time: bool) {
         let (now, balancers) = (self.now, self.terms.balancers);
+        let (out, room) = self.in_use();
         let (Some(server), Some(record)) = (self.servers.get_mut(id), self.verbs.get_mut(verb)) else {
             return;
         };
         let Some(goal) = self.terms.verbs.get(verb).map(|verb| verb.goal.as_secs_f64()) else { return };
         let took = latency.as_secs_f64();
+        // A bound that rises while it is not reached would let a later jam in.
+        let used = out + 1.0 >= 0.8 * room || f64::from(server.out + 1) >= (server.bound / balancers).max(2.0);
         if let Some(mean) = record.latency.mean() {
             server.pace.add(took / mean, 32);
         }
@@ -692,7 +695,7 @@
         }
         if took > goal || !in_time {
             self.cut_bound(id);
-        } else if took < EASY * goal && f64::from(server.out + 1) * balancers + 1.0 >= server.bound {
+        } else if took < EASY * goal && used {
             server.bound = (server.bound + BOUND_RISE / server.bound).min(BOUND_MOST);
         }
         self.pass(id);
@@ -903,20 +906,21 @@
 }
 
 impl<H: Host> Policy<H> {
-    /// A copy's part of a bound can be less than one relay: what all its servers together leave it still holds,
-    /// or many copies would each have one out at every server.
-    fn crowded(&self) -> bool {
+    /// What this copy has out, and its part of all bounds. The part of one server's bound can be less than one
+    /// relay: without the sum, many copies would each have one out at every server.
+    fn in_use(&self) -> (f64, f64) {
         let (mut out, mut room) = (0.0, 0.0);
         for server in self.servers.values().filter(|server| server.ready && server.mark.is_none()) {
             out += f64::from(server.out);
             room += server.bound / self.terms.balancers;
         }
-        room > 0.0 && out >= room.max(1.0)
+        (out, room.max(1.0))
     }
 
     fn draw(&mut self, id: &Id) -> Option<Id> {
         self.credit_cold();
-        if self.crowded() {
+        let (out, room) = self.in_use();
+        if out >= room {
             return None;
         }
         let cmd = self.cmds.get(id)?;
