--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -27,11 +27,14 @@
 const SHARPNESS: i32 = 2;
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
 const BOUND_START: f64 = 6.0;
-const BOUND_MOST: f64 = 10.0;
+const BOUND_MOST: f64 = 64.0;
 const BOUND_CUT: f64 = 0.87;
 const BOUND_RISE: f64 = 1.0;
 /// Below this share of the response goal an answer raises the bound.
 const EASY: f64 = 0.5;
+/// Answers this many times as slow as in calm times are a sign of crowding: bounds rise below, fall above.
+const CALM: f64 = 1.1;
+const STRAINED: f64 = 1.4;
 /// Further relays of commands that may have run, as a share of the commands taken.
 const RELAY_SHARE: f64 = 0.1;
 const RELAY_BURST: f64 = 8.0;
@@ -231,6 +234,8 @@
 #[derive(Clone, Debug, Default)]
 struct VerbRecord {
     latency: Histogram,
+    /// The mean time to an answer when things went best, forgotten slowly.
+    calm: Option<f64>,
     asked: Rate,
     answered: Rate,
 }
@@ -253,6 +258,8 @@
     cmds: BTreeMap<Id, Cmd>,
     held: Vec<Id>,
     verbs: Vec<VerbRecord>,
+    /// Answers' times as multiples of the calm mean of their verb.
+    strain: Histogram,
     tenants: Vec<Rate>,
     sent: Rate,
     ended: Rate,
@@ -277,6 +284,7 @@
             cmds: BTreeMap::new(),
             held: Vec::new(),
             verbs,
+            strain: Histogram::default(),
             tenants,
             sent: Rate::default(),
             ended: Rate::default(),
@@ -687,6 +695,12 @@
             server.pace.add(took / mean, 32);
         }
         record.latency.add(took, Histogram::FULL);
+        if let Some(mean) = record.latency.mean().filter(|_| record.latency.total >= 32) {
+            let calm = record.calm.map_or(mean, |calm| (calm * 1.0005).min(mean));
+            record.calm = Some(calm);
+            self.strain.add((took / calm).min(4.0), 64);
+        }
+        let strain = self.strain.mean().unwrap_or(1.0);
         if in_time {
             record.answered.add(now, 1.0);
         }
@@ -695,7 +709,9 @@
         }
         if took > goal || !in_time {
             self.cut_bound(id);
-        } else if took < EASY * goal && used {
+        } else if strain > STRAINED && server.bound > BOUND_START {
+            server.bound = (server.bound * 0.98).max(BOUND_START);
+        } else if took < EASY * goal && used && strain < CALM {
             server.bound = (server.bound + BOUND_RISE / server.bound).min(BOUND_MOST);
         }
         self.pass(id);
