--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -39,7 +39,7 @@
 const RELAY_SHARE: f64 = 0.1;
 const RELAY_BURST: f64 = 8.0;
 /// Points of the goal that load checks may cost, and the most checks a command.
-const CHECK_POINTS: f64 = 0.003;
+const CHECK_POINTS: f64 = 0.0;
 const CHECK_SHARE_MOST: f64 = 0.2;
 /// A command is held while its expected answer lies within this share of the time left to its goal.
 const HOLD: f64 = 0.6;
@@ -675,7 +675,9 @@
 
     fn take_report(&mut self, id: &Id, load: Load) {
         let Some(server) = self.servers.get_mut(id) else { return };
-        if let Some(figure) = load.queue.or(load.in_flight) {
+        // A busy share stands for the queue that it leaves a newcomer with.
+        let busy = load.busy.map(|busy| busy.min(1.0) / (1.1 - busy.min(1.0)));
+        if let Some(figure) = load.queue.or(load.in_flight).or(busy) {
             server.report = Some((figure, self.now));
             server.sends = 0.0;
         }
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -142,6 +142,7 @@
             match key {
                 "waiting" => load.queue = value,
                 "active" => load.in_flight = value,
+                "cpu" => load.busy = value,
                 _ => {}
             }
         }
