--- a/crates/decisions/src/host.rs
+++ b/crates/decisions/src/host.rs
@@ -78,6 +78,4 @@
 pub struct Load {
     pub queue: Option<f64>,
     pub in_flight: Option<f64>,
-    /// The share of its cores that is busy.
-    pub busy: Option<f64>,
 }
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -38,9 +38,6 @@
 /// Further relays of commands that may have run, as a share of the commands taken.
 const RELAY_SHARE: f64 = 0.1;
 const RELAY_BURST: f64 = 8.0;
-/// Points of the goal that load checks may cost, and the most checks a command.
-const CHECK_POINTS: f64 = 0.0;
-const CHECK_SHARE_MOST: f64 = 0.2;
 /// A command is held while its expected answer lies within this share of the time left to its goal.
 const HOLD: f64 = 0.6;
 /// A relay is overdue at this many times the time in which nine of ten are answered.
@@ -144,7 +141,6 @@
     credited: Duration,
     report: Option<(f64, Duration)>,
     sends: f64,
-    checked: Duration,
     checking: bool,
     out: u32,
     overdue: u32,
@@ -169,7 +165,6 @@
             credited: Duration::ZERO,
             report: None,
             sends: 0.0,
-            checked: Duration::ZERO,
             checking: false,
             out: 0,
             overdue: 0,
@@ -264,7 +259,6 @@
     sent: Rate,
     ended: Rate,
     spare_relays: f64,
-    spare_checks: f64,
     asking: Asking,
 }
 
@@ -289,7 +283,6 @@
             sent: Rate::default(),
             ended: Rate::default(),
             spare_relays: RELAY_BURST,
-            spare_checks: 0.0,
             asking: Asking::default(),
         };
         if policy.terms.must_ask {
@@ -408,7 +401,6 @@
             if verb.overdue_utility > 0.0 { arrival.due } else { arrival.due.min(now + verb.goal) };
         self.verbs[arrival.verb].asked.add(now, 1.0);
         self.spare_relays = (self.spare_relays + RELAY_SHARE).min(RELAY_BURST);
-        self.spare_checks += (CHECK_POINTS / self.terms.prices.check.max(1e-6)).min(CHECK_SHARE_MOST);
         let beyond = self.beyond_quota(arrival.tenant);
         let cmd = Cmd {
             verb: arrival.verb,
@@ -675,9 +667,7 @@
 
     fn take_report(&mut self, id: &Id, load: Load) {
         let Some(server) = self.servers.get_mut(id) else { return };
-        // A busy share stands for the queue that it leaves a newcomer with.
-        let busy = load.busy.map(|busy| busy.min(1.0) / (1.1 - busy.min(1.0)));
-        if let Some(figure) = load.queue.or(load.in_flight).or(busy) {
+        if let Some(figure) = load.queue.or(load.in_flight) {
             server.report = Some((figure, self.now));
             server.sends = 0.0;
         }
@@ -832,9 +822,9 @@
         }
     }
 
-    pub fn check_ended(&mut self, now: Duration, outcome: Outcome, id: &Id, load: Load) {
+    /// Its report is passed over: it would be the last for long, and age into an even share.
+    pub fn check_ended(&mut self, now: Duration, outcome: Outcome, id: &Id) {
         self.now = now;
-        self.take_report(id, load);
         let Some(server) = self.servers.get_mut(id) else { return };
         server.checking = false;
         if outcome == Outcome::Ok {
@@ -855,32 +845,10 @@
                 None => false,
             };
             if wanted {
-                (server.checking, server.checked) = (true, now);
+                server.checking = true;
                 self.host.check(id);
             }
         }
-        self.check_load();
-    }
-
-    /// Reports that come with checks alone are fetched from the server heard of longest ago, as far as the
-    /// price of checks allows.
-    fn check_load(&mut self) {
-        if !self.terms.reports_on_checks {
-            return;
-        }
-        self.spare_checks = self.spare_checks.min(4.0);
-        while self.spare_checks >= 1.0 {
-            let now = self.now;
-            let idle = |server: &Server| {
-                server.ready && !server.checking && server.mark.is_none() && server.checked + SWEEP * 10 < now
-            };
-            let oldest =
-                self.servers.iter_mut().filter(|(_, server)| idle(server)).min_by_key(|(_, s)| s.checked);
-            let Some((id, server)) = oldest else { return };
-            (server.checking, server.checked) = (true, now);
-            self.host.check(id);
-            self.spare_checks -= 1.0;
-        }
     }
 
     /// How much of its full share a server gets: all of it unless it started or returned of late.
--- a/crates/decisions/src/terms.rs
+++ b/crates/decisions/src/terms.rs
@@ -49,7 +49,6 @@
 #[derive(Clone, Debug)]
 pub struct Prices {
     pub crossing: f64,
-    pub check: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -66,7 +65,6 @@
     pub must_ask: bool,
     pub ask_every: Duration,
     pub resolution: Duration,
-    pub reports_on_checks: bool,
     pub utility_by_work: bool,
     pub beyond_quota: f64,
     pub quotas: Vec<f64>,
@@ -203,7 +201,6 @@
             must_ask,
             ask_every: pairs.maybe_span("Rules.AskEvery")?.unwrap_or(Duration::MAX),
             resolution: pairs.maybe_span("Resolution")?.unwrap_or(Duration::ZERO),
-            reports_on_checks: pairs.maybe::<String>("Report.How")?.as_deref() == Some("probe"),
             utility_by_work: pairs.maybe::<String>("UtilityBasis")?.as_deref() == Some("work"),
             beyond_quota: pairs.figure("BeyondShareUtility", 1.0)?,
             quotas: (0..tenants).map(quota).collect::<Result<_, _>>()?,
@@ -217,7 +214,6 @@
             },
             prices: Prices {
                 crossing: pairs.figure("Costs.CrossZone", 0.0)?,
-                check: pairs.figure("Costs.Probe", 0.0)?,
             },
             goal: GoalWeights {
                 whole: pairs.figure("Goal.Whole", 1.0)?,
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -142,7 +142,6 @@
             match key {
                 "waiting" => load.queue = value,
                 "active" => load.in_flight = value,
-                "cpu" => load.busy = value,
                 _ => {}
             }
         }
@@ -255,7 +254,7 @@
             "PONG" => {
                 let (outcome, server) = (fields.outcome()?, fields.id("Endpoint")?);
                 fields.span("Latency")?;
-                instance.check_ended(now, outcome, &server, fields.load());
+                instance.check_ended(now, outcome, &server);
             }
             // Peers' words are not used yet: what a peer says is heard and passed over.
             "FROM_PEER" => {}
