--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -125,7 +125,7 @@
     trying: bool,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Server {
     zone: u32,
     cell: u32,
@@ -150,27 +150,8 @@
 
 impl Server {
     fn new(entry: &Listed, verbs: usize) -> Self {
-        Server {
-            zone: entry.zone,
-            cell: entry.cell,
-            ready: true,
-            nominal: 1.0,
-            up_since: None,
-            runs: vec![0; verbs],
-            mark: None,
-            rise: RISE,
-            returned: Duration::ZERO,
-            ramp_from: None,
-            cold_credit: 0.0,
-            credited: Duration::ZERO,
-            report: None,
-            sends: 0.0,
-            checking: false,
-            out: 0,
-            overdue: 0,
-            bound: BOUND_START,
-            pace: Histogram::default(),
-        }
+        let (zone, cell) = (entry.zone, entry.cell);
+        Server { zone, cell, runs: vec![0; verbs], rise: RISE, bound: BOUND_START, ..Server::default() }
     }
 
     /// A process that started anew has nothing to do with what was learned of the old one.
@@ -538,7 +519,7 @@
         cmd.relays.push(relay);
         server.out += 1;
         server.sends += 1.0;
-        server.cold_credit -= 1.0;
+        server.cold_credit = (server.cold_credit - 1.0).max(0.0);
         if let Some(mark) = &mut server.mark {
             mark.trying = true;
         }
@@ -682,7 +663,8 @@
         let Some(goal) = self.terms.verbs.get(verb).map(|verb| verb.goal.as_secs_f64()) else { return };
         let took = latency.as_secs_f64();
         // A bound that rises while it is not reached would let a later jam in.
-        let used = out + 1.0 >= 0.8 * room || f64::from(server.out + 1) >= (server.bound / balancers).max(2.0);
+        let used =
+            out + 1.0 >= 0.8 * room || f64::from(server.out + 1) >= (server.bound / balancers).max(2.0);
         if let Some(mean) = record.latency.mean() {
             server.pace.add(took / mean, 32);
         }
@@ -875,7 +857,7 @@
                 continue;
             }
             let share = terms.share + (1.0 - terms.share) * done;
-            server.cold_credit = (server.cold_credit + since * usual * share).clamp(-2.0, 1.5);
+            server.cold_credit = (server.cold_credit + since * usual * share).min(1.5);
         }
     }
 }
--- a/crates/decisions/src/terms.rs
+++ b/crates/decisions/src/terms.rs
@@ -212,9 +212,7 @@
                 multiple: pairs.need("Rules.TipMultiple")?,
                 window: pairs.span("Rules.Fall")?,
             },
-            prices: Prices {
-                crossing: pairs.figure("Costs.CrossZone", 0.0)?,
-            },
+            prices: Prices { crossing: pairs.figure("Costs.CrossZone", 0.0)? },
             goal: GoalWeights {
                 whole: pairs.figure("Goal.Whole", 1.0)?,
                 worst_verb: pairs.figure("Goal.WorstClass", 0.0)?,
--- /dev/null
+++ b/crates/decisions/tests/decisions/main.rs
@@ -0,0 +1,3 @@
+mod plain;
+mod rules;
+mod scripted;
--- /dev/null
+++ b/crates/decisions/tests/decisions/plain.rs
@@ -0,0 +1,181 @@
+//! A few plain cases of the mechanism and of each exception to it.
+
+use crate::scripted::{Final, Scene, entry, ms, terms};
+use landingspread_decisions::host::{Listed, Load, Outcome, State};
+use landingspread_decisions::terms::Terms;
+
+fn scene(extra: &str, servers: u32) -> Scene {
+    Scene::new(terms("zone", extra), "zone", 7, servers)
+}
+
+fn failing<'a>(bad: &'a str) -> impl Fn(&str) -> Outcome + 'a {
+    move |server| if server == bad { Outcome::Error } else { Outcome::Ok }
+}
+
+#[test]
+fn straight_failures_mark_and_checks_return_on_a_ramp() {
+    let mut scene = scene("", 4);
+    for _ in 0..200 {
+        scene.play(0, failing("s1"));
+    }
+    assert!(scene.noted("mark s1"));
+    let marked = scene.script.0.borrow().sent_to("s1");
+    for _ in 0..100 {
+        scene.play(0, failing("s1"));
+    }
+    assert_eq!(scene.script.0.borrow().sent_to("s1"), marked, "a marked server gets nothing");
+    for _ in 0..4 {
+        scene.pass(ms(1100));
+        scene.check_all(Outcome::Ok);
+    }
+    assert!(scene.noted("return s1"));
+    for _ in 0..100 {
+        scene.play(0, |_| Outcome::Ok);
+    }
+    let ramped = scene.script.0.borrow().sent_to("s1") - marked;
+    assert!((1..18).contains(&ramped), "the ramp gives less than an even 25, not {ramped}");
+}
+
+#[test]
+fn without_checks_trials_return_a_server() {
+    let mut scene = scene("PolicyLimits.Probes=false", 3);
+    for _ in 0..100 {
+        scene.play(0, failing("s1"));
+    }
+    assert!(scene.noted("mark s1"));
+    scene.pass(ms(5000));
+    for _ in 0..100 {
+        scene.play(0, |_| Outcome::Ok);
+    }
+    assert!(scene.noted("return s1"));
+    assert!(scene.script.0.borrow().checks.is_empty());
+}
+
+#[test]
+fn another_verbs_answers_do_not_hide_a_failing_verb() {
+    let mut scene = scene("", 4);
+    for _ in 0..150 {
+        scene.play(0, failing("s2"));
+        scene.play(3, |_| Outcome::Ok);
+    }
+    assert!(scene.noted("mark s2"));
+}
+
+#[test]
+fn marks_never_empty_the_fleet() {
+    let mut scene = scene("", 4);
+    for _ in 0..300 {
+        scene.play(0, |_| Outcome::Error);
+    }
+    let marks = scene.script.0.borrow().notes.iter().filter(|note| note.starts_with("mark")).count();
+    assert_eq!(marks, 2, "the cut-off keeps half of the servers");
+    let id = scene.play(0, |_| Outcome::Ok);
+    assert_eq!(scene.ended(&id), Some(Final::Answered));
+}
+
+#[test]
+fn a_silent_server_is_marked_before_any_time_out() {
+    let mut scene = scene("", 4);
+    for _ in 0..200 {
+        scene.play(0, |_| Outcome::Ok);
+    }
+    for _ in 0..60 {
+        if scene.noted("mark s3") {
+            break;
+        }
+        let id = scene.give(0, ms(3000));
+        scene.pass(ms(20));
+        let to = scene.script.0.borrow().cmds[&id].relays.first().map(|relay| relay.server.clone());
+        if to.is_some_and(|server| &*server != "s3") {
+            scene.end(&id, 0, Outcome::Ok, Load::default());
+        }
+    }
+    assert!(scene.noted("mark s3"));
+    let world = scene.script.0.borrow();
+    assert!(world.cmds.values().flat_map(|cmd| &cmd.relays).all(|r| r.outcome != Some(Outcome::Timeout)));
+}
+
+#[test]
+fn the_draw_shuns_a_fresh_high_report_and_forgets_an_old_one() {
+    let mut scene = scene("", 2);
+    let at_s0 = |scene: &mut Scene, wait| {
+        for _ in 0..4 {
+            let id = scene.give(0, ms(3000));
+            let to = scene.script.0.borrow().cmds[&id].relays[0].server.clone();
+            let in_flight = Some(if &*to == "s0" { 9.0 } else { 0.0 });
+            scene.end(&id, 0, Outcome::Ok, Load { in_flight, queue: None });
+        }
+        scene.pass(wait);
+        let before = scene.script.0.borrow().sent_to("s0");
+        let id = scene.give(0, ms(3000));
+        scene.end(&id, 0, Outcome::Ok, Load::default());
+        scene.script.0.borrow().sent_to("s0") - before
+    };
+    let fresh: usize = (0..100).map(|_| at_s0(&mut scene, ms(0))).sum();
+    let old: usize = (0..100).map(|_| at_s0(&mut scene, ms(6000))).sum();
+    assert!(fresh < 15, "a fresh report of 9 leaves little: {fresh}");
+    assert!((30..70).contains(&old), "an old one about half: {old}");
+}
+
+#[test]
+fn a_restarted_server_is_not_pushed_over() {
+    let mut scene = scene("", 4);
+    for _ in 0..200 {
+        scene.play(0, |_| Outcome::Ok);
+    }
+    let up_since = Some(scene.now());
+    scene.change(&[Listed { up_since, ..entry("s0", State::Ready) }]);
+    let before = scene.script.0.borrow().sent_to("s0");
+    for _ in 0..100 {
+        scene.play(0, |_| Outcome::Ok);
+    }
+    let cold = scene.script.0.borrow().sent_to("s0") - before;
+    assert!(cold <= 15, "2 s at 0.3 to 0.5 of an even 25, not {cold}");
+}
+
+#[test]
+fn each_kind_of_verb_gets_its_own_final_answer() {
+    let mut scene = scene("PolicyLimits.MostRelays=1", 3);
+    let ends = [Final::Declined, Final::Terminated, Final::Terminated, Final::Declined];
+    for (verb, end) in ends.into_iter().enumerate() {
+        let id = scene.play(verb, |_| Outcome::Error);
+        assert_eq!(scene.ended(&id), Some(end), "verb {verb} that may have run");
+        let id = scene.play(verb, |_| Outcome::Full);
+        assert_eq!(scene.ended(&id), Some(Final::Declined), "verb {verb} that never ran");
+        assert!(scene.script.0.borrow().come_back.is_some());
+    }
+}
+
+#[test]
+fn with_nowhere_to_go_the_answer_comes_at_once() {
+    let mut scene = scene("", 0);
+    let id = scene.give(2, ms(3000));
+    assert_eq!(scene.ended(&id), Some(Final::Declined));
+}
+
+#[test]
+fn many_copies_together_keep_to_a_servers_bound() {
+    let mut scene = scene("Balancers=30", 40);
+    (0..200).for_each(|_| drop(scene.give(0, ms(3000))));
+    assert!(scene.out().len() <= 10, "40 servers' bounds among 30 copies, not {}", scene.out().len());
+}
+
+#[test]
+fn a_failed_list_call_comes_again_after_a_wait() {
+    let mut scene = scene("Discovery=subscribe", 2);
+    scene.pass(ms(1100));
+    assert_eq!(scene.script.0.borrow().list_calls, 1);
+    scene.policy.list_call_failed(scene.now());
+    assert_eq!(scene.script.0.borrow().list_calls, 1);
+    scene.pass(ms(1100));
+    assert_eq!(scene.script.0.borrow().list_calls, 2);
+}
+
+#[test]
+fn settings_that_cannot_be_read_are_named() {
+    let wrong = |text: &str| Terms::decode(text).map(drop).map_err(|wrong| wrong.to_string());
+    assert_eq!(wrong(""), Err("setting Discovery is missing".into()));
+    let text = "Discovery=automatic Verbs.count=1 Verbs.0.Effect=sometimes";
+    assert_eq!(wrong(text), Err("setting Verbs.0.Effect can't be read: \"sometimes\"".into()));
+    assert!(wrong("Discovery=automatic Balancers=NaN").is_err());
+}
--- /dev/null
+++ b/crates/decisions/tests/decisions/rules.rs
@@ -0,0 +1,105 @@
+//! Seeded random runs: the script checks the rules at every call, whatever happens in whatever order.
+
+use crate::scripted::{Scene, entry, ms, terms};
+use landingspread_decisions::host::{Load, Outcome, State};
+use proptest::prelude::*;
+use proptest::test_runner::{Config as Runs, RngAlgorithm, RngSeed};
+
+const OUTCOMES: [Outcome; 8] = [
+    Outcome::Ok,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::Timeout,
+    Outcome::ConnectFailed,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::Moot,
+];
+
+fn runs() -> Runs {
+    Runs {
+        cases: 200,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(20),
+        failure_persistence: None,
+        ..Runs::default()
+    }
+}
+
+/// What to do, to which, and how: read by `step`.
+type Step = (u8, u16, u16);
+
+fn step(scene: &mut Scene, (what, which, how): Step) {
+    let server = format!("s{}", which % 9);
+    match what {
+        0..=4 => {
+            scene.give(usize::from(which % 4), ms(u64::from(how % 3000)));
+        }
+        5..=8 => {
+            let out = scene.out();
+            if let Some((id, number)) = out.get(usize::from(which) % out.len().max(1)).cloned() {
+                let load = Load { in_flight: (how % 3 == 0).then(|| f64::from(how % 40)), queue: None };
+                scene.end(&id, number, OUTCOMES[usize::from(how) % OUTCOMES.len()], load);
+            }
+        }
+        9..=10 => scene.pass(ms(u64::from(how % 400))),
+        11 => {
+            let state = [State::Ready, State::Draining, State::Gone][usize::from(how % 3)];
+            let restarted = (how % 5 == 0).then(|| scene.now());
+            scene.change(&[landingspread_decisions::host::Listed {
+                up_since: restarted,
+                ..entry(&server, state)
+            }]);
+        }
+        12 => {
+            let out = scene.out();
+            if let Some((id, _)) = out.get(usize::from(which) % out.len().max(1)).cloned() {
+                scene.leave(&id);
+            }
+        }
+        13 => scene.check_all(OUTCOMES[usize::from(how) % OUTCOMES.len()]),
+        14 => {
+            let now = scene.now();
+            scene.policy.list_call_failed(now);
+            scene.policy.check_ended(now, Outcome::Ok, &server.as_str().into());
+            scene.policy.client_left(now, &"never-given".into());
+        }
+        _ => {
+            let entries: Vec<_> = (0..which % 9).map(|at| entry(&format!("s{at}"), State::Ready)).collect();
+            let gone: Vec<_> = (which % 9..9).map(|at| entry(&format!("s{at}"), State::Gone)).collect();
+            scene.told(&entries);
+            scene.told(&gone);
+            scene.policy.list_told(scene.now(), &entries);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(runs())]
+
+    #[test]
+    fn the_rules_hold_whatever_happens(
+        scope in prop::sample::select(vec!["all", "zone", "cell"]),
+        probes: bool,
+        parallel: bool,
+        cancel: bool,
+        subscribe: bool,
+        balancers in 1u32..6,
+        seed: u64,
+        steps in prop::collection::vec((0u8..16, any::<u16>(), any::<u16>()), 1..160),
+    ) {
+        let discovery = if subscribe { "subscribe" } else { "automatic" };
+        let extra = format!(
+            "PolicyLimits.Probes={probes} PolicyLimits.ParallelTries={parallel} PolicyLimits.MayCancel={cancel} \
+             Discovery={discovery} Balancers={balancers}"
+        );
+        let mut scene = Scene::new(terms(scope, &extra), scope, seed, 6);
+        for given in steps {
+            step(&mut scene, given);
+        }
+        scene.pass(ms(3100));
+        let world = scene.script.0.borrow();
+        prop_assert!(world.cmds.values().all(|cmd| cmd.ended.is_some()), "rule 1: no final answer");
+        prop_assert!(probes || world.checks.is_empty());
+    }
+}
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,7 +1,6 @@
 //! Hosts many decision instances on the simulator's wire: standard input in, standard output back.
 
-mod wire;
-
+use landingspread_wirehost::wire;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::process::ExitCode;
 
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -294,7 +294,3 @@
     let up_since = fields.maybe("CameUp")?.filter(|at| *at != 0).map(Duration::from_micros);
     Ok(Listed { server, zone, cell, state, nominal, up_since })
 }
-
-#[cfg(test)]
-#[path = "../tests/wire.rs"]
-mod tests;
