--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -26,7 +26,7 @@
 /// The draw's weights are raised to this power.
 const SHARPNESS: i32 = 2;
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
-const BOUND_START: f64 = 6.0;
+const BOUND_START: f64 = 4.0;
 const BOUND_MOST: f64 = 64.0;
 const BOUND_CUT: f64 = 0.87;
 const BOUND_RISE: f64 = 1.0;
