--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -26,10 +26,10 @@
 /// The draw's weights are raised to this power.
 const SHARPNESS: i32 = 2;
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
-const BOUND_START: f64 = 4.0;
+const BOUND_START: f64 = 5.0;
 const BOUND_MOST: f64 = 64.0;
 const BOUND_CUT: f64 = 0.87;
-const BOUND_RISE: f64 = 1.0;
+const BOUND_RISE: f64 = 0.2;
 /// Below this share of the response goal an answer raises the bound.
 const EASY: f64 = 0.5;
 /// Answers this many times as slow as in calm times are a sign of crowding: bounds rise below, fall above.
