--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -38,8 +38,8 @@
 /// Further relays of commands that may have run, as a share of the commands taken.
 const RELAY_SHARE: f64 = 0.1;
 const RELAY_BURST: f64 = 8.0;
-/// A command is held while its expected answer lies within this share of the time left to its goal.
-const HOLD: f64 = 0.6;
+/// A command is held when its expected wait takes at most this share of the slack it has to its goal.
+const HOLD: f64 = 0.25;
 /// A relay is overdue at this many times the time in which nine of ten are answered.
 const OVERDUE: f64 = 2.0;
 /// How steeply the price of a crossing lowers a far server's weight.
@@ -285,7 +285,7 @@
         self.watch_relays();
         self.check_servers();
         self.place_held();
-        self.thin_held();
+        self.thin_held(None);
     }
 
     fn chance(&mut self) -> f64 {
@@ -395,9 +395,9 @@
         if self.held.is_empty() && self.place(&arrival.id) {
             return;
         }
-        self.held.push(arrival.id);
+        self.held.push(arrival.id.clone());
         self.place_held();
-        self.thin_held();
+        self.thin_held(Some(&arrival.id));
     }
 
     pub fn client_left(&mut self, now: Duration, id: &Id) {
@@ -488,15 +488,15 @@
     }
 
     /// Gives up at once what would most likely not be answered within its goal: waiting in vain costs more
-    /// than a quick word.
-    fn thin_held(&mut self) {
-        let rate = self.ended.per_s(self.now);
+    /// than a quick word, so a newcomer must fit into less of its slack than what waits already.
+    fn thin_held(&mut self, newcomer: Option<&Id>) {
+        let rate = self.ended.per_s(self.now).max(1.0);
         let mut ahead = 0.0;
         for id in self.held.clone() {
             let Some(cmd) = self.cmds.get(&id) else { continue };
-            let left = cmd.good_until.saturating_sub(self.now).as_secs_f64();
-            let wait = (ahead + 1.0) / rate.max(1.0);
-            if wait + self.expected(cmd.verb) > HOLD * left {
+            let slack = cmd.good_until.saturating_sub(self.now).as_secs_f64() - self.expected(cmd.verb);
+            let part = if newcomer == Some(&id) { HOLD } else { 2.0 * HOLD };
+            if (ahead + 1.0) / rate > part * slack {
                 self.held.retain(|held| *held != id);
                 self.give_up(&id);
             } else {
