--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -41,7 +41,7 @@
 /// A command is held when its expected wait takes at most this share of the slack it has to its goal.
 const HOLD: f64 = 0.25;
 /// A relay is overdue at this many times the time in which nine of ten are answered.
-const OVERDUE: f64 = 2.0;
+const OVERDUE: f64 = 4.0;
 /// How steeply the price of a crossing lowers a far server's weight.
 const CROSSING_AVERSION: f64 = 60.0;
 const SWEEP: Duration = Duration::from_millis(20);
