--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -24,7 +24,7 @@
 /// A report counts for e^(-age/DECAY).
 const DECAY: f64 = 1.0;
 /// The draw's weights are raised to this power.
-const SHARPNESS: i32 = 2;
+const SHARPNESS: i32 = 4;
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
 const BOUND_START: f64 = 5.0;
 const BOUND_MOST: f64 = 64.0;
