--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -28,8 +28,8 @@
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
 const BOUND_START: f64 = 5.0;
 const BOUND_MOST: f64 = 64.0;
-const BOUND_CUT: f64 = 0.87;
-const BOUND_RISE: f64 = 0.2;
+const BOUND_CUT: f64 = 0.02;
+const BOUND_RISE: f64 = 0.08;
 /// Below this share of the response goal an answer raises the bound.
 const EASY: f64 = 0.5;
 /// Answers this many times as slow as in calm times are a sign of crowding: bounds rise below, fall above.
@@ -686,14 +686,14 @@
         } else if strain > STRAINED && server.bound > BOUND_START {
             server.bound = (server.bound * 0.98).max(BOUND_START);
         } else if took < EASY * goal && used && strain < CALM {
-            server.bound = (server.bound + BOUND_RISE / server.bound).min(BOUND_MOST);
+            server.bound = (server.bound + BOUND_RISE * balancers / server.bound).min(BOUND_MOST);
         }
         self.pass(id);
     }
 
     fn cut_bound(&mut self, id: &Id) {
         let Some(server) = self.servers.get_mut(id) else { return };
-        server.bound = (server.bound * BOUND_CUT).max(1.0);
+        server.bound = (server.bound * (1.0 - (BOUND_CUT * self.terms.balancers).min(0.2))).max(1.0);
     }
 
     fn count_failure(&mut self, id: &Id, verb: usize, outcome: Outcome, counted: bool) {
