--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -31,7 +31,7 @@
 const BOUND_CUT: f64 = 0.02;
 const BOUND_RISE: f64 = 0.08;
 /// Below this share of the response goal an answer raises the bound.
-const EASY: f64 = 0.5;
+const EASY: f64 = 1.0;
 /// Answers this many times as slow as in calm times are a sign of crowding: bounds rise below, fall above.
 const CALM: f64 = 1.1;
 const STRAINED: f64 = 1.4;
