--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -30,8 +30,6 @@
 const BOUND_MOST: f64 = 64.0;
 const BOUND_CUT: f64 = 0.02;
 const BOUND_RISE: f64 = 0.08;
-/// Below this share of the response goal an answer raises the bound.
-const EASY: f64 = 1.0;
 /// Answers this many times as slow as in calm times are a sign of crowding: bounds rise below, fall above.
 const CALM: f64 = 1.1;
 const STRAINED: f64 = 1.4;
@@ -685,7 +683,7 @@
             self.cut_bound(id);
         } else if strain > STRAINED && server.bound > BOUND_START {
             server.bound = (server.bound * 0.98).max(BOUND_START);
-        } else if took < EASY * goal && used && strain < CALM {
+        } else if used && strain < CALM {
             server.bound = (server.bound + BOUND_RISE * balancers / server.bound).min(BOUND_MOST);
         }
         self.pass(id);
