--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -667,7 +667,7 @@
             server.pace.add(took / mean, 32);
         }
         record.latency.add(took, Histogram::FULL);
-        if let Some(mean) = record.latency.mean().filter(|_| record.latency.total >= 32) {
+        if let Some(mean) = record.latency.mean().filter(|_| record.latency.total >= 100) {
             let calm = record.calm.map_or(mean, |calm| (calm * 1.0005).min(mean));
             record.calm = Some(calm);
             self.strain.add((took / calm).min(4.0), 64);
