--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -29,7 +29,7 @@
 const BOUND_START: f64 = 5.0;
 const BOUND_MOST: f64 = 64.0;
 const BOUND_CUT: f64 = 0.02;
-const BOUND_RISE: f64 = 0.1;
+const BOUND_RISE: f64 = 0.08;
 /// Answers this many times as slow as in calm times are a sign of crowding: bounds rise below, fall above.
 const CALM: f64 = 1.1;
 const STRAINED: f64 = 1.4;
@@ -661,7 +661,8 @@
         let Some(goal) = self.terms.verbs.get(verb).map(|verb| verb.goal.as_secs_f64()) else { return };
         let took = latency.as_secs_f64();
         // A bound that rises while it is not reached would let a later jam in.
-        let used = out + 1.0 >= room;
+        let used =
+            out + 1.0 >= 0.8 * room || f64::from(server.out + 1) >= (server.bound / balancers).max(2.0);
         if let Some(mean) = record.latency.mean() {
             server.pace.add(took / mean, 32);
         }
