--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -29,6 +29,7 @@
 const BOUND_START: f64 = 5.0;
 const BOUND_MOST: f64 = 64.0;
 const BOUND_CUT: f64 = 0.02;
+const MISSES_WEIGH: f64 = 5.0;
 const BOUND_RISE: f64 = 0.08;
 /// Answers this many times as slow as in calm times are a sign of crowding: bounds rise below, fall above.
 const CALM: f64 = 1.1;
@@ -237,6 +238,7 @@
     tenants: Vec<Rate>,
     sent: Rate,
     ended: Rate,
+    missed: Rate,
     spare_relays: f64,
     asking: Asking,
 }
@@ -261,6 +263,7 @@
             tenants,
             sent: Rate::default(),
             ended: Rate::default(),
+            missed: Rate::default(),
             spare_relays: RELAY_BURST,
             asking: Asking::default(),
         };
@@ -690,8 +693,13 @@
     }
 
     fn cut_bound(&mut self, id: &Id) {
+        // Single misses are mostly heavy commands; many at once mean that all comes too late, and then every
+        // relay that is let in spoils another.
+        self.missed.add(self.now, 1.0);
+        let share = self.missed.count(self.now) / self.ended.count(self.now).max(1.0);
+        let cut = BOUND_CUT * self.terms.balancers * (1.0 + MISSES_WEIGH * share);
         let Some(server) = self.servers.get_mut(id) else { return };
-        server.bound = (server.bound * (1.0 - (BOUND_CUT * self.terms.balancers).min(0.2))).max(1.0);
+        server.bound = (server.bound * (1.0 - cut.min(0.2))).max(1.0);
     }
 
     fn count_failure(&mut self, id: &Id, verb: usize, outcome: Outcome, counted: bool) {
