--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -29,7 +29,6 @@
 const BOUND_START: f64 = 5.0;
 const BOUND_MOST: f64 = 64.0;
 const BOUND_CUT: f64 = 0.02;
-const MISSES_WEIGH: f64 = 5.0;
 const BOUND_RISE: f64 = 0.08;
 /// Answers this many times as slow as in calm times are a sign of crowding: bounds rise below, fall above.
 const CALM: f64 = 1.1;
@@ -37,6 +36,8 @@
 /// Further relays of commands that may have run, as a share of the commands taken.
 const RELAY_SHARE: f64 = 0.1;
 const RELAY_BURST: f64 = 8.0;
+/// A relay is not worth starting with less time left than this part of the usual.
+const HOPELESS: f64 = 0.5;
 /// A command is held when its expected wait takes at most this share of the slack it has to its goal.
 const HOLD: f64 = 0.25;
 /// A relay is overdue at this many times the time in which nine of ten are answered.
@@ -238,7 +239,6 @@
     tenants: Vec<Rate>,
     sent: Rate,
     ended: Rate,
-    missed: Rate,
     spare_relays: f64,
     asking: Asking,
 }
@@ -263,7 +263,6 @@
             tenants,
             sent: Rate::default(),
             ended: Rate::default(),
-            missed: Rate::default(),
             spare_relays: RELAY_BURST,
             asking: Asking::default(),
         };
@@ -508,6 +507,12 @@
 
     /// Relays the command now if some server has room for it.
     fn place(&mut self, id: &Id) -> bool {
+        // Work that starts with less time left than half of what it usually takes is mostly done for nothing.
+        let Some(cmd) = self.cmds.get(id) else { return false };
+        let left = cmd.good_until.saturating_sub(self.now).as_secs_f64();
+        if left < HOPELESS * self.expected(cmd.verb) {
+            return false;
+        }
         let Some(server) = self.draw(id) else { return false };
         self.send(id, &server);
         true
@@ -693,13 +698,8 @@
     }
 
     fn cut_bound(&mut self, id: &Id) {
-        // Single misses are mostly heavy commands; many at once mean that all comes too late, and then every
-        // relay that is let in spoils another.
-        self.missed.add(self.now, 1.0);
-        let share = self.missed.count(self.now) / self.ended.count(self.now).max(1.0);
-        let cut = BOUND_CUT * self.terms.balancers * (1.0 + MISSES_WEIGH * share);
         let Some(server) = self.servers.get_mut(id) else { return };
-        server.bound = (server.bound * (1.0 - cut.min(0.2))).max(1.0);
+        server.bound = (server.bound * (1.0 - (BOUND_CUT * self.terms.balancers).min(0.2))).max(1.0);
     }
 
     fn count_failure(&mut self, id: &Id, verb: usize, outcome: Outcome, counted: bool) {
