--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -44,6 +44,7 @@
 const OVERDUE: f64 = 4.0;
 /// How steeply the price of a crossing lowers a far server's weight.
 const CROSSING_AVERSION: f64 = 60.0;
+const COME_BACK: f64 = 0.3;
 const SWEEP: Duration = Duration::from_millis(20);
 const RATE_SPAN: f64 = 4.0;
 
@@ -551,7 +552,8 @@
             return;
         }
         if self.may_decline(cmd) {
-            self.host.decline(id, self.terms.allowed.come_back);
+            let goal = self.terms.verbs.get(cmd.verb).map_or(Duration::ZERO, |verb| verb.goal);
+            self.host.decline(id, self.terms.allowed.come_back.map(|most| most.min(goal.mul_f64(COME_BACK))));
         } else {
             self.host.terminate(id);
         }
