--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -708,7 +708,7 @@
         if matches!(outcome, Outcome::Moot | Outcome::Cancelled) {
             return;
         }
-        if matches!(outcome, Outcome::Timeout | Outcome::Full) {
+        if outcome != Outcome::ConnectFailed {
             self.cut_bound(id);
         }
         if !counted {
