--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -27,6 +27,7 @@
 const SHARPNESS: i32 = 4;
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
 const BOUND_START: f64 = 5.0;
+const BOUND_STRAINED: f64 = 3.5;
 const BOUND_MOST: f64 = 64.0;
 const BOUND_CUT: f64 = 0.02;
 const BOUND_RISE: f64 = 0.08;
@@ -691,8 +692,8 @@
         }
         if took > goal || !in_time {
             self.cut_bound(id);
-        } else if strain > STRAINED && server.bound > BOUND_START {
-            server.bound = (server.bound * 0.98).max(BOUND_START);
+        } else if strain > STRAINED && server.bound > BOUND_STRAINED {
+            server.bound = (server.bound * 0.98).max(BOUND_STRAINED);
         } else if used && strain < CALM {
             server.bound = (server.bound + BOUND_RISE * balancers / server.bound).min(BOUND_MOST);
         }
@@ -708,7 +709,7 @@
         if matches!(outcome, Outcome::Moot | Outcome::Cancelled) {
             return;
         }
-        if outcome != Outcome::ConnectFailed {
+        if matches!(outcome, Outcome::Timeout | Outcome::Full) {
             self.cut_bound(id);
         }
         if !counted {
