--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -18,7 +18,7 @@
 const CHECK_EVERY: Duration = Duration::from_secs(1);
 const TRIAL_AFTER: Duration = Duration::from_secs(5);
 /// Checks to pass before a return; doubled by each relapse up to the source's 30.
-const RISE: u32 = 2;
+const RISE: u32 = 4;
 const RISE_MOST: u32 = 30;
 const RELAPSE_WITHIN: Duration = Duration::from_secs(30);
 /// A report counts for e^(-age/DECAY).
@@ -27,7 +27,7 @@
 const SHARPNESS: i32 = 4;
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
 const BOUND_START: f64 = 5.0;
-const BOUND_STRAINED: f64 = 3.5;
+const JAMMED: f64 = 3.5;
 const BOUND_MOST: f64 = 64.0;
 const BOUND_CUT: f64 = 0.02;
 const BOUND_RISE: f64 = 0.08;
@@ -148,6 +148,8 @@
     overdue: u32,
     bound: f64,
     pace: Histogram,
+    /// The least of its paces so far.
+    usual: Option<f64>,
 }
 
 impl Server {
@@ -677,6 +679,12 @@
         if let Some(mean) = record.latency.mean() {
             server.pace.add(took / mean, 32);
         }
+        let pace = server.pace.mean().filter(|_| server.pace.total >= 16);
+        let usual = pace.map(|pace| server.usual.map_or(pace, |usual| usual.min(pace)));
+        server.usual = usual.or(server.usual);
+        // Crowded past its cores a server turns slow and stays so until it has been idle for some seconds: a mark
+        // gives it those.
+        let jammed = pace.zip(usual).is_some_and(|(pace, usual)| pace > JAMMED * usual);
         record.latency.add(took, Histogram::FULL);
         if let Some(mean) = record.latency.mean().filter(|_| record.latency.total >= 100) {
             let calm = record.calm.map_or(mean, |calm| (calm * 1.0005).min(mean));
@@ -692,12 +700,15 @@
         }
         if took > goal || !in_time {
             self.cut_bound(id);
-        } else if strain > STRAINED && server.bound > BOUND_STRAINED {
-            server.bound = (server.bound * 0.98).max(BOUND_STRAINED);
+        } else if strain > STRAINED && server.bound > BOUND_START {
+            server.bound = (server.bound * 0.98).max(BOUND_START);
         } else if used && strain < CALM {
             server.bound = (server.bound + BOUND_RISE * balancers / server.bound).min(BOUND_MOST);
         }
         self.pass(id);
+        if jammed && self.servers.get(id).is_some_and(|server| server.mark.is_none()) {
+            self.mark(id);
+        }
     }
 
     fn cut_bound(&mut self, id: &Id) {
