--- a/crates/decisions/src/host.rs
+++ b/crates/decisions/src/host.rs
@@ -14,7 +14,6 @@
     fn check(&mut self, server: &Id);
     fn wake_in(&mut self, span: Duration);
     fn subscribe(&mut self);
-    fn fetch_list(&mut self);
     fn note(&mut self, text: &str);
 }
 
@@ -41,7 +40,6 @@
     pub verb: usize,
     pub due: Duration,
     pub tenant: usize,
-    pub repeat: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -18,7 +18,7 @@
 const CHECK_EVERY: Duration = Duration::from_secs(1);
 const TRIAL_AFTER: Duration = Duration::from_secs(5);
 /// Checks to pass before a return; doubled by each relapse up to the source's 30.
-const RISE: u32 = 4;
+const RISE: u32 = 2;
 const RISE_MOST: u32 = 30;
 const RELAPSE_WITHIN: Duration = Duration::from_secs(30);
 /// A report counts for e^(-age/DECAY).
@@ -27,9 +27,10 @@
 const SHARPNESS: i32 = 4;
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
 const BOUND_START: f64 = 5.0;
-const JAMMED: f64 = 3.5;
 const BOUND_MOST: f64 = 64.0;
 const BOUND_CUT: f64 = 0.02;
+/// What an error cuts, against a time-out.
+const ERROR_WEIGHS: f64 = 0.4;
 const BOUND_RISE: f64 = 0.08;
 /// Answers this many times as slow as in calm times are a sign of crowding: bounds rise below, fall above.
 const CALM: f64 = 1.1;
@@ -45,6 +46,7 @@
 const OVERDUE: f64 = 4.0;
 /// How steeply the price of a crossing lowers a far server's weight.
 const CROSSING_AVERSION: f64 = 60.0;
+/// Clients come back after this share of the response goal: later, nothing could be earned any more.
 const COME_BACK: f64 = 0.3;
 const SWEEP: Duration = Duration::from_millis(20);
 const RATE_SPAN: f64 = 4.0;
@@ -148,8 +150,6 @@
     overdue: u32,
     bound: f64,
     pace: Histogram,
-    /// The least of its paces so far.
-    usual: Option<f64>,
 }
 
 impl Server {
@@ -165,7 +165,7 @@
         self.report = None;
         self.sends = 0.0;
         self.bound = BOUND_START;
-        self.ramp_from = Some(at);
+        (self.ramp_from, self.cold_credit) = (Some(at), 0.0);
     }
 
     fn slowness(&self) -> f64 {
@@ -414,7 +414,7 @@
         }
     }
 
-    pub fn answer_began(&mut self, now: Duration, id: &Id, _relay: u32) {
+    pub fn answer_began(&mut self, now: Duration, id: &Id) {
         self.now = now;
         if let Some(cmd) = self.cmds.get_mut(id) {
             cmd.streaming = true;
@@ -679,12 +679,6 @@
         if let Some(mean) = record.latency.mean() {
             server.pace.add(took / mean, 32);
         }
-        let pace = server.pace.mean().filter(|_| server.pace.total >= 16);
-        let usual = pace.map(|pace| server.usual.map_or(pace, |usual| usual.min(pace)));
-        server.usual = usual.or(server.usual);
-        // Crowded past its cores a server turns slow and stays so until it has been idle for some seconds: a mark
-        // gives it those.
-        let jammed = pace.zip(usual).is_some_and(|(pace, usual)| pace > JAMMED * usual);
         record.latency.add(took, Histogram::FULL);
         if let Some(mean) = record.latency.mean().filter(|_| record.latency.total >= 100) {
             let calm = record.calm.map_or(mean, |calm| (calm * 1.0005).min(mean));
@@ -699,29 +693,29 @@
             *run = 0;
         }
         if took > goal || !in_time {
-            self.cut_bound(id);
+            self.cut_bound(id, 1.0);
         } else if strain > STRAINED && server.bound > BOUND_START {
             server.bound = (server.bound * 0.98).max(BOUND_START);
         } else if used && strain < CALM {
             server.bound = (server.bound + BOUND_RISE * balancers / server.bound).min(BOUND_MOST);
         }
         self.pass(id);
-        if jammed && self.servers.get(id).is_some_and(|server| server.mark.is_none()) {
-            self.mark(id);
-        }
     }
 
-    fn cut_bound(&mut self, id: &Id) {
+    fn cut_bound(&mut self, id: &Id, weight: f64) {
         let Some(server) = self.servers.get_mut(id) else { return };
-        server.bound = (server.bound * (1.0 - (BOUND_CUT * self.terms.balancers).min(0.2))).max(1.0);
+        server.bound = (server.bound * (1.0 - (weight * BOUND_CUT * self.terms.balancers).min(0.2))).max(1.0);
     }
 
     fn count_failure(&mut self, id: &Id, verb: usize, outcome: Outcome, counted: bool) {
         if matches!(outcome, Outcome::Moot | Outcome::Cancelled) {
             return;
         }
-        if matches!(outcome, Outcome::Timeout | Outcome::Full) {
-            self.cut_bound(id);
+        // Behind a crowded next tier errors are all that is seen of it; by themselves they say less than the rest.
+        match outcome {
+            Outcome::Timeout | Outcome::Full => self.cut_bound(id, 1.0),
+            Outcome::Error | Outcome::Reset => self.cut_bound(id, ERROR_WEIGHS),
+            _ => {}
         }
         if !counted {
             self.lengthen_run(id, verb);
@@ -816,7 +810,7 @@
         if mark.passes >= server.rise {
             server.mark = None;
             server.returned = now;
-            server.ramp_from = Some(now);
+            (server.ramp_from, server.cold_credit) = (Some(now), 0.0);
             server.runs.iter_mut().for_each(|run| *run = 0);
             server.pace = Histogram::default();
             server.bound = BOUND_START;
@@ -854,11 +848,10 @@
     }
 
     /// How much of its full share a server gets: all of it unless it started or returned of late.
-    fn ramp(&self, server: &Server) -> f64 {
-        let Some(from) = server.ramp_from else { return 1.0 };
-        let age = self.now.saturating_sub(from).as_secs_f64();
-        let done = age / self.terms.cold.warm_after.as_secs_f64().max(1e-3);
-        (self.terms.cold.share + (1.0 - self.terms.cold.share) * done).min(1.0)
+    fn ramp(terms: &Terms, from: Option<Duration>, now: Duration) -> f64 {
+        let Some(from) = from else { return 1.0 };
+        let done = now.saturating_sub(from).as_secs_f64() / terms.cold.warm_after.as_secs_f64().max(1e-3);
+        (terms.cold.share + (1.0 - terms.cold.share) * done).min(1.0)
     }
 
     /// Rule 4: while a server ramps, this copy sends it no more than the ramp's share of what it sends the
@@ -866,17 +859,14 @@
     fn credit_cold(&mut self) {
         let ready = self.servers.values().filter(|server| server.ready).count().max(1) as f64;
         let usual = (self.sent.per_s(self.now) / ready).max(4.0 / self.terms.balancers);
-        let (now, terms) = (self.now, &self.terms.cold);
+        let now = self.now;
         for server in self.servers.values_mut() {
             let since = now.saturating_sub(server.credited).as_secs_f64().min(1.0);
             server.credited = now;
-            let Some(from) = server.ramp_from else { continue };
-            let done = now.saturating_sub(from).as_secs_f64() / terms.warm_after.as_secs_f64().max(1e-3);
-            if done >= 1.0 {
+            let share = Self::ramp(&self.terms, server.ramp_from, now);
+            if share >= 1.0 {
                 server.ramp_from = None;
-                continue;
             }
-            let share = terms.share + (1.0 - terms.share) * done;
             server.cold_credit = (server.cold_credit + since * usual * share).min(1.5);
         }
     }
@@ -972,7 +962,7 @@
         let fresh = if server.overdue > 0 { 1.0 } else { fresh };
         let by_load = (size / (1.0 + figure / size)).powi(SHARPNESS);
         let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
-        let factor = self.ramp(server) * (-far * CROSSING_AVERSION).exp();
+        let factor = Self::ramp(&self.terms, server.ramp_from, self.now) * (-far * CROSSING_AVERSION).exp();
         Candidate { id: id.clone(), by_load, by_size: size.powi(SHARPNESS), fresh, factor }
     }
 
--- a/crates/decisions/tests/decisions/plain.rs
+++ b/crates/decisions/tests/decisions/plain.rs
@@ -162,6 +162,41 @@
     assert!(scene.out().len() <= 10, "40 servers' bounds among 30 copies, not {}", scene.out().len());
 }
 
+#[test]
+fn errors_lower_what_is_let_in() {
+    let mut scene = scene("Balancers=3", 4);
+    let full = |scene: &mut Scene| {
+        (0..60).for_each(|_| drop(scene.give(0, ms(3000))));
+        let out = scene.out();
+        out.iter().for_each(|(id, number)| scene.end(id, *number, Outcome::Error, Load::default()));
+        scene.pass(ms(2000));
+        out.len()
+    };
+    let before = full(&mut scene);
+    for _ in 0..20 {
+        full(&mut scene);
+    }
+    let after = full(&mut scene);
+    assert!(after < before, "{before} at first, {after} after many errors");
+}
+
+#[test]
+fn a_call_with_hardly_any_time_left_is_not_started() {
+    let mut scene = scene("", 3);
+    for _ in 0..50 {
+        let id = scene.give(0, ms(3000));
+        scene.pass(ms(400));
+        scene.end(&id, 0, Outcome::Ok, Load::default());
+    }
+    let id = scene.give(2, ms(3000));
+    scene.pass(ms(400));
+    scene.end(&id, 0, Outcome::Ok, Load::default());
+    let id = scene.give(0, ms(100));
+    assert_eq!(scene.ended(&id), Some(Final::Declined));
+    let come_back = scene.script.0.borrow().come_back;
+    assert!(come_back.is_some_and(|wait| wait < ms(1000)), "back while the goal can be met");
+}
+
 #[test]
 fn a_failed_list_call_comes_again_after_a_wait() {
     let mut scene = scene("Discovery=subscribe", 2);
--- a/crates/decisions/tests/decisions/scripted.rs
+++ b/crates/decisions/tests/decisions/scripted.rs
@@ -151,10 +151,6 @@
         self.0.borrow_mut().list_calls += 1;
     }
 
-    fn fetch_list(&mut self) {
-        self.0.borrow_mut().list_calls += 1;
-    }
-
     fn note(&mut self, text: &str) {
         self.0.borrow_mut().notes.push(text.into());
     }
@@ -218,7 +214,7 @@
         let due = now + due_in;
         let taken = Taken { verb, due, relays: Vec::new(), ended: None };
         self.script.0.borrow_mut().cmds.insert(id.clone(), taken);
-        self.policy.cmd_came(now, Arrival { id: id.clone(), verb, due, tenant: 0, repeat: false });
+        self.policy.cmd_came(now, Arrival { id: id.clone(), verb, due, tenant: 0 });
         id
     }
 
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -68,10 +68,6 @@
         self.say("SUBSCRIBE", format_args!(" 1"));
     }
 
-    fn fetch_list(&mut self) {
-        self.say("REFRESH", format_args!(""));
-    }
-
     fn note(&mut self, text: &str) {
         self.say("TRACE", format_args!(" {text}"));
     }
@@ -238,9 +234,7 @@
                 let (id, verb, due) = (fields.id("Req")?, fields.need("Grade")?, fields.span("Due")?);
                 fields.0.next();
                 let tenant = fields.maybe("Team")?.unwrap_or(0);
-                fields.0.next();
-                let repeat = fields.maybe::<u32>("Options")?.unwrap_or(0) & 2 != 0;
-                instance.cmd_came(now, Arrival { id, verb, due, tenant, repeat });
+                instance.cmd_came(now, Arrival { id, verb, due, tenant });
             }
             "REPLY" => {
                 let (cmd, closed, outcome) = (fields.id("Req")?, fields.flag("Terminal")?, fields.outcome()?);
@@ -248,7 +242,7 @@
                 let (server, load) = (fields.id("Endpoint")?, fields.load());
                 instance.relay_ended(now, Ended { cmd, closed, outcome, relay, latency, server, load });
             }
-            "FIRST_BYTE" => instance.answer_began(now, &fields.id("Req")?, fields.need("Shot")?),
+            "FIRST_BYTE" => instance.answer_began(now, &fields.id("Req")?),
             "ELAPSED" => instance.woken(now),
             "VANISHED" => instance.client_left(now, &fields.id("Req")?),
             "PONG" => {
