Clean-up: repeated waits, time left and closing written once; derivable state gone

The time left to the goal, the wait of a marked server and the closing of a command are each one method; whether a list call is out follows from when the next is due.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -64,10 +64,9 @@
     const FULL: u32 = 256;
 
     fn add(&mut self, value: f64, full: u32) {
+        let last = self.bins.len() - 1;
         let bin = (value.max(Self::FLOOR) / Self::FLOOR).log(Self::STEP) as usize;
-        if let Some(count) = self.bins.get_mut(bin) {
-            *count += 1;
-        } else if let Some(count) = self.bins.last_mut() {
+        if let Some(count) = self.bins.get_mut(bin.min(last)) {
             *count += 1;
         }
         self.total += 1;
@@ -224,7 +223,6 @@
 struct Asking {
     /// When to call next; `None` while a call is out or the subscription stands.
     next: Option<Duration>,
-    calling: bool,
     failures: u32,
 }
 
@@ -310,20 +308,19 @@
 
     pub fn list_told(&mut self, now: Duration, entries: &[Listed]) {
         self.now = now;
-        self.call_answered();
+        self.asking = Asking::default();
         self.replace_list(entries);
     }
 
     pub fn list_changed(&mut self, now: Duration, entries: &[Listed]) {
         self.now = now;
-        self.call_answered();
+        self.asking = Asking::default();
         entries.iter().for_each(|entry| self.take_entry(entry));
         self.place_held();
     }
 
     pub fn list_call_failed(&mut self, now: Duration) {
         self.now = now;
-        self.asking.calling = false;
         // Calls that all come again at once would fail again together.
         let longest = 0.5 * f64::from(1u32 << self.asking.failures.min(3));
         self.asking.failures += 1;
@@ -331,13 +328,8 @@
         self.asking.next = Some(now + wait);
     }
 
-    fn call_answered(&mut self) {
-        self.asking = Asking::default();
-    }
-
     fn ask_when_time(&mut self) {
-        if !self.asking.calling && self.asking.next.is_some_and(|at| at <= self.now) {
-            self.asking.calling = true;
+        if self.asking.next.is_some_and(|at| at <= self.now) {
             self.asking.next = None;
             self.host.subscribe();
         }
@@ -407,11 +399,7 @@
     pub fn client_left(&mut self, now: Duration, id: &Id) {
         self.now = now;
         self.held.retain(|held| held != id);
-        if let Some(cmd) = self.cmds.get_mut(id) {
-            cmd.finished = true;
-            self.cancel_out(id);
-            self.forget_when_over(id);
-        }
+        self.close(id);
     }
 
     pub fn answer_began(&mut self, now: Duration, id: &Id) {
@@ -434,6 +422,11 @@
         asked > quota && self.chance() > quota / asked
     }
 
+    /// Seconds in which an answer still earns something.
+    fn left(&self, cmd: &Cmd) -> f64 {
+        cmd.good_until.saturating_sub(self.now).as_secs_f64()
+    }
+
     fn expected(&self, verb: usize) -> f64 {
         self.verbs.get(verb).and_then(|record| record.latency.mean()).unwrap_or(0.0)
     }
@@ -498,7 +491,7 @@
         let mut ahead = 0.0;
         for id in self.held.clone() {
             let Some(cmd) = self.cmds.get(&id) else { continue };
-            let slack = cmd.good_until.saturating_sub(self.now).as_secs_f64() - self.expected(cmd.verb);
+            let slack = self.left(cmd) - self.expected(cmd.verb);
             let part = if newcomer == Some(&id) { HOLD } else { 2.0 * HOLD };
             if (ahead + 1.0) / rate > part * slack {
                 self.held.retain(|held| *held != id);
@@ -513,7 +506,7 @@
     fn place(&mut self, id: &Id) -> bool {
         // Work that starts with less time left than half of what it usually takes is mostly done for nothing.
         let Some(cmd) = self.cmds.get(id) else { return false };
-        let left = cmd.good_until.saturating_sub(self.now).as_secs_f64();
+        let left = self.left(cmd);
         if left < HOPELESS * self.expected(cmd.verb) {
             return false;
         }
@@ -560,9 +553,13 @@
         } else {
             self.host.terminate(id);
         }
-        if let Some(cmd) = self.cmds.get_mut(id) {
-            cmd.finished = true;
-        }
+        self.close(id);
+    }
+
+    /// Nothing more is owed: relays still out are called off, and the command is kept until they have ended.
+    fn close(&mut self, id: &Id) {
+        let Some(cmd) = self.cmds.get_mut(id) else { return };
+        cmd.finished = true;
         self.cancel_out(id);
         self.forget_when_over(id);
     }
@@ -643,11 +640,10 @@
         let Some(cmd) = self.cmds.get(id) else { return };
         if cmd.finished {
             self.held.retain(|held| held != id);
-            self.cancel_out(id);
-            self.forget_when_over(id);
+            self.close(id);
         } else if cmd.out() == 0 {
             let repeated = cmd.may_have_run();
-            let left = cmd.good_until.saturating_sub(self.now).as_secs_f64();
+            let left = self.left(cmd);
             let hopeful = left > self.expected(cmd.verb);
             if hopeful && (!repeated || self.spare_relays >= 1.0) && self.place(id) {
                 self.spare_relays -= if repeated { 1.0 } else { 0.0 };
@@ -724,10 +720,11 @@
 
     /// The run is kept by verb: what a server answers of one verb must not hide that it fails another.
     fn lengthen_run(&mut self, id: &Id, verb: usize) {
+        let wait = self.wait_marked();
         let Some(server) = self.servers.get_mut(id) else { return };
         if let Some(mark) = &mut server.mark {
             (mark.passes, mark.trying) = (0, false);
-            mark.next = self.now + if self.terms.allowed.checks { CHECK_EVERY } else { TRIAL_AFTER };
+            mark.next = self.now + wait;
             return;
         }
         let Some(run) = server.runs.get_mut(verb) else { return };
@@ -765,7 +762,7 @@
     /// Within the budget, what is overdue at one server is tried at another while the goal can still be met.
     fn second_relay(&mut self, id: &Id, number: u32) {
         let Some(cmd) = self.cmds.get(id) else { return };
-        let left = cmd.good_until.saturating_sub(self.now).as_secs_f64();
+        let left = self.left(cmd);
         if cmd.finished || self.spare_relays < 1.0 || left < 1.5 * self.expected(cmd.verb) {
             return;
         }
@@ -792,7 +789,7 @@
         if marked + 1.0 > ready * MARKED_AT_MOST {
             return;
         }
-        let wait = if self.terms.allowed.checks { CHECK_EVERY } else { TRIAL_AFTER };
+        let wait = self.wait_marked();
         let Some(server) = self.servers.get_mut(id) else { return };
         let relapse = !server.returned.is_zero() && self.now < server.returned + RELAPSE_WITHIN;
         server.rise = if relapse { (server.rise * 2).min(RISE_MOST) } else { RISE };
@@ -800,6 +797,11 @@
         self.host.note(&format!("mark {id}"));
     }
 
+    /// How long a marked server gets neither check nor trial.
+    fn wait_marked(&self) -> Duration {
+        if self.terms.allowed.checks { CHECK_EVERY } else { TRIAL_AFTER }
+    }
+
     fn pass(&mut self, id: &Id) {
         let now = self.now;
         let wait = if self.terms.allowed.checks { CHECK_EVERY } else { Duration::ZERO };
@@ -836,11 +838,7 @@
         }
         let now = self.now;
         for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.ready && !server.checking) {
-            let wanted = match &server.mark {
-                Some(mark) => mark.next <= now,
-                None => false,
-            };
-            if wanted {
+            if server.mark.as_ref().is_some_and(|mark| mark.next <= now) {
                 server.checking = true;
                 self.host.check(id);
             }
