--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -958,10 +958,13 @@
         // age its way back to an even share.
         let figure = figure.max(own) + f64::from(server.overdue) * self.terms.balancers;
         let fresh = if server.overdue > 0 { 1.0 } else { fresh };
-        let by_load = (size / (1.0 + figure / size)).powi(SHARPNESS);
+        // What one of many copies knows cannot correct it if all of them crowd the large servers: the less it
+        // sees of the whole, the nearer the weights come to plain sizes.
+        let by_size = size.powf(1.0 + (f64::from(SHARPNESS) - 1.0) / self.terms.balancers);
+        let by_load = by_size / (1.0 + figure / size).powi(SHARPNESS);
         let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
         let factor = Self::ramp(&self.terms, server.ramp_from, self.now) * (-far * CROSSING_AVERSION).exp();
-        Candidate { id: id.clone(), by_load, by_size: size.powi(SHARPNESS), fresh, factor }
+        Candidate { id: id.clone(), by_load, by_size, fresh, factor }
     }
 
     fn mean_report(&self) -> f64 {
