--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -945,7 +945,8 @@
     }
 
     fn candidate(&self, id: &Id, server: &Server, mean: f64, nominal: f64) -> Candidate {
-        let size = server.nominal / nominal / server.slowness();
+        let (listed, pace) = (server.nominal / nominal, 1.0 / server.slowness());
+        let size = listed * pace;
         let own = f64::from(server.out) * self.terms.balancers;
         let (figure, fresh) = match server.report {
             Some((figure, at)) => {
@@ -960,7 +961,8 @@
         let fresh = if server.overdue > 0 { 1.0 } else { fresh };
         // What one of many copies knows cannot correct it if all of them crowd the large servers: the less it
         // sees of the whole, the nearer the weights come to plain sizes.
-        let by_size = size.powf(1.0 + (f64::from(SHARPNESS) - 1.0) / self.terms.balancers);
+        let by_size =
+            listed.powf(1.0 + (f64::from(SHARPNESS) - 1.0) / self.terms.balancers) * pace.powi(SHARPNESS);
         let by_load = by_size / (1.0 + figure / size).powi(SHARPNESS);
         let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
         let factor = Self::ramp(&self.terms, server.ramp_from, self.now) * (-far * CROSSING_AVERSION).exp();
