--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -17,10 +17,7 @@
 const MARKED_AT_MOST: f64 = 0.5;
 const CHECK_EVERY: Duration = Duration::from_secs(1);
 const TRIAL_AFTER: Duration = Duration::from_secs(5);
-/// Checks to pass before a return; doubled by each relapse up to the source's 30.
 const RISE: u32 = 2;
-const RISE_MOST: u32 = 30;
-const RELAPSE_WITHIN: Duration = Duration::from_secs(30);
 /// A report counts for e^(-age/DECAY).
 const DECAY: f64 = 1.0;
 /// The draw's weights are raised to this power.
@@ -48,6 +45,14 @@
 const CROSSING_AVERSION: f64 = 60.0;
 /// Clients come back after this share of the response goal: later, nothing could be earned any more.
 const COME_BACK: f64 = 0.3;
+/// Each copy works with as many servers as bring it an answer from each this often a second, and no fewer than this.
+const SEEN_EACH: f64 = 0.8;
+const SERVERS_LEAST: f64 = 8.0;
+/// The part of them taken from the copy's own zone while it has as many.
+const NEAR: f64 = 0.7;
+const CHOOSE_EVERY: Duration = Duration::from_millis(500);
+/// A copy whose part of all bounds is at least this holds to it at every moment, a smaller one on average.
+const ROOM_STEADY: f64 = 16.0;
 const SWEEP: Duration = Duration::from_millis(20);
 const RATE_SPAN: f64 = 4.0;
 
@@ -121,6 +126,12 @@
     }
 }
 
+fn hash(of: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    of.hash(&mut hasher);
+    hasher.finish()
+}
+
 #[derive(Debug)]
 struct Mark {
     passes: u32,
@@ -133,12 +144,12 @@
     zone: u32,
     cell: u32,
     ready: bool,
+    /// Among the servers that this copy works with.
+    chosen: bool,
     nominal: f64,
     up_since: Option<Duration>,
     runs: Vec<u32>,
     mark: Option<Mark>,
-    rise: u32,
-    returned: Duration,
     ramp_from: Option<Duration>,
     cold_credit: f64,
     credited: Duration,
@@ -154,7 +165,7 @@
 impl Server {
     fn new(entry: &Listed, verbs: usize) -> Self {
         let (zone, cell) = (entry.zone, entry.cell);
-        Server { zone, cell, runs: vec![0; verbs], rise: RISE, bound: BOUND_START, ..Server::default() }
+        Server { zone, cell, runs: vec![0; verbs], bound: BOUND_START, ..Server::default() }
     }
 
     /// A process that started anew has nothing to do with what was learned of the old one.
@@ -163,6 +174,7 @@
         self.mark = None;
         self.report = None;
         self.sends = 0.0;
+        self.pace = Histogram::default();
         self.bound = BOUND_START;
         (self.ramp_from, self.cold_credit) = (Some(at), 0.0);
     }
@@ -243,6 +255,12 @@
     ended: Rate,
     spare_relays: f64,
     asking: Asking,
+    /// How many copies work with each server, this one among them.
+    sharers: f64,
+    choose_at: Duration,
+    /// What this copy has out on average of late, and when that was brought up to date.
+    mean_out: f64,
+    averaged: Duration,
 }
 
 // Lifecycle
@@ -267,6 +285,10 @@
             ended: Rate::default(),
             spare_relays: RELAY_BURST,
             asking: Asking::default(),
+            sharers: 1.0,
+            choose_at: now,
+            mean_out: 0.0,
+            averaged: now,
         };
         if policy.terms.must_ask {
             // Copies that start together must not all call the one list service at once.
@@ -286,15 +308,16 @@
         self.ask_when_time();
         self.watch_relays();
         self.check_servers();
+        if self.choose_at <= now {
+            self.choose_servers();
+        }
         self.place_held();
         self.thin_held(None);
     }
 
     fn chance(&mut self) -> f64 {
         self.draws += 1;
-        let mut hasher = DefaultHasher::new();
-        (self.seed, self.draws).hash(&mut hasher);
-        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+        (hash(&(self.seed, self.draws)) >> 11) as f64 / (1u64 << 53) as f64
     }
 }
 
@@ -316,6 +339,7 @@
         self.now = now;
         self.asking = Asking::default();
         entries.iter().for_each(|entry| self.take_entry(entry));
+        self.choose_servers();
         self.place_held();
     }
 
@@ -340,6 +364,7 @@
             server.ready = server.ready && entries.iter().any(|entry| entry.server == *id);
         }
         entries.iter().for_each(|entry| self.take_entry(entry));
+        self.choose_servers();
         self.place_held();
     }
 
@@ -365,6 +390,56 @@
     }
 }
 
+// The servers that this copy works with
+
+impl<H: Host> Policy<H> {
+    fn ready(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values().filter(|server| server.ready)
+    }
+
+    fn unmarked(&self) -> impl Iterator<Item = &Server> {
+        self.ready().filter(|server| server.mark.is_none())
+    }
+
+    /// One of hundreds of copies meets each of a hundred servers too seldom for a run, a pace or a warm connection.
+    /// So each works with a window on the ring of servers, in an order that all copies share and from a place that
+    /// its number gives, so that every server gets about as many copies; what is marked or still cold takes no
+    /// place, or part of one, in the window.
+    fn choose_servers(&mut self) {
+        self.choose_at = self.now + CHOOSE_EVERY;
+        let asked: f64 = self.verbs.iter().map(|record| record.asked.per_s(self.now)).sum();
+        let wanted = (asked / SEEN_EACH).max(SERVERS_LEAST);
+        self.servers.values_mut().for_each(|server| server.chosen = false);
+        let near = self.ready().filter(|server| server.zone == self.terms.zone).count() as f64;
+        let ready = self.ready().count() as f64;
+        let from_far = (wanted * (1.0 - NEAR)).max(wanted - near).min(ready - near);
+        self.choose_on(false, from_far);
+        self.choose_on(true, wanted - from_far);
+        let chosen = self.ready().filter(|server| server.chosen).count() as f64;
+        self.sharers = (self.terms.balancers * chosen / ready.max(1.0)).max(1.0);
+    }
+
+    fn choose_on(&mut self, near: bool, mut wanted: f64) {
+        const GOLDEN: f64 = 0.618_033_988_749_895;
+        let (terms, now) = (&self.terms, self.now);
+        let mut ring: Vec<(u64, &mut Server)> = Vec::new();
+        for (id, server) in &mut self.servers {
+            if server.ready && near == (server.zone == terms.zone) {
+                ring.push((hash(id), server));
+            }
+        }
+        ring.sort_by_key(|(place, _)| *place);
+        let start = (f64::from(terms.ordinal) * GOLDEN).fract() * ring.len() as f64;
+        ring.rotate_left(start as usize);
+        for (_, server) in ring {
+            server.chosen = wanted > 0.0;
+            if server.mark.is_none() {
+                wanted -= Self::ramp(terms, server.ramp_from, now);
+            }
+        }
+    }
+}
+
 // Commands
 
 impl<H: Host> Policy<H> {
@@ -622,6 +697,7 @@
         cmd.finished |= ended.closed;
         let in_time = now <= cmd.good_until;
         self.ended.add(now, 1.0);
+        self.average_out();
         self.take_report(&server, ended.load);
         if let Some(server) = self.servers.get_mut(&server) {
             server.out = server.out.saturating_sub(1);
@@ -662,8 +738,8 @@
     }
 
     fn count_answer(&mut self, id: &Id, verb: usize, latency: Duration, in_time: bool) {
-        let (now, balancers) = (self.now, self.terms.balancers);
-        let (out, room) = self.in_use();
+        let (now, sharers) = (self.now, self.sharers);
+        let (mean_out, room) = (self.mean_out, self.room());
         let (Some(server), Some(record)) = (self.servers.get_mut(id), self.verbs.get_mut(verb)) else {
             return;
         };
@@ -671,7 +747,7 @@
         let took = latency.as_secs_f64();
         // A bound that rises while it is not reached would let a later jam in.
         let used =
-            out + 1.0 >= 0.8 * room || f64::from(server.out + 1) >= (server.bound / balancers).max(2.0);
+            mean_out + 1.0 >= 0.8 * room || f64::from(server.out + 1) >= (server.bound / sharers).max(2.0);
         if let Some(mean) = record.latency.mean() {
             server.pace.add(took / mean, 32);
         }
@@ -693,14 +769,14 @@
         } else if strain > STRAINED && server.bound > BOUND_START {
             server.bound = (server.bound * 0.98).max(BOUND_START);
         } else if used && strain < CALM {
-            server.bound = (server.bound + BOUND_RISE * balancers / server.bound).min(BOUND_MOST);
+            server.bound = (server.bound + BOUND_RISE * sharers / server.bound).min(BOUND_MOST);
         }
         self.pass(id);
     }
 
     fn cut_bound(&mut self, id: &Id, weight: f64) {
         let Some(server) = self.servers.get_mut(id) else { return };
-        server.bound = (server.bound * (1.0 - (weight * BOUND_CUT * self.terms.balancers).min(0.2))).max(1.0);
+        server.bound = (server.bound * (-weight * BOUND_CUT * self.sharers).exp()).max(1.0);
     }
 
     fn count_failure(&mut self, id: &Id, verb: usize, outcome: Outcome, counted: bool) {
@@ -781,9 +857,8 @@
 
 impl<H: Host> Policy<H> {
     fn mark(&mut self, id: &Id) {
-        let ready = self.servers.values().filter(|server| server.ready).count() as f64;
-        let marked =
-            self.servers.values().filter(|server| server.ready && server.mark.is_some()).count() as f64;
+        let ready = self.ready().count() as f64;
+        let marked = ready - self.unmarked().count() as f64;
         // When most of the fleet fails, the cause is load or something shared: marking on would push all the
         // traffic onto the rest.
         if marked + 1.0 > ready * MARKED_AT_MOST {
@@ -791,8 +866,6 @@
         }
         let wait = self.wait_marked();
         let Some(server) = self.servers.get_mut(id) else { return };
-        let relapse = !server.returned.is_zero() && self.now < server.returned + RELAPSE_WITHIN;
-        server.rise = if relapse { (server.rise * 2).min(RISE_MOST) } else { RISE };
         server.mark = Some(Mark { passes: 0, next: self.now + wait, trying: false });
         self.host.note(&format!("mark {id}"));
     }
@@ -809,13 +882,8 @@
         let Some(mark) = &mut server.mark else { return };
         mark.passes += 1;
         (mark.trying, mark.next) = (false, now + wait);
-        if mark.passes >= server.rise {
-            server.mark = None;
-            server.returned = now;
-            (server.ramp_from, server.cold_credit) = (Some(now), 0.0);
-            server.runs.iter_mut().for_each(|run| *run = 0);
-            server.pace = Histogram::default();
-            server.bound = BOUND_START;
+        if mark.passes >= RISE {
+            server.restarted(now);
             self.host.note(&format!("return {id}"));
         }
     }
@@ -855,8 +923,8 @@
     /// Rule 4: while a server ramps, this copy sends it no more than the ramp's share of what it sends the
     /// others on average, so that all copies together stay under what the server can do.
     fn credit_cold(&mut self) {
-        let ready = self.servers.values().filter(|server| server.ready).count().max(1) as f64;
-        let usual = (self.sent.per_s(self.now) / ready).max(4.0 / self.terms.balancers);
+        let chosen = self.ready().filter(|server| server.chosen).count().max(1) as f64;
+        let usual = (self.sent.per_s(self.now) / chosen).max(4.0 / self.sharers);
         let now = self.now;
         for server in self.servers.values_mut() {
             let since = now.saturating_sub(server.credited).as_secs_f64().min(1.0);
@@ -882,25 +950,32 @@
 }
 
 impl<H: Host> Policy<H> {
-    /// What this copy has out, and its part of all bounds. The part of one server's bound can be less than one
-    /// relay: without the sum, many copies would each have one out at every server.
-    fn in_use(&self) -> (f64, f64) {
-        let (mut out, mut room) = (0.0, 0.0);
-        for server in self.servers.values().filter(|server| server.ready && server.mark.is_none()) {
-            out += f64::from(server.out);
-            room += server.bound / self.terms.balancers;
-        }
-        (out, room.max(1.0))
+    /// Its part of all bounds. The part of one server's bound can be less than one relay: without the sum, many
+    /// copies would each have one out at every server.
+    fn room(&self) -> f64 {
+        let bounds = self.unmarked().filter(|server| server.chosen).map(|server| server.bound);
+        (bounds.sum::<f64>() / self.sharers).max(0.1)
+    }
+
+    /// Brings the mean of what is out up to date, before that changes. Where the copy's room is a few relays only,
+    /// holding to it at every moment would turn away chance clusters that all copies together have room for.
+    fn average_out(&mut self) {
+        let out: f64 = self.unmarked().map(|server| f64::from(server.out)).sum();
+        let span = 0.1 * (ROOM_STEADY / self.room() - 1.0);
+        let since = self.now.saturating_sub(self.averaged).as_secs_f64();
+        self.averaged = self.now;
+        let kept = if span > 0.0 { (-since / span).exp() } else { 0.0 };
+        self.mean_out = out + (self.mean_out - out) * kept;
     }
 
     fn draw(&mut self, id: &Id) -> Option<Id> {
         self.credit_cold();
-        let (out, room) = self.in_use();
-        if out >= room {
+        self.average_out();
+        if self.mean_out >= self.room() {
             return None;
         }
         let cmd = self.cmds.get(id)?;
-        let all_marked = self.servers.values().all(|server| !server.ready || server.mark.is_some());
+        let all_marked = self.unmarked().next().is_none();
         let mean = self.mean_report();
         let nominal = self.mean_nominal();
         let mut candidates: Vec<Candidate> = Vec::with_capacity(self.servers.len());
@@ -929,6 +1004,11 @@
         if !server.ready || !self.may_relay(cmd, server.zone, server.cell) {
             return false;
         }
+        // The servers that drop a repeat may all lie outside of the window.
+        let bound_to = cmd.may_have_run() && self.repeats(cmd) == Repeats::Receipted(Group::Cell);
+        if !server.chosen && !bound_to {
+            return false;
+        }
         if cmd.relays.iter().any(|relay| relay.server == *id) {
             return false;
         }
@@ -940,29 +1020,28 @@
                 let trial = !self.terms.allowed.checks && !mark.trying && mark.next <= self.now;
                 trial && self.repeats(cmd) == Repeats::Pure
             }
-            _ => f64::from(server.out) < (server.bound / self.terms.balancers).max(1.0),
+            _ => f64::from(server.out) < (server.bound / self.sharers).max(1.0),
         }
     }
 
     fn candidate(&self, id: &Id, server: &Server, mean: f64, nominal: f64) -> Candidate {
         let (listed, pace) = (server.nominal / nominal, 1.0 / server.slowness());
         let size = listed * pace;
-        let own = f64::from(server.out) * self.terms.balancers;
+        let own = f64::from(server.out) * self.sharers;
         let (figure, fresh) = match server.report {
             Some((figure, at)) => {
                 let age = self.now.saturating_sub(at).as_secs_f64();
-                (figure + server.sends * self.terms.balancers, (-age / DECAY).exp())
+                (figure + server.sends * self.sharers, (-age / DECAY).exp())
             }
             None => (mean + own, 1.0),
         };
         // A report that hides what this copy itself has out there, or whose server answers nothing, must not
         // age its way back to an even share.
-        let figure = figure.max(own) + f64::from(server.overdue) * self.terms.balancers;
+        let figure = figure.max(own) + f64::from(server.overdue) * self.sharers;
         let fresh = if server.overdue > 0 { 1.0 } else { fresh };
         // What one of many copies knows cannot correct it if all of them crowd the large servers: the less it
         // sees of the whole, the nearer the weights come to plain sizes.
-        let by_size =
-            listed.powf(1.0 + (f64::from(SHARPNESS) - 1.0) / self.terms.balancers) * pace.powi(SHARPNESS);
+        let by_size = listed.powf(1.0 + (f64::from(SHARPNESS) - 1.0) / self.sharers) * pace.powi(SHARPNESS);
         let by_load = by_size / (1.0 + figure / size).powi(SHARPNESS);
         let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
         let factor = Self::ramp(&self.terms, server.ramp_from, self.now) * (-far * CROSSING_AVERSION).exp();
@@ -970,13 +1049,12 @@
     }
 
     fn mean_report(&self) -> f64 {
-        let reports: Vec<f64> =
-            self.servers.values().filter_map(|s| s.report.map(|(figure, _)| figure)).collect();
-        if reports.is_empty() { 0.0 } else { reports.iter().sum::<f64>() / reports.len() as f64 }
+        let reports = || self.servers.values().filter_map(|server| server.report);
+        reports().map(|(figure, _)| figure).sum::<f64>() / reports().count().max(1) as f64
     }
 
     fn mean_nominal(&self) -> f64 {
-        let ready = || self.servers.values().filter(|server| server.ready);
-        (ready().map(|server| server.nominal).sum::<f64>() / (ready().count().max(1) as f64)).max(1e-9)
+        let listed: f64 = self.ready().map(|server| server.nominal).sum();
+        (listed / self.ready().count().max(1) as f64).max(1e-9)
     }
 }
--- a/crates/decisions/src/terms.rs
+++ b/crates/decisions/src/terms.rs
@@ -60,6 +60,7 @@
 #[derive(Clone, Debug)]
 pub struct Terms {
     pub balancers: f64,
+    pub ordinal: u32,
     pub tier: u32,
     pub zone: u32,
     pub must_ask: bool,
@@ -196,6 +197,7 @@
         };
         Ok(Terms {
             balancers: pairs.figure("Balancers", 1.0)?.max(1.0),
+            ordinal: pairs.maybe("Ordinal")?.unwrap_or(0),
             tier: pairs.maybe("Tier")?.unwrap_or(0),
             zone: pairs.maybe("MyZone")?.unwrap_or(0),
             must_ask,
