--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -535,24 +535,12 @@
         earns / time
     }
 
-    fn sort_held(&mut self) {
-        let mut ranked: Vec<(f64, Id)> = Vec::with_capacity(self.held.len());
-        for id in &self.held {
-            if let Some(cmd) = self.cmds.get(id) {
-                ranked.push((self.rank(cmd), id.clone()));
-            }
-        }
-        ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
-        self.held = ranked.into_iter().map(|(_, id)| id).collect();
-    }
-
     fn place_held(&mut self) {
-        if self.held.is_empty() {
-            return;
-        }
-        self.sort_held();
-        let waiting = std::mem::take(&mut self.held);
-        for id in waiting {
+        let rank = |id: &Id| Some((self.rank(self.cmds.get(id)?), id.clone()));
+        let mut ranked: Vec<(f64, Id)> = self.held.iter().filter_map(rank).collect();
+        ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
+        self.held.clear();
+        for (_, id) in ranked {
             if !self.place(&id) {
                 self.held.push(id);
             }
@@ -635,23 +623,12 @@
     fn close(&mut self, id: &Id) {
         let Some(cmd) = self.cmds.get_mut(id) else { return };
         cmd.finished = true;
-        self.cancel_out(id);
-        self.forget_when_over(id);
-    }
-
-    fn cancel_out(&mut self, id: &Id) {
-        let Some(cmd) = self.cmds.get(id).filter(|cmd| self.terms.allowed.cancel && !cmd.streaming) else {
-            return;
-        };
         for (number, relay) in (0u32..).zip(&cmd.relays) {
-            if relay.fate == Fate::Out {
+            if relay.fate == Fate::Out && self.terms.allowed.cancel && !cmd.streaming {
                 self.host.cancel(id, number);
             }
         }
-    }
-
-    fn forget_when_over(&mut self, id: &Id) {
-        if self.cmds.get(id).is_some_and(|cmd| cmd.finished && cmd.out() == 0) {
+        if cmd.out() == 0 {
             self.cmds.remove(id);
         }
     }
@@ -940,15 +917,6 @@
 
 // The draw
 
-struct Candidate {
-    id: Id,
-    /// Its part by load, and by size alone; the older the report, the more the second counts.
-    by_load: f64,
-    by_size: f64,
-    fresh: f64,
-    factor: f64,
-}
-
 impl<H: Host> Policy<H> {
     /// Its part of all bounds. The part of one server's bound can be less than one relay: without the sum, many
     /// copies would each have one out at every server.
@@ -974,30 +942,26 @@
         if self.mean_out >= self.room() {
             return None;
         }
+        let drawn = self.chance();
         let cmd = self.cmds.get(id)?;
         let all_marked = self.unmarked().next().is_none();
         let mean = self.mean_report();
         let nominal = self.mean_nominal();
-        let mut candidates: Vec<Candidate> = Vec::with_capacity(self.servers.len());
-        for (server_id, server) in &self.servers {
-            if self.fits(cmd, server_id, server, all_marked) {
-                candidates.push(self.candidate(server_id, server, mean, nominal));
+        let mut weights: Vec<(&Id, f64)> = Vec::with_capacity(self.servers.len());
+        for (id, server) in &self.servers {
+            if self.fits(cmd, id, server, all_marked) {
+                weights.push((id, self.weight(server, mean, nominal)));
             }
         }
-        let by_load: f64 = candidates.iter().map(|c| c.by_load).sum();
-        let by_size: f64 = candidates.iter().map(|c| c.by_size).sum();
-        let weight = |c: &Candidate| {
-            c.factor * (c.fresh * c.by_load / by_load + (1.0 - c.fresh) * c.by_size / by_size).max(1e-12)
-        };
-        let total: f64 = candidates.iter().map(weight).sum();
-        let mut left = self.chance() * total;
-        for candidate in &candidates {
-            left -= weight(candidate);
+        let total: f64 = weights.iter().map(|(_, weight)| weight).sum();
+        let mut left = drawn * total;
+        for (id, weight) in &weights {
+            left -= weight;
             if left <= 0.0 {
-                return Some(candidate.id.clone());
+                return Some((*id).clone());
             }
         }
-        candidates.pop().map(|candidate| candidate.id)
+        weights.pop().map(|(id, _)| id.clone())
     }
 
     fn fits(&self, cmd: &Cmd, id: &Id, server: &Server, all_marked: bool) -> bool {
@@ -1024,28 +988,26 @@
         }
     }
 
-    fn candidate(&self, id: &Id, server: &Server, mean: f64, nominal: f64) -> Candidate {
+    fn weight(&self, server: &Server, mean: f64, nominal: f64) -> f64 {
         let (listed, pace) = (server.nominal / nominal, 1.0 / server.slowness());
         let size = listed * pace;
         let own = f64::from(server.out) * self.sharers;
-        let (figure, fresh) = match server.report {
+        let figure = match server.report {
             Some((figure, at)) => {
                 let age = self.now.saturating_sub(at).as_secs_f64();
-                (figure + server.sends * self.sharers, (-age / DECAY).exp())
+                mean + (figure + server.sends * self.sharers - mean) * (-age / DECAY).exp()
             }
-            None => (mean + own, 1.0),
+            None => mean + own,
         };
         // A report that hides what this copy itself has out there, or whose server answers nothing, must not
         // age its way back to an even share.
         let figure = figure.max(own) + f64::from(server.overdue) * self.sharers;
-        let fresh = if server.overdue > 0 { 1.0 } else { fresh };
         // What one of many copies knows cannot correct it if all of them crowd the large servers: the less it
         // sees of the whole, the nearer the weights come to plain sizes.
         let by_size = listed.powf(1.0 + (f64::from(SHARPNESS) - 1.0) / self.sharers) * pace.powi(SHARPNESS);
-        let by_load = by_size / (1.0 + figure / size).powi(SHARPNESS);
         let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
-        let factor = Self::ramp(&self.terms, server.ramp_from, self.now) * (-far * CROSSING_AVERSION).exp();
-        Candidate { id: id.clone(), by_load, by_size, fresh, factor }
+        let share = Self::ramp(&self.terms, server.ramp_from, self.now) * (-far * CROSSING_AVERSION).exp();
+        share * by_size / (1.0 + figure / size).powi(SHARPNESS)
     }
 
     fn mean_report(&self) -> f64 {
