--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -46,8 +46,8 @@
 /// Clients come back after this share of the response goal: later, nothing could be earned any more.
 const COME_BACK: f64 = 0.3;
 /// Each copy works with as many servers as bring it an answer from each this often a second, and no fewer than this.
-const SEEN_EACH: f64 = 3.0;
-const SERVERS_LEAST: f64 = 4.0;
+const SEEN_EACH: f64 = 5.0;
+const SERVERS_LEAST: f64 = 6.0;
 /// The part of them taken from the copy's own zone while it has as many.
 const NEAR: f64 = 0.7;
 const CHOOSE_EVERY: Duration = Duration::from_millis(500);
