--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -35,6 +35,8 @@
 /// Further relays of commands that may have run, as a share of the commands taken.
 const RELAY_SHARE: f64 = 0.1;
 const RELAY_BURST: f64 = 8.0;
+/// How strongly the part of the goal that goes by the worst answered verb raises the rank of one that falls short.
+const WORST_VERB: f64 = 8.0;
 /// A relay is not worth starting with less time left than this part of the usual.
 const HOPELESS: f64 = 0.5;
 /// A command is held when its expected wait takes at most this share of the slack it has to its goal.
@@ -201,7 +203,7 @@
     overdue: bool,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Cmd {
     verb: usize,
     /// Past this an answer earns nothing.
@@ -305,7 +307,10 @@
     pub fn woken(&mut self, now: Duration) {
         self.now = now;
         self.host.wake_in(self.sweep_span());
-        self.ask_when_time();
+        if self.asking.next.is_some_and(|at| at <= now) {
+            self.asking.next = None;
+            self.host.subscribe();
+        }
         self.watch_relays();
         self.check_servers();
         if self.choose_at <= now {
@@ -326,18 +331,24 @@
 impl<H: Host> Policy<H> {
     pub fn list_cached(&mut self, now: Duration, entries: &[Listed]) {
         self.now = now;
-        self.replace_list(entries);
+        for (id, server) in &mut self.servers {
+            server.ready = server.ready && entries.iter().any(|entry| entry.server == *id);
+        }
+        self.take_entries(entries);
     }
 
     pub fn list_told(&mut self, now: Duration, entries: &[Listed]) {
-        self.now = now;
         self.asking = Asking::default();
-        self.replace_list(entries);
+        self.list_cached(now, entries);
     }
 
     pub fn list_changed(&mut self, now: Duration, entries: &[Listed]) {
         self.now = now;
         self.asking = Asking::default();
+        self.take_entries(entries);
+    }
+
+    fn take_entries(&mut self, entries: &[Listed]) {
         entries.iter().for_each(|entry| self.take_entry(entry));
         self.choose_servers();
         self.place_held();
@@ -352,22 +363,6 @@
         self.asking.next = Some(now + wait);
     }
 
-    fn ask_when_time(&mut self) {
-        if self.asking.next.is_some_and(|at| at <= self.now) {
-            self.asking.next = None;
-            self.host.subscribe();
-        }
-    }
-
-    fn replace_list(&mut self, entries: &[Listed]) {
-        for (id, server) in &mut self.servers {
-            server.ready = server.ready && entries.iter().any(|entry| entry.server == *id);
-        }
-        entries.iter().for_each(|entry| self.take_entry(entry));
-        self.choose_servers();
-        self.place_held();
-    }
-
     fn take_entry(&mut self, entry: &Listed) {
         let verbs = self.terms.verbs.len();
         if entry.state != State::Ready {
@@ -454,18 +449,8 @@
         self.verbs[arrival.verb].asked.add(now, 1.0);
         self.spare_relays = (self.spare_relays + RELAY_SHARE).min(RELAY_BURST);
         let beyond = self.beyond_quota(arrival.tenant);
-        let cmd = Cmd {
-            verb: arrival.verb,
-            good_until,
-            relays: Vec::new(),
-            finished: false,
-            streaming: false,
-            beyond,
-        };
+        let cmd = Cmd { verb: arrival.verb, good_until, beyond, ..Cmd::default() };
         self.cmds.insert(arrival.id.clone(), cmd);
-        if self.held.is_empty() && self.place(&arrival.id) {
-            return;
-        }
         self.held.push(arrival.id.clone());
         self.place_held();
         self.thin_held(Some(&arrival.id));
@@ -506,33 +491,15 @@
         self.verbs.get(verb).and_then(|record| record.latency.mean()).unwrap_or(0.0)
     }
 
-    /// What a command earns for each second that it keeps a place: its part of the whole and, while its verb
-    /// is the worst answered, of the goal's part for that.
+    /// What a command earns for each second that it keeps a place, the more the less of its verb is answered:
+    /// part of the goal may go by the worst answered verb.
     fn rank(&self, cmd: &Cmd) -> f64 {
         let Some(verb) = self.terms.verbs.get(cmd.verb) else { return 0.0 };
-        let time = self.expected(cmd.verb).max(0.01);
-        let size = if self.terms.utility_by_work { time } else { 1.0 };
-        let (mut utility, mut asked_all) = (0.0, 0.0);
-        let (mut worst, mut worst_share) = (cmd.verb, f64::MAX);
-        for (at, record) in self.verbs.iter().enumerate() {
-            let asked = record.asked.count(self.now);
-            let size = if self.terms.utility_by_work { self.expected(at).max(0.01) } else { 1.0 };
-            utility += asked * size * self.terms.verbs[at].utility;
-            asked_all += asked * size;
-            let share = record.answered.count(self.now) / asked.max(1.0);
-            if asked > 1.0 && share < worst_share {
-                (worst, worst_share) = (at, share);
-            }
-        }
-        let asked = self.verbs[cmd.verb].asked.count(self.now).max(1.0);
-        let mut earns = self.terms.goal.whole * verb.utility * size * asked_all / utility.max(1e-9);
-        if worst == cmd.verb {
-            earns += self.terms.goal.worst_verb * asked_all / asked;
-        }
-        if cmd.beyond {
-            earns *= self.terms.beyond_quota;
-        }
-        earns / time
+        let record = &self.verbs[cmd.verb];
+        let answered = record.answered.count(self.now) / record.asked.count(self.now).max(1.0);
+        let short = 1.0 + WORST_VERB * self.terms.goal.worst_verb * (1.0 / answered.clamp(0.1, 1.0) - 1.0);
+        let time = if self.terms.utility_by_work { 1.0 } else { self.expected(cmd.verb).max(0.01) };
+        verb.utility * short * if cmd.beyond { self.terms.beyond_quota } else { 1.0 } / time
     }
 
     fn place_held(&mut self) {
