--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -36,7 +36,7 @@
 const RELAY_SHARE: f64 = 0.1;
 const RELAY_BURST: f64 = 8.0;
 /// How strongly the part of the goal that goes by the worst answered verb raises the rank of one that falls short.
-const WORST_VERB: f64 = 8.0;
+const WORST_VERB: f64 = 20.0;
 /// A relay is not worth starting with less time left than this part of the usual.
 const HOPELESS: f64 = 0.5;
 /// A command is held when its expected wait takes at most this share of the slack it has to its goal.
@@ -971,7 +971,8 @@
         let figure = figure.max(own) + f64::from(server.overdue) * self.sharers;
         // What one of many copies knows cannot correct it if all of them crowd the large servers: the less it
         // sees of the whole, the nearer the weights come to plain sizes.
-        let by_size = listed.powf(1.0 + (f64::from(SHARPNESS) - 1.0) / self.sharers) * pace.powi(SHARPNESS);
+        let crowding = 1.0 + f64::from(SHARPNESS - 1) * 4.0 / (3.0 + self.sharers);
+        let by_size = listed.powf(crowding) * pace.powi(SHARPNESS);
         let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
         let share = Self::ramp(&self.terms, server.ramp_from, self.now) * (-far * CROSSING_AVERSION).exp();
         share * by_size / (1.0 + figure / size).powi(SHARPNESS)
