--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -153,6 +153,8 @@
     runs: Vec<u32>,
     mark: Option<Mark>,
     ramp_from: Option<Duration>,
+    /// By chance, so that copies told of a start at one moment do not all send to it at one moment.
+    first_credit: f64,
     cold_credit: f64,
     credited: Duration,
     report: Option<(f64, Duration)>,
@@ -165,9 +167,9 @@
 }
 
 impl Server {
-    fn new(entry: &Listed, verbs: usize) -> Self {
+    fn new(entry: &Listed, verbs: usize, first_credit: f64) -> Self {
         let (zone, cell) = (entry.zone, entry.cell);
-        Server { zone, cell, runs: vec![0; verbs], bound: BOUND_START, ..Server::default() }
+        Server { zone, cell, first_credit, runs: vec![0; verbs], bound: BOUND_START, ..Server::default() }
     }
 
     /// A process that started anew has nothing to do with what was learned of the old one.
@@ -178,7 +180,7 @@
         self.sends = 0.0;
         self.pace = Histogram::default();
         self.bound = BOUND_START;
-        (self.ramp_from, self.cold_credit) = (Some(at), 0.0);
+        (self.ramp_from, self.cold_credit) = (Some(at), self.first_credit);
     }
 
     fn slowness(&self) -> f64 {
@@ -372,7 +374,9 @@
             return;
         }
         let new = !self.servers.contains_key(&entry.server);
-        let server = self.servers.entry(entry.server.clone()).or_insert_with(|| Server::new(entry, verbs));
+        let first = self.chance();
+        let start = || Server::new(entry, verbs, first);
+        let server = self.servers.entry(entry.server.clone()).or_insert_with(start);
         server.ready = true;
         server.nominal = if entry.nominal > 0.0 { entry.nominal } else { 1.0 };
         let fresh = |at: &Duration| *at + self.terms.cold.warm_after > self.now;
