--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -23,7 +23,7 @@
 /// The draw's weights are raised to this power.
 const SHARPNESS: i32 = 4;
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
-const BOUND_START: f64 = 5.0;
+const BOUND_START: f64 = 7.0;
 const BOUND_MOST: f64 = 64.0;
 const BOUND_CUT: f64 = 0.02;
 /// What an error cuts, against a time-out.
