--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -23,7 +23,7 @@
 /// The draw's weights are raised to this power.
 const SHARPNESS: i32 = 4;
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
-const BOUND_START: f64 = 7.0;
+const BOUND_START: f64 = 5.0;
 const BOUND_MOST: f64 = 64.0;
 const BOUND_CUT: f64 = 0.02;
 /// What an error cuts, against a time-out.
@@ -900,7 +900,7 @@
     /// holding to it at every moment would turn away chance clusters that all copies together have room for.
     fn average_out(&mut self) {
         let out: f64 = self.unmarked().map(|server| f64::from(server.out)).sum();
-        let span = 0.1 * (ROOM_STEADY / self.room() - 1.0);
+        let span = (0.25 * (ROOM_STEADY / self.room() - 1.0)).min(2.0);
         let since = self.now.saturating_sub(self.averaged).as_secs_f64();
         self.averaged = self.now;
         let kept = if span > 0.0 { (-since / span).exp() } else { 0.0 };
