--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -24,7 +24,9 @@
 const SHARPNESS: i32 = 4;
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
 const BOUND_START: f64 = 5.0;
+const BOUND_LEAST: f64 = 2.5;
 const BOUND_MOST: f64 = 64.0;
+const STRAIN_CUT: f64 = 0.005;
 const BOUND_CUT: f64 = 0.02;
 /// What an error cuts, against a time-out.
 const ERROR_WEIGHS: f64 = 0.4;
@@ -714,8 +716,8 @@
         }
         if took > goal || !in_time {
             self.cut_bound(id, 1.0);
-        } else if strain > STRAINED && server.bound > BOUND_START {
-            server.bound = (server.bound * 0.98).max(BOUND_START);
+        } else if strain > STRAINED && server.bound > BOUND_LEAST {
+            server.bound = (server.bound * (-STRAIN_CUT * sharers).exp()).max(BOUND_LEAST);
         } else if used && strain < CALM {
             server.bound = (server.bound + BOUND_RISE * sharers / server.bound).min(BOUND_MOST);
         }
@@ -900,7 +902,7 @@
     /// holding to it at every moment would turn away chance clusters that all copies together have room for.
     fn average_out(&mut self) {
         let out: f64 = self.unmarked().map(|server| f64::from(server.out)).sum();
-        let span = (0.25 * (ROOM_STEADY / self.room() - 1.0)).min(2.0);
+        let span = 0.1 * (ROOM_STEADY / self.room() - 1.0);
         let since = self.now.saturating_sub(self.averaged).as_secs_f64();
         self.averaged = self.now;
         let kept = if span > 0.0 { (-since / span).exp() } else { 0.0 };
