--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -181,7 +181,8 @@
         self.report = None;
         self.sends = 0.0;
         self.pace = Histogram::default();
-        self.bound = BOUND_START;
+        // It is cold: it can do part of what the others can, and many new ones must not flood the tier behind them.
+        self.bound = BOUND_LEAST;
         (self.ramp_from, self.cold_credit) = (Some(at), self.first_credit);
     }
 
