--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -91,20 +91,18 @@
 
     fn mean(&self) -> Option<f64> {
         let middle = |(bin, count): (usize, &u32)| Self::upper(bin) * 0.8 * f64::from(*count);
-        (self.total > 0)
-            .then(|| self.bins.iter().enumerate().map(middle).sum::<f64>() / f64::from(self.total))
+        let sum: f64 = self.bins.iter().enumerate().map(middle).sum();
+        (self.total > 0).then(|| sum / f64::from(self.total))
     }
 
     fn quantile(&self, share: f64) -> Option<f64> {
         let wanted = share * f64::from(self.total);
         let mut seen = 0.0;
-        for (bin, count) in self.bins.iter().enumerate() {
+        let reached = |count: &u32| {
             seen += f64::from(*count);
-            if seen >= wanted && seen > 0.0 {
-                return Some(Self::upper(bin));
-            }
-        }
-        None
+            seen >= wanted && seen > 0.0
+        };
+        self.bins.iter().position(reached).map(Self::upper)
     }
 }
 
@@ -130,6 +128,11 @@
     }
 }
 
+fn mean(values: impl Iterator<Item = f64>) -> f64 {
+    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
+    sum / f64::max(count, 1.0)
+}
+
 fn hash(of: &impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
     of.hash(&mut hasher);
@@ -543,13 +546,12 @@
     fn place(&mut self, id: &Id) -> bool {
         // Work that starts with less time left than half of what it usually takes is mostly done for nothing.
         let Some(cmd) = self.cmds.get(id) else { return false };
-        let left = self.left(cmd);
-        if left < HOPELESS * self.expected(cmd.verb) {
-            return false;
+        let hopeless = self.left(cmd) < HOPELESS * self.expected(cmd.verb);
+        let drawn = if hopeless { None } else { self.draw(id) };
+        if let Some(server) = &drawn {
+            self.send(id, server);
         }
-        let Some(server) = self.draw(id) else { return false };
-        self.send(id, &server);
-        true
+        drawn.is_some()
     }
 
     fn send(&mut self, id: &Id, to: &Id) {
@@ -852,12 +854,10 @@
     }
 
     fn check_servers(&mut self) {
-        if !self.terms.allowed.checks {
-            return;
-        }
         let now = self.now;
-        for (id, server) in self.servers.iter_mut().filter(|(_, server)| server.ready && !server.checking) {
-            if server.mark.as_ref().is_some_and(|mark| mark.next <= now) {
+        for (id, server) in self.servers.iter_mut().filter(|_| self.terms.allowed.checks) {
+            let due = server.mark.as_ref().is_some_and(|mark| mark.next <= now);
+            if due && server.ready && !server.checking {
                 server.checking = true;
                 self.host.check(id);
             }
@@ -919,12 +919,12 @@
         let drawn = self.chance();
         let cmd = self.cmds.get(id)?;
         let all_marked = self.unmarked().next().is_none();
-        let mean = self.mean_report();
-        let nominal = self.mean_nominal();
+        let report = mean(self.servers.values().filter_map(|server| Some(server.report?.0)));
+        let listed = mean(self.ready().map(|server| server.nominal)).max(1e-9);
         let mut weights: Vec<(&Id, f64)> = Vec::with_capacity(self.servers.len());
         for (id, server) in &self.servers {
             if self.fits(cmd, id, server, all_marked) {
-                weights.push((id, self.weight(server, mean, nominal)));
+                weights.push((id, self.weight(server, report, listed)));
             }
         }
         let total: f64 = weights.iter().map(|(_, weight)| weight).sum();
@@ -939,18 +939,12 @@
     }
 
     fn fits(&self, cmd: &Cmd, id: &Id, server: &Server, all_marked: bool) -> bool {
-        if !server.ready || !self.may_relay(cmd, server.zone, server.cell) {
-            return false;
-        }
         // The servers that drop a repeat may all lie outside of the window.
         let bound_to = cmd.may_have_run() && self.repeats(cmd) == Repeats::Receipted(Group::Cell);
-        if !server.chosen && !bound_to {
-            return false;
-        }
-        if cmd.relays.iter().any(|relay| relay.server == *id) {
-            return false;
-        }
-        if server.ramp_from.is_some() && server.cold_credit < 1.0 {
+        let within = server.chosen || bound_to && server.ramp_from.is_none();
+        let cold = server.ramp_from.is_some() && server.cold_credit < 1.0;
+        let met = cmd.relays.iter().any(|relay| relay.server == *id);
+        if !server.ready || !within || cold || met || !self.may_relay(cmd, server.zone, server.cell) {
             return false;
         }
         match &server.mark {
@@ -962,8 +956,8 @@
         }
     }
 
-    fn weight(&self, server: &Server, mean: f64, nominal: f64) -> f64 {
-        let (listed, pace) = (server.nominal / nominal, 1.0 / server.slowness());
+    fn weight(&self, server: &Server, mean: f64, listed: f64) -> f64 {
+        let (listed, pace) = (server.nominal / listed, 1.0 / server.slowness());
         let size = listed * pace;
         let own = f64::from(server.out) * self.sharers;
         let figure = match server.report {
@@ -984,14 +978,4 @@
         let share = Self::ramp(&self.terms, server.ramp_from, self.now) * (-far * CROSSING_AVERSION).exp();
         share * by_size / (1.0 + figure / size).powi(SHARPNESS)
     }
-
-    fn mean_report(&self) -> f64 {
-        let reports = || self.servers.values().filter_map(|server| server.report);
-        reports().map(|(figure, _)| figure).sum::<f64>() / reports().count().max(1) as f64
-    }
-
-    fn mean_nominal(&self) -> f64 {
-        let listed: f64 = self.ready().map(|server| server.nominal).sum();
-        (listed / self.ready().count().max(1) as f64).max(1e-9)
-    }
 }
--- /dev/null
+++ b/crates/decisions/tests/decisions/copies.rs
@@ -0,0 +1,127 @@
+//! What only shows with many copies over one fleet: each copy has a world of its own, the list is one.
+
+use crate::scripted::{Scene, entry, ms, terms};
+use landingspread_decisions::host::{Listed, Load, Outcome, State};
+
+fn copies(count: u32, servers: u32) -> Vec<Scene> {
+    let copy = |at: u32| {
+        let extra = format!("Balancers={count} Ordinal={at} MyZone={}", at % 2);
+        Scene::new(terms("zone", &extra), "zone", u64::from(at), servers)
+    };
+    (0..count).map(copy).collect()
+}
+
+fn play_all(copies: &mut [Scene], rounds: usize, wait: u64) {
+    for _ in 0..rounds {
+        for copy in copies.iter_mut() {
+            copy.play(0, |_| Outcome::Ok);
+            copy.pass(ms(wait));
+        }
+    }
+}
+
+fn sent(copies: &[Scene], server: &str) -> usize {
+    copies.iter().map(|copy| copy.script.0.borrow().sent_to(server)).sum()
+}
+
+#[test]
+fn copies_with_little_traffic_keep_to_few_servers_and_share_them_evenly() {
+    let mut copies = copies(60, 24);
+    play_all(&mut copies, 30, 480);
+    let used = |copy: &Scene, server: u32| copy.script.0.borrow().sent_to(&format!("s{server}")) > 0;
+    for copy in &copies {
+        let met = (0..24).filter(|server| used(copy, *server)).count();
+        assert!((4..=9).contains(&met), "a window of about six, not {met}");
+    }
+    for server in 0..24 {
+        let sharers = copies.iter().filter(|copy| used(copy, server)).count();
+        assert!((8..=25).contains(&sharers), "s{server} is shared by {sharers} copies of 60");
+    }
+}
+
+#[test]
+fn a_marked_server_leaves_its_place_in_the_window_to_another() {
+    let mut copies = copies(60, 24);
+    let copy = &mut copies[0];
+    let used = |copy: &Scene| -> Vec<String> {
+        let used = |server: &String| copy.script.0.borrow().sent_to(server) > 0;
+        (0..24).map(|at| format!("s{at}")).filter(used).collect()
+    };
+    for _ in 0..30 {
+        copy.play(0, |_| Outcome::Ok);
+    }
+    let (before, bad) = (used(copy), used(copy)[0].clone());
+    for _ in 0..60 {
+        copy.play(0, |server| if server == bad { Outcome::Error } else { Outcome::Ok });
+        copy.pass(ms(200));
+    }
+    assert!(copy.noted(&format!("mark {bad}")));
+    assert!(used(copy).len() > before.len(), "a spare is taken in");
+}
+
+#[test]
+fn copies_told_of_a_start_at_one_moment_use_and_spare_the_cold_server_together() {
+    let mut copies = copies(60, 24);
+    play_all(&mut copies, 20, 230);
+    let usual = (0..24).map(|at| sent(&copies, &format!("s{at}"))).sum::<usize>() as f64 / 24.0 / 5.0;
+    let at = copies[0].now();
+    for copy in &mut copies {
+        let up_since = Some(at);
+        copy.change(&[Listed { up_since, ..entry("s2", State::Ready) }]);
+    }
+    let mut used = 0;
+    for window in 0..3 {
+        let before = sent(&copies, "s2");
+        play_all(&mut copies, 8, 230);
+        let (cold, limit) = ((sent(&copies, "s2") - before) as f64, 3.0 * (0.3 + 0.17 * f64::from(window)));
+        assert!(cold <= limit * usual * 2.0, "{cold} in two seconds, usually {usual} a second");
+        used += sent(&copies, "s2") - before;
+    }
+    assert!(used > 0, "the ramp lets some through before it ends");
+}
+
+#[test]
+fn many_copies_load_servers_by_size_and_do_not_crowd_the_large() {
+    let mut copies = copies(100, 8);
+    let entries: Vec<_> = (0..8)
+        .map(|at| Listed {
+            nominal: if at < 4 { 4.0 } else { 1.0 },
+            ..entry(&format!("s{at}"), State::Ready)
+        })
+        .collect();
+    copies.iter_mut().for_each(|copy| copy.change(&entries));
+    play_all(&mut copies, 20, 180);
+    let of = |range: std::ops::Range<u32>| range.map(|at| sent(&copies, &format!("s{at}"))).sum::<usize>();
+    let ratio = of(0..4) as f64 / of(4..8) as f64;
+    assert!((2.0..8.0).contains(&ratio), "four times as large, {ratio} times the traffic");
+}
+
+#[test]
+fn a_small_room_takes_a_chance_cluster_but_no_lasting_excess() {
+    let mut scene = copies(100, 24).swap_remove(0);
+    scene.pass(ms(1000));
+    (0..3).for_each(|_| drop(scene.give(0, ms(3000))));
+    assert_eq!(scene.out().len(), 3, "a cluster passes");
+    for _ in 0..40 {
+        scene.give(0, ms(3000));
+        scene.pass(ms(50));
+    }
+    let out = scene.out().len();
+    assert!(out <= 4, "what stays out holds the rest back, not {out}");
+}
+
+#[test]
+fn strain_lowers_bounds_below_the_start() {
+    let mut scene = copies(10, 4).swap_remove(0);
+    let full = |scene: &mut Scene, span: u64| {
+        (0..20).for_each(|_| drop(scene.give(0, ms(3000))));
+        let out = scene.out();
+        scene.pass(ms(span));
+        out.iter().for_each(|(id, number)| scene.end(id, *number, Outcome::Ok, Load::default()));
+        scene.pass(ms(1500));
+        out.len()
+    };
+    let calm: usize = (0..60).map(|_| full(&mut scene, 40)).skip(55).sum();
+    let strained: usize = (0..60).map(|_| full(&mut scene, 400)).skip(55).sum();
+    assert!(strained < calm, "{strained} let in under strain, {calm} in calm");
+}
--- a/crates/decisions/tests/decisions/main.rs
+++ b/crates/decisions/tests/decisions/main.rs
@@ -1,3 +1,4 @@
+mod copies;
 mod plain;
 mod rules;
 mod scripted;
--- a/crates/decisions/tests/decisions/rules.rs
+++ b/crates/decisions/tests/decisions/rules.rs
@@ -84,14 +84,15 @@
         parallel: bool,
         cancel: bool,
         subscribe: bool,
-        balancers in 1u32..6,
+        balancers in prop::sample::select(vec![1u32, 2, 5, 40, 300]),
+        ordinal in 0u32..300,
         seed: u64,
         steps in prop::collection::vec((0u8..16, any::<u16>(), any::<u16>()), 1..160),
     ) {
         let discovery = if subscribe { "subscribe" } else { "automatic" };
         let extra = format!(
             "PolicyLimits.Probes={probes} PolicyLimits.ParallelTries={parallel} PolicyLimits.MayCancel={cancel} \
-             Discovery={discovery} Balancers={balancers}"
+             Discovery={discovery} Balancers={balancers} Ordinal={ordinal}"
         );
         let mut scene = Scene::new(terms(scope, &extra), scope, seed, 6);
         for given in steps {
