--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -26,7 +26,7 @@
 const BOUND_START: f64 = 5.0;
 const BOUND_LEAST: f64 = 2.5;
 const BOUND_MOST: f64 = 64.0;
-const STRAIN_CUT: f64 = 0.005;
+const STRAIN_CUT: f64 = 0.002;
 const BOUND_CUT: f64 = 0.02;
 /// What an error cuts, against a time-out.
 const ERROR_WEIGHS: f64 = 0.4;
