--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -710,7 +710,8 @@
             record.calm = Some(calm);
             self.strain.add((took / calm).min(4.0), 64);
         }
-        let strain = self.strain.mean().unwrap_or(1.0);
+        // Where one zone is crowded and another is not, only what is seen of this server tells which it is.
+        let strain = self.strain.mean().unwrap_or(1.0) * server.slowness();
         if in_time {
             record.answered.add(now, 1.0);
         }
