--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -569,13 +569,6 @@
         self.host.relay(id, to, cmd.good_until);
     }
 
-    fn may_decline(&self, cmd: &Cmd) -> bool {
-        match self.repeats(cmd) {
-            Repeats::Pure | Repeats::Receipted(Group::All) => true,
-            _ => !cmd.may_have_run(),
-        }
-    }
-
     fn repeats(&self, cmd: &Cmd) -> Repeats {
         self.terms.verbs.get(cmd.verb).map_or(Repeats::Effectful, |verb| verb.repeats)
     }
@@ -586,7 +579,8 @@
         if cmd.finished {
             return;
         }
-        if self.may_decline(cmd) {
+        let harmless = matches!(self.repeats(cmd), Repeats::Pure | Repeats::Receipted(Group::All));
+        if harmless || !cmd.may_have_run() {
             let goal = self.terms.verbs.get(cmd.verb).map_or(Duration::ZERO, |verb| verb.goal);
             self.host.decline(id, self.terms.allowed.come_back.map(|most| most.min(goal.mul_f64(COME_BACK))));
         } else {
@@ -652,9 +646,16 @@
         self.ended.add(now, 1.0);
         self.average_out();
         self.take_report(&server, ended.load);
+        let usual = self.expected(verb);
         if let Some(server) = self.servers.get_mut(&server) {
             server.out = server.out.saturating_sub(1);
             server.overdue = server.overdue.saturating_sub(u32::from(overdue));
+            // What is too slow to answer in time would otherwise be known by its quickest answers only.
+            let answered = ended.outcome == Outcome::Ok;
+            if usual > 0.0 && (answered || overdue || ended.outcome == Outcome::Timeout) {
+                let pace = ended.latency.as_secs_f64() / usual;
+                server.pace.add(if answered { pace } else { pace.max(1.0) }, 32);
+            }
         }
         if ended.outcome == Outcome::Ok {
             self.count_answer(&server, verb, ended.latency, in_time);
@@ -701,9 +702,6 @@
         // A bound that rises while it is not reached would let a later jam in.
         let used =
             mean_out + 1.0 >= 0.8 * room || f64::from(server.out + 1) >= (server.bound / sharers).max(2.0);
-        if let Some(mean) = record.latency.mean() {
-            server.pace.add(took / mean, 32);
-        }
         record.latency.add(took, Histogram::FULL);
         if let Some(mean) = record.latency.mean().filter(|_| record.latency.total >= 100) {
             let calm = record.calm.map_or(mean, |calm| (calm * 1.0005).min(mean));
--- a/crates/decisions/tests/decisions/plain.rs
+++ b/crates/decisions/tests/decisions/plain.rs
@@ -216,3 +216,21 @@
     assert_eq!(wrong(text), Err("setting Verbs.0.Effect can't be read: \"sometimes\"".into()));
     assert!(wrong("Discovery=automatic Balancers=NaN").is_err());
 }
+
+#[test]
+fn a_server_known_by_its_quick_answers_only_still_loses_its_share() {
+    let mut scene = scene("", 4);
+    let mut met = 0;
+    for _ in 0..160 {
+        let id = scene.give(0, ms(3000));
+        scene.pass(ms(20));
+        let slow = scene.script.0.borrow().cmds[&id].relays.iter().any(|relay| &*relay.server == "s1");
+        met += usize::from(slow);
+        if !slow || met % 3 == 0 {
+            scene.end(&id, 0, Outcome::Ok, Load::default());
+        }
+        scene.pass(ms(1100));
+    }
+    assert!(!scene.noted("mark s1"), "two straight failures of three are no run");
+    assert!(met < 20, "its even share would be 40, not {met}");
+}
