--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -654,7 +654,7 @@
             let answered = ended.outcome == Outcome::Ok;
             if usual > 0.0 && (answered || overdue || ended.outcome == Outcome::Timeout) {
                 let pace = ended.latency.as_secs_f64() / usual;
-                server.pace.add(if answered { pace } else { pace.max(1.0) }, 16);
+                server.pace.add(if answered { pace } else { pace.max(1.0) }, 32);
             }
         }
         if ended.outcome == Outcome::Ok {
