--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -2,8 +2,8 @@
 //! how long it is held, and when it is given up.
 //!
 //! A front calls `Policy::start` once and then one method for each thing that happens, in the order in which
-//! it happened; each acts by calling the `Host` handed over at start. The host trait and the plain types stand
-//! in `host.rs`, the settings in `terms.rs`, the reasons in `docs/design.md`.
+//! it happened; each acts by calling the `Host` handed over at start. The host trait and the plain types
+//! stand in `host.rs`, the settings in `terms.rs`, the reasons in `docs/design.md`.
 
 use crate::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
 use crate::terms::{Group, Repeats, Terms};
@@ -37,7 +37,7 @@
 /// Further relays of commands that may have run, as a share of the commands taken.
 const RELAY_SHARE: f64 = 0.1;
 const RELAY_BURST: f64 = 8.0;
-/// How strongly the part of the goal that goes by the worst answered verb raises the rank of one that falls short.
+/// How strongly the goal's part for the worst answered verb raises the rank of one that falls short.
 const WORST_VERB: f64 = 20.0;
 /// A relay is not worth starting with less time left than this part of the usual.
 const HOPELESS: f64 = 0.5;
@@ -49,7 +49,7 @@
 const CROSSING_AVERSION: f64 = 60.0;
 /// Clients come back after this share of the response goal: later, nothing could be earned any more.
 const COME_BACK: f64 = 0.3;
-/// Each copy works with as many servers as bring it an answer from each this often a second, and no fewer than this.
+/// Each copy works with as many servers as give it so many answers a second each, and no fewer than this.
 const SEEN_EACH: f64 = 5.0;
 const SERVERS_LEAST: f64 = 6.0;
 /// The part of them taken from the copy's own zone while it has as many.
