--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -184,7 +184,7 @@
         self.report = None;
         self.sends = 0.0;
         self.pace = Histogram::default();
-        // It is cold: it can do part of what the others can, and many new ones must not flood the tier behind them.
+        // It is cold, and many new ones with the usual bound would flood the tier behind them.
         self.bound = BOUND_LEAST;
         (self.ramp_from, self.cold_credit) = (Some(at), self.first_credit);
     }
@@ -406,10 +406,10 @@
         self.ready().filter(|server| server.mark.is_none())
     }
 
-    /// One of hundreds of copies meets each of a hundred servers too seldom for a run, a pace or a warm connection.
-    /// So each works with a window on the ring of servers, in an order that all copies share and from a place that
-    /// its number gives, so that every server gets about as many copies; what is marked or still cold takes no
-    /// place, or part of one, in the window.
+    /// One of hundreds of copies meets each of a hundred servers too seldom for a run, a pace or a warm
+    /// connection. So each works with a window on the ring of servers, in an order that all copies share and
+    /// from a place that its number gives, so that every server gets about as many copies; what is marked or
+    /// still cold takes no place, or part of one, in the window.
     fn choose_servers(&mut self) {
         self.choose_at = self.now + CHOOSE_EVERY;
         let asked: f64 = self.verbs.iter().map(|record| record.asked.per_s(self.now)).sum();
@@ -735,7 +735,7 @@
         if matches!(outcome, Outcome::Moot | Outcome::Cancelled) {
             return;
         }
-        // Behind a crowded next tier errors are all that is seen of it; by themselves they say less than the rest.
+        // Behind a crowded next tier errors are all that is seen of it; alone they say less than the rest.
         match outcome {
             Outcome::Timeout | Outcome::Full => self.cut_bound(id, 1.0),
             Outcome::Error | Outcome::Reset => self.cut_bound(id, ERROR_WEIGHS),
@@ -891,14 +891,14 @@
 // The draw
 
 impl<H: Host> Policy<H> {
-    /// Its part of all bounds. The part of one server's bound can be less than one relay: without the sum, many
-    /// copies would each have one out at every server.
+    /// Its part of all bounds. The part of one server's bound can be less than one relay: without the sum,
+    /// many copies would each have one out at every server.
     fn room(&self) -> f64 {
         let bounds = self.unmarked().filter(|server| server.chosen).map(|server| server.bound);
         (bounds.sum::<f64>() / self.sharers).max(0.1)
     }
 
-    /// Brings the mean of what is out up to date, before that changes. Where the copy's room is a few relays only,
+    /// Brings the mean of what is out up to date, before that changes. Where the copy's room is a few relays,
     /// holding to it at every moment would turn away chance clusters that all copies together have room for.
     fn average_out(&mut self) {
         let out: f64 = self.unmarked().map(|server| f64::from(server.out)).sum();
