Clean-up: dead reset and dead setting gone, two plain returns restored

The window's marks need no reset, as every reader asks for ready servers and each ready one is set; Goal.Whole is read by nothing since the rank changed; check_servers and place return early again instead of a filter on a constant and an option tested twice; the least bound says what it guards against.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -24,6 +24,8 @@
 const SHARPNESS: i32 = 4;
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
 const BOUND_START: f64 = 5.0;
+/// Strain brings a bound down to this, below the start: older copies were told too small a balancer count
+/// once a front has grown.
 const BOUND_LEAST: f64 = 2.5;
 const BOUND_MOST: f64 = 64.0;
 const STRAIN_CUT: f64 = 0.002;
@@ -414,7 +416,6 @@
         self.choose_at = self.now + CHOOSE_EVERY;
         let asked: f64 = self.verbs.iter().map(|record| record.asked.per_s(self.now)).sum();
         let wanted = (asked / SEEN_EACH).max(SERVERS_LEAST);
-        self.servers.values_mut().for_each(|server| server.chosen = false);
         let near = self.ready().filter(|server| server.zone == self.terms.zone).count() as f64;
         let ready = self.ready().count() as f64;
         let from_far = (wanted * (1.0 - NEAR)).max(wanted - near).min(ready - near);
@@ -547,11 +548,12 @@
         // Work that starts with less time left than half of what it usually takes is mostly done for nothing.
         let Some(cmd) = self.cmds.get(id) else { return false };
         let hopeless = self.left(cmd) < HOPELESS * self.expected(cmd.verb);
-        let drawn = if hopeless { None } else { self.draw(id) };
-        if let Some(server) = &drawn {
-            self.send(id, server);
+        if hopeless {
+            return false;
         }
-        drawn.is_some()
+        let Some(server) = self.draw(id) else { return false };
+        self.send(id, &server);
+        true
     }
 
     fn send(&mut self, id: &Id, to: &Id) {
@@ -646,18 +648,17 @@
         self.ended.add(now, 1.0);
         self.average_out();
         self.take_report(&server, ended.load);
-        let usual = self.expected(verb);
+        let (usual, answered) = (self.expected(verb), ended.outcome == Outcome::Ok);
         if let Some(server) = self.servers.get_mut(&server) {
             server.out = server.out.saturating_sub(1);
             server.overdue = server.overdue.saturating_sub(u32::from(overdue));
             // What is too slow to answer in time would otherwise be known by its quickest answers only.
-            let answered = ended.outcome == Outcome::Ok;
             if usual > 0.0 && (answered || overdue || ended.outcome == Outcome::Timeout) {
                 let pace = ended.latency.as_secs_f64() / usual;
                 server.pace.add(if answered { pace } else { pace.max(1.0) }, 32);
             }
         }
-        if ended.outcome == Outcome::Ok {
+        if answered {
             self.count_answer(&server, verb, ended.latency, in_time);
         } else {
             self.count_failure(&server, verb, ended.outcome, overdue);
@@ -853,8 +854,11 @@
     }
 
     fn check_servers(&mut self) {
+        if !self.terms.allowed.checks {
+            return;
+        }
         let now = self.now;
-        for (id, server) in self.servers.iter_mut().filter(|_| self.terms.allowed.checks) {
+        for (id, server) in &mut self.servers {
             let due = server.mark.as_ref().is_some_and(|mark| mark.next <= now);
             if due && server.ready && !server.checking {
                 server.checking = true;
--- a/crates/decisions/src/terms.rs
+++ b/crates/decisions/src/terms.rs
@@ -53,7 +53,6 @@
 
 #[derive(Clone, Debug)]
 pub struct GoalWeights {
-    pub whole: f64,
     pub worst_verb: f64,
 }
 
@@ -215,10 +214,7 @@
                 window: pairs.span("Rules.Fall")?,
             },
             prices: Prices { crossing: pairs.figure("Costs.CrossZone", 0.0)? },
-            goal: GoalWeights {
-                whole: pairs.figure("Goal.Whole", 1.0)?,
-                worst_verb: pairs.figure("Goal.WorstClass", 0.0)?,
-            },
+            goal: GoalWeights { worst_verb: pairs.figure("Goal.WorstClass", 0.0)? },
         })
     }
 }
