--- /dev/null
+++ b/crates/sidecar/src/launch.rs
@@ -0,0 +1,211 @@
+//! What the sidecar is told at its start. It owns the only reading of the environment and of the
+//! configuration file, every default and every check of them; a fault names its key. It must never be asked
+//! again once the sidecar serves, and must never decide anything about a command.
+
+use crate::net::discovery::{Catalog, Clock};
+use landingspread_decisions::terms::Terms;
+use serde_json::Value;
+use std::fmt::{self, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const SOCKETS: u64 = 1024;
+const SOCKETS_LEAST: u64 = 64;
+const MEMORY_MB: u64 = 192;
+const MEMORY_MB_LEAST: u64 = 16;
+const CONN_IDLE: Duration = Duration::from_secs(30);
+const DIAL_TIMEOUT: Duration = Duration::from_millis(100);
+const MAX_OPEN: u64 = 20_000;
+
+/// A key and what is wrong with it.
+#[derive(Debug)]
+pub struct Fault(String);
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+fn fault(key: &str, wrong: impl fmt::Display) -> Fault {
+    Fault(format!("{key}: {wrong}"))
+}
+
+/// What a front must know of a verb to read its commands; the rest of it is the module's.
+pub struct Verb {
+    pub name: String,
+    pub method: &'static str,
+    pub receipted: bool,
+    pub limit: Duration,
+}
+
+pub struct Launch {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub memory_mb: usize,
+    pub clock: Clock,
+    pub known: Catalog,
+    pub zones: Vec<String>,
+    pub verbs: Vec<Verb>,
+    pub tenants: Vec<String>,
+    pub conn_idle: Duration,
+    pub dial_timeout: Duration,
+    pub max_open: usize,
+    pub terms: Terms,
+}
+
+impl fmt::Display for Launch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Launch { name, listen, discovery, sockets, memory_mb, .. } = self;
+        writeln!(f, "{name} listens at {listen} and follows discovery at {discovery}")?;
+        writeln!(
+            f,
+            "at most {sockets} sockets and {memory_mb} MB; {} servers known",
+            self.known.entries.len()
+        )?;
+        write!(f, "sends to tier {}; verbs:", self.terms.tier)?;
+        self.verbs.iter().try_for_each(|verb| write!(f, " {}", verb.name))
+    }
+}
+
+/// Reads the file named, or the one that NODE_CONFIG names. Where the environment and the file both tell a
+/// thing, the environment is nearer to what the platform does now.
+pub fn read(file: Option<PathBuf>) -> Result<Launch, Fault> {
+    let told = |name: &str| std::env::var(name).ok().filter(|text| !text.is_empty());
+    let path = match file {
+        Some(path) => path,
+        None => told("NODE_CONFIG").ok_or_else(|| fault("NODE_CONFIG", "is not set"))?.into(),
+    };
+    let text = std::fs::read_to_string(&path).map_err(|wrong| fault(&path.display().to_string(), wrong))?;
+    let root: Value =
+        serde_json::from_str(&text).map_err(|wrong| fault(&path.display().to_string(), wrong))?;
+    take(&root, told)
+}
+
+fn take(root: &Value, told: impl Fn(&str) -> Option<String>) -> Result<Launch, Fault> {
+    let text = |variable: &str, key: &str| match told(variable) {
+        Some(text) => Ok(text),
+        None => string(root, key).map(str::to_string),
+    };
+    let address = |variable: &str, key: &str| {
+        let text = text(variable, key)?;
+        text.parse().map_err(|_| fault(key, format_args!("{text:?} is no address with a port")))
+    };
+    let clock = Clock::start();
+    let zones = names(root, "settings.Localities", None)?;
+    let known = match root.get("known") {
+        None | Some(Value::Null) => Catalog::default(),
+        Some(known) => Catalog::take(known, &zones, &clock).map_err(|wrong| fault("known", wrong))?,
+    };
+    let settings = root.get("settings").ok_or_else(|| fault("settings", "is missing"))?;
+    let mut pairs = String::new();
+    flatten(settings, "", &mut pairs);
+    let terms = Terms::decode(&pairs).map_err(|wrong| Fault(format!("settings: {wrong}")))?;
+    Ok(Launch {
+        name: text("NODE_NAME", "name")?,
+        listen: address("NODE_LISTEN", "listen")?,
+        discovery: address("NODE_DISCOVERY", "discovery")?,
+        seed: seed(root)?,
+        sockets: figure(root, "limits.sockets", SOCKETS, SOCKETS_LEAST)? as usize,
+        memory_mb: figure(root, "limits.memory_mb", MEMORY_MB, MEMORY_MB_LEAST)? as usize,
+        clock,
+        known,
+        zones,
+        verbs: verbs(root)?,
+        tenants: names(root, "settings.Tenants", Some("Name"))?,
+        conn_idle: span(root, "settings.PolicyLimits.ConnIdle", CONN_IDLE)?,
+        dial_timeout: span(root, "settings.PolicyLimits.DialTimeout", DIAL_TIMEOUT)?,
+        max_open: figure(root, "settings.PolicyLimits.MaxOpen", MAX_OPEN, 1)? as usize,
+        terms,
+    })
+}
+
+fn at<'a>(root: &'a Value, key: &str) -> Option<&'a Value> {
+    let step = |at: &'a Value, part: &str| match at {
+        Value::Array(items) => items.get(part.parse::<usize>().ok()?),
+        other => other.get(part),
+    };
+    key.split('.').try_fold(root, step).filter(|value| !value.is_null())
+}
+
+fn string<'a>(root: &'a Value, key: &str) -> Result<&'a str, Fault> {
+    let value = at(root, key).ok_or_else(|| fault(key, "is missing"))?;
+    value.as_str().ok_or_else(|| fault(key, format_args!("{value} is no text")))
+}
+
+fn figure(root: &Value, key: &str, absent: u64, least: u64) -> Result<u64, Fault> {
+    let Some(value) = at(root, key) else { return Ok(absent) };
+    let whole = value.as_u64().or_else(|| value.as_f64().filter(|f| *f >= 0.0).map(|f| f as u64));
+    let figure = whole.ok_or_else(|| fault(key, format_args!("{value} is no whole number")))?;
+    if figure < least { Err(fault(key, format_args!("{figure} is under {least}"))) } else { Ok(figure) }
+}
+
+fn span(root: &Value, key: &str, absent: Duration) -> Result<Duration, Fault> {
+    Ok(Duration::from_micros(figure(root, key, absent.as_micros() as u64, 1)?))
+}
+
+/// The seed comes as hex digits; what is none still seeds.
+fn seed(root: &Value) -> Result<u64, Fault> {
+    let text = string(root, "seed")?;
+    let bytes = |seed: u64, byte: u8| seed.wrapping_mul(0x100_0000_01b3) ^ u64::from(byte);
+    Ok(u64::from_str_radix(text, 16).unwrap_or_else(|_| text.bytes().fold(0xcbf2_9ce4_8422_2325, bytes)))
+}
+
+fn items<'a>(root: &'a Value, key: &str) -> Result<&'a [Value], Fault> {
+    match at(root, key) {
+        None => Ok(&[]),
+        Some(Value::Array(items)) => Ok(items),
+        Some(other) => Err(fault(key, format_args!("{other} is no list"))),
+    }
+}
+
+fn names(root: &Value, key: &str, field: Option<&str>) -> Result<Vec<String>, Fault> {
+    let name = |(number, item): (usize, &Value)| {
+        let named = field.map_or(Some(item), |field| item.get(field)).and_then(Value::as_str);
+        named.map(str::to_string).ok_or_else(|| fault(&format!("{key}.{number}"), "has no name"))
+    };
+    items(root, key)?.iter().enumerate().map(name).collect()
+}
+
+fn verbs(root: &Value) -> Result<Vec<Verb>, Fault> {
+    let verb = |number: usize| {
+        let key = |leaf: &str| format!("settings.Verbs.{number}.{leaf}");
+        let effect = string(root, &key("Effect"))?;
+        let name = string(root, &key("Name"))?.to_string();
+        let limit = span(root, &key("TimeLimit"), Duration::ZERO)?;
+        let method = if effect == "idempotent" { "GET" } else { "POST" };
+        Ok(Verb { name, method, receipted: effect == "deduplicated", limit })
+    };
+    (0..items(root, "settings.Verbs")?.len()).map(verb).collect()
+}
+
+/// Nested settings as the `path=value` pairs that `Terms::decode` reads.
+fn flatten(value: &Value, path: &str, into: &mut String) {
+    let below = |leaf: &str| if path.is_empty() { leaf.to_string() } else { format!("{path}.{leaf}") };
+    let mut pair = |text: &str| {
+        let text = text.replace([' ', ','], "_");
+        // Writing to a String cannot fail.
+        let _ = write!(into, "{path}={text} ");
+    };
+    match value {
+        Value::Null => {}
+        Value::Bool(flag) => pair(if *flag { "true" } else { "false" }),
+        Value::String(text) => pair(text),
+        // Spans are whole microseconds there, also where JSON writes them with a point.
+        Value::Number(number) => match number.as_f64().filter(|f| f.fract() == 0.0 && f.abs() < 9e15) {
+            Some(whole) => pair(&format!("{whole:.0}")),
+            None => pair(&number.to_string()),
+        },
+        Value::Object(fields) => fields.iter().for_each(|(leaf, value)| flatten(value, &below(leaf), into)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            flatten(&items.len().into(), &below("count"), into);
+            let numbered = items.iter().enumerate();
+            numbered.for_each(|(number, item)| flatten(item, &below(&number.to_string()), into));
+        }
+        Value::Array(_) => {}
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/main.rs
@@ -0,0 +1,75 @@
+//! The command line. It owns the choice between sub-commands, the log's target and the exit code; it must
+//! never read the environment or open a socket itself.
+
+mod launch;
+mod net;
+
+use argh::FromArgs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// landingspread: a load balancer for services that call services
+#[derive(FromArgs)]
+struct CommandLine {
+    #[argh(subcommand)]
+    wanted: Wanted,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Wanted {
+    Serve(Serve),
+    Check(Check),
+    Version(Version),
+}
+
+/// balance until SIGTERM, as the environment's NODE_ variables say
+#[derive(FromArgs)]
+#[argh(subcommand, name = "serve")]
+struct Serve {}
+
+/// read the configuration as serve would, say what it holds or which key is at fault, and end
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// the configuration file, in place of the one that NODE_CONFIG names
+    #[argh(option)]
+    file: Option<PathBuf>,
+}
+
+/// print the version
+#[derive(FromArgs)]
+#[argh(subcommand, name = "version")]
+struct Version {}
+
+fn serve() -> Result<(), String> {
+    let launch = launch::read(None).map_err(|wrong| wrong.to_string())?;
+    tracing::info!(name = launch.name, listen = %launch.listen, "starting");
+    net::serve(launch).map_err(|wrong| wrong.to_string())
+}
+
+fn main() -> ExitCode {
+    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+    let CommandLine { wanted } = argh::from_env();
+    let done = match wanted {
+        Wanted::Serve(Serve {}) => serve(),
+        Wanted::Check(Check { file }) => match launch::read(file) {
+            Ok(launch) => {
+                println!("{launch}");
+                Ok(())
+            }
+            Err(wrong) => Err(wrong.to_string()),
+        },
+        Wanted::Version(Version {}) => {
+            println!("landingspread {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(wrong) => {
+            eprintln!("landingspread: {wrong}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/net/buffers.rs
@@ -0,0 +1,114 @@
+//! What is scarce: the buffers, all of one size and used again, and the places for sockets. It owns how many
+//! of each there may be; it must never wait for one, so that whoever goes without can say so at once.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+pub const HEAD_MOST: usize = 16 * 1024;
+pub const BODY_MOST: usize = 64 * 1024;
+const SIZE: usize = HEAD_MOST + BODY_MOST;
+/// Descriptors for all that is neither a caller nor an endpoint: standard streams, the reactor's own, the
+/// signal pipe, the listener, discovery.
+const SET_ASIDE: usize = 24;
+/// Places kept for callers who come when all others are taken, so that they hear a word at least.
+pub const SPARE: usize = 16;
+
+pub struct Stock {
+    idle: RefCell<Vec<Box<[u8]>>>,
+    buffers_out: Cell<usize>,
+    buffers_most: usize,
+    pub for_callers: Rc<Places>,
+    pub for_endpoints: Rc<Places>,
+}
+
+impl Stock {
+    pub fn new(sockets: usize, memory_mb: usize) -> Rc<Stock> {
+        let places = sockets.saturating_sub(SET_ASIDE);
+        Rc::new(Stock {
+            idle: RefCell::default(),
+            buffers_out: Cell::new(0),
+            // The other half is for all else.
+            buffers_most: memory_mb * 1024 * 1024 / 2 / SIZE,
+            for_callers: Places::new(places / 2),
+            for_endpoints: Places::new(places - places / 2),
+        })
+    }
+
+    pub fn buffer(self: &Rc<Self>) -> Option<Buffer> {
+        if self.buffers_out.get() >= self.buffers_most {
+            return None;
+        }
+        self.buffers_out.set(self.buffers_out.get() + 1);
+        let bytes = self.idle.borrow_mut().pop().unwrap_or_else(|| vec![0; SIZE].into_boxed_slice());
+        Some(Buffer { bytes, filled: 0, stock: self.clone() })
+    }
+}
+
+pub struct Buffer {
+    bytes: Box<[u8]>,
+    filled: usize,
+    stock: Rc<Stock>,
+}
+
+impl Buffer {
+    pub fn filled(&self) -> &[u8] {
+        &self.bytes[..self.filled]
+    }
+
+    pub fn filled_mut(&mut self) -> &mut [u8] {
+        &mut self.bytes[..self.filled]
+    }
+
+    pub fn spare(&mut self) -> &mut [u8] {
+        &mut self.bytes[self.filled..]
+    }
+
+    pub fn fill(&mut self, count: usize) {
+        self.filled += count;
+    }
+}
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        self.stock.buffers_out.set(self.stock.buffers_out.get() - 1);
+        self.stock.idle.borrow_mut().push(std::mem::take(&mut self.bytes));
+    }
+}
+
+/// Places for sockets of one kind.
+pub struct Places {
+    most: usize,
+    taken: Cell<usize>,
+}
+
+impl Places {
+    fn new(most: usize) -> Rc<Places> {
+        Rc::new(Places { most, taken: Cell::new(0) })
+    }
+
+    pub fn most(&self) -> usize {
+        self.most
+    }
+
+    pub fn taken(&self) -> usize {
+        self.taken.get()
+    }
+
+    /// A place, as long as so many others stay free.
+    pub fn take(self: &Rc<Self>, leave: usize) -> Option<Place> {
+        if self.taken.get() + leave >= self.most {
+            return None;
+        }
+        self.taken.set(self.taken.get() + 1);
+        Some(Place(self.clone()))
+    }
+}
+
+/// Kept beside a socket and dropped with it.
+pub struct Place(Rc<Places>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.taken.set(self.0.taken.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/net/callers.rs
@@ -0,0 +1,350 @@
+//! The callers' side: takes connections, reads commands, hands them to the owner and writes the final word
+//! back. It owns the callers' sockets and what is answered to bad input; it must never hold a buffer for a
+//! connection that waits, answer a taken command by its own choice, or reach the module but by the queue.
+
+use super::buffers::{Buffer, Place, SPARE, Stock};
+use super::discovery::Clock;
+use super::endpoints::Outgoing;
+use super::http::{self, Bad, Message};
+use super::owner::{Came, Final, Queue, Word};
+use crate::launch::{Launch, Verb};
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::future::or;
+use landingspread_decisions::host::{Arrival, Id};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A command whose bytes trickle in for longer is given up.
+const READ_WITHIN: Duration = Duration::from_secs(10);
+const WRITE_WITHIN: Duration = Duration::from_secs(5);
+const IDLE_MOST: Duration = Duration::from_secs(300);
+const NO_ROOM_YET: Duration = Duration::from_millis(5);
+const LEFT_MOST_MS: u64 = 3_600_000;
+const ID_MOST: usize = 128;
+
+pub struct Callers {
+    clock: Clock,
+    verbs: Vec<Verb>,
+    tenants: Vec<String>,
+    max_open: usize,
+    open: Cell<usize>,
+    ending: Cell<bool>,
+    /// Connections that wait for a command, longest first, each with the word that closes it.
+    idle: RefCell<BTreeMap<u64, Sender<()>>>,
+    idled: Cell<u64>,
+    stock: Rc<Stock>,
+    queue: Queue,
+    executor: Rc<LocalExecutor<'static>>,
+}
+
+/// What is said before the module hears of a command.
+struct Turned(u16, &'static str);
+
+struct Cmd {
+    id: Id,
+    verb: usize,
+    tenant: usize,
+    left: Duration,
+    head: Vec<u8>,
+}
+
+/// What a message asks for.
+enum Asked {
+    Health,
+    Cmd(Cmd),
+}
+
+impl Callers {
+    pub fn new(
+        launch: &Launch,
+        stock: Rc<Stock>,
+        queue: Queue,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> Callers {
+        let verb = |verb: &Verb| Verb { name: verb.name.clone(), ..*verb };
+        Callers {
+            clock: launch.clock.clone(),
+            verbs: launch.verbs.iter().map(verb).collect(),
+            tenants: launch.tenants.clone(),
+            max_open: launch.max_open,
+            open: Cell::new(0),
+            ending: Cell::new(false),
+            idle: RefCell::default(),
+            idled: Cell::new(0),
+            stock,
+            queue,
+            executor,
+        }
+    }
+
+    pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
+        loop {
+            // Whoever comes when all places are taken is heard all the same, on a spare one, and turned away
+            // in words: a connection left unaccepted would lose what its client has written to it.
+            if self.stock.for_callers.taken() >= self.stock.for_callers.most().saturating_sub(SPARE) {
+                self.close_longest_idle();
+            }
+            let Some(place) = self.stock.for_callers.take(0) else {
+                Timer::after(NO_ROOM_YET).await;
+                continue;
+            };
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let crowded = self.stock.for_callers.take(SPARE).is_none();
+                    self.executor.spawn(self.clone().talk(stream, place, crowded)).detach();
+                }
+                Err(wrong) => {
+                    tracing::warn!("accept: {wrong}");
+                    Timer::after(NO_ROOM_YET).await;
+                }
+            }
+        }
+    }
+
+    fn close_longest_idle(&self) {
+        if let Some((_, close)) = self.idle.borrow_mut().pop_first() {
+            let _ = close.try_send(());
+        }
+    }
+
+    /// From now on each answer is its connection's last.
+    pub fn begin_to_end(&self) {
+        self.ending.set(true);
+    }
+
+    /// Closes what waits and comes back when nobody is left.
+    pub async fn ended(&self) {
+        while self.stock.for_callers.taken() > 0 {
+            while !self.idle.borrow().is_empty() {
+                self.close_longest_idle();
+            }
+            Timer::after(NO_ROOM_YET).await;
+        }
+    }
+
+    async fn talk(self: Rc<Self>, stream: Async<TcpStream>, _place: Place, crowded: bool) {
+        let _ = stream.get_ref().set_nodelay(true);
+        while self.something_comes(&stream).await {
+            let keep = self.one_message(&stream, crowded).await;
+            if !keep || crowded || self.ending.get() {
+                break;
+            }
+        }
+    }
+
+    async fn something_comes(&self, stream: &Async<TcpStream>) -> bool {
+        let number = self.idled.get();
+        self.idled.set(number + 1);
+        let (close, closed): (Sender<()>, Receiver<()>) = async_channel::bounded(1);
+        self.idle.borrow_mut().insert(number, close);
+        let comes = async { stream.readable().await.is_ok() };
+        let ends = async {
+            let _ = closed.recv().await;
+            false
+        };
+        let too_long = async {
+            Timer::after(IDLE_MOST).await;
+            false
+        };
+        let comes = or(comes, or(ends, too_long)).await;
+        self.idle.borrow_mut().remove(&number);
+        comes
+    }
+
+    /// Whether the connection may carry another.
+    async fn one_message(&self, stream: &Async<TcpStream>, crowded: bool) -> bool {
+        let came = self.clock.now();
+        let Some(buffer) = self.stock.buffer() else {
+            return self.turn_away(stream, &Turned(503, "no buffer is free"), false).await;
+        };
+        let message = match self.read(stream, buffer).await {
+            Ok(message) => message,
+            Err(Some(turned)) => return self.turn_away(stream, &turned, false).await,
+            Err(None) => return false,
+        };
+        let keep = message.keep && !self.ending.get();
+        match self.understand(&message) {
+            Err(turned) => self.turn_away(stream, &turned, keep).await,
+            Ok(Asked::Health) if self.ending.get() => {
+                self.turn_away(stream, &Turned(503, "ending"), false).await
+            }
+            Ok(Asked::Health) => self.say(stream, 200, "", b"ready\n", keep).await,
+            Ok(Asked::Cmd(_)) if crowded || self.open.get() >= self.max_open => {
+                self.turn_away(stream, &Turned(503, "too many commands are open"), keep && !crowded).await
+            }
+            Ok(Asked::Cmd(cmd)) => {
+                self.open.set(self.open.get() + 1);
+                let keep = self.carry(stream, cmd, message, came).await;
+                self.open.set(self.open.get() - 1);
+                keep
+            }
+        }
+    }
+
+    /// `None`: nobody is there to be told what was wrong.
+    async fn read(&self, stream: &Async<TcpStream>, buffer: Buffer) -> Result<Message, Option<Turned>> {
+        let late = async {
+            Timer::after(READ_WITHIN).await;
+            Err(Some(Turned(408, "it took too long to come")))
+        };
+        let read = async {
+            http::read_command(stream, buffer).await.map_err(|bad| match bad {
+                Bad::Malformed => Some(Turned(400, "this is no HTTP/1.1 message")),
+                Bad::TooLarge => Some(Turned(413, "a head or body is too large")),
+                Bad::Ended | Bad::Broken => None,
+            })
+        };
+        or(read, late).await
+    }
+
+    fn understand(&self, message: &Message) -> Result<Asked, Turned> {
+        let mut headers = http::no_headers();
+        let mut head = httparse::Request::new(&mut headers);
+        if head.parse(message.head()).is_err() {
+            return Err(Turned(400, "this is no HTTP/1.1 message"));
+        }
+        let (method, path) = (head.method.unwrap_or(""), head.path.unwrap_or(""));
+        let first = path.trim_start_matches('/').split(['/', '?']).next().unwrap_or("");
+        if method == "GET" && path == "/_health" {
+            return Ok(Asked::Health);
+        }
+        let Some((number, verb)) = self.verbs.iter().enumerate().find(|(_, verb)| verb.name == first) else {
+            return Err(Turned(404, "no such verb"));
+        };
+        if method != verb.method {
+            return Err(Turned(405, "the verb takes another method"));
+        }
+        let header = |name: &str| http::header(head.headers, name);
+        if verb.receipted != header("idempotency-key").is_some() {
+            return Err(Turned(400, "Idempotency-Key goes with receipted verbs, and only with them"));
+        }
+        let id = header("x-trace-id").filter(|id| !id.is_empty() && id.len() <= ID_MOST);
+        let id = id.ok_or(Turned(400, "X-Trace-Id is missing or odd"))?.into();
+        let left = match header("x-expires-in-ms").map(str::parse::<u64>) {
+            None => verb.limit,
+            Some(Ok(ms)) if (1..=LEFT_MOST_MS).contains(&ms) => Duration::from_millis(ms),
+            Some(_) => return Err(Turned(400, "X-Expires-In-Ms is odd")),
+        };
+        // A tenant that the settings don't name has no share of its own.
+        let tenant =
+            header("x-customer").and_then(|name| self.tenants.iter().position(|known| known == name));
+        let tenant = tenant.unwrap_or(self.tenants.len());
+        let head = outgoing_head(method, path, head.headers, message.body().len());
+        Ok(Asked::Cmd(Cmd { id, verb: number, tenant, left, head }))
+    }
+
+    async fn carry(&self, stream: &Async<TcpStream>, cmd: Cmd, message: Message, came: Duration) -> bool {
+        let keep = message.keep;
+        let Cmd { id, verb, tenant, left, head } = cmd;
+        let arrival = Arrival { id: id.clone(), verb, due: came + left, tenant };
+        let (caller, word) = async_channel::bounded(1);
+        let outgoing = Outgoing { head, message };
+        self.queue.tell(Word::Came(Box::new(Came { arrival, outgoing, caller })));
+        let heard = async { word.recv().await.ok() };
+        let left = async {
+            gone(stream).await;
+            None
+        };
+        let Some(word) = or(heard, left).await else {
+            self.queue.tell(Word::Left(id));
+            return false;
+        };
+        let keep = keep && !self.ending.get();
+        match word {
+            Final::Answered(answer) => self.pass_on(stream, &answer, keep).await,
+            Final::Declined(come_back) => {
+                let come_back = come_back.map(|span| format!("Retry-After: {:.3}\r\n", span.as_secs_f64()));
+                self.say(stream, 503, come_back.as_deref().unwrap_or(""), b"declined\n", keep).await
+            }
+            Final::Terminated => self.say(stream, 502, "", b"terminated\n", keep).await,
+        }
+    }
+
+    async fn pass_on(&self, stream: &Async<TcpStream>, answer: &Message, keep: bool) -> bool {
+        let mut headers = http::no_headers();
+        let mut rsp = httparse::Response::new(&mut headers);
+        let mut passed = Vec::new();
+        if rsp.parse(answer.head()).is_ok() {
+            for header in rsp.headers.iter().filter(|header| http::passes_on(header.name)) {
+                add_header(&mut passed, header);
+            }
+        }
+        self.say_with(stream, 200, &passed, answer.body(), keep).await
+    }
+
+    async fn turn_away(&self, stream: &Async<TcpStream>, turned: &Turned, keep: bool) -> bool {
+        let Turned(status, why) = turned;
+        tracing::debug!(status, why, "turned away");
+        self.say(stream, *status, "", format!("{why}\n").as_bytes(), keep).await
+    }
+
+    async fn say(&self, stream: &Async<TcpStream>, status: u16, more: &str, body: &[u8], keep: bool) -> bool {
+        self.say_with(stream, status, more.as_bytes(), body, keep).await
+    }
+
+    async fn say_with(
+        &self,
+        stream: &Async<TcpStream>,
+        status: u16,
+        more: &[u8],
+        body: &[u8],
+        keep: bool,
+    ) -> bool {
+        let close = if keep { "" } else { "Connection: close\r\n" };
+        let length = body.len();
+        let mut head = format!("HTTP/1.1 {status} {}\r\n{close}", reason(status)).into_bytes();
+        head.extend_from_slice(more);
+        head.extend_from_slice(format!("Content-Length: {length}\r\n\r\n").as_bytes());
+        let late = async {
+            Timer::after(WRITE_WITHIN).await;
+            false
+        };
+        let write = async { http::write(stream, &head, body).await.is_ok() };
+        or(write, late).await && keep
+    }
+}
+
+async fn gone(stream: &Async<TcpStream>) {
+    if let Ok(1) = stream.peek(&mut [0]).await {
+        // It has written ahead; its end cannot be seen past that.
+        futures_lite::future::pending::<()>().await;
+    }
+}
+
+fn add_header(to: &mut Vec<u8>, header: &httparse::Header<'_>) {
+    to.extend_from_slice(header.name.as_bytes());
+    to.extend_from_slice(b": ");
+    to.extend_from_slice(header.value);
+    to.extend_from_slice(b"\r\n");
+}
+
+fn outgoing_head(method: &str, path: &str, headers: &[httparse::Header<'_>], length: usize) -> Vec<u8> {
+    let mut head = format!("{method} {path} HTTP/1.1\r\n").into_bytes();
+    // Each relay tells the time that it has itself.
+    let passed = |header: &&httparse::Header<'_>| {
+        http::passes_on(header.name) && !header.name.eq_ignore_ascii_case("x-expires-in-ms")
+    };
+    headers.iter().filter(passed).for_each(|header| add_header(&mut head, header));
+    if method != "GET" || length > 0 {
+        head.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
+    }
+    head
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        502 => "Bad Gateway",
+        _ => "Service Unavailable",
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/net/discovery.rs
@@ -0,0 +1,177 @@
+//! Discovery: its catalog as the module's entries, and the one watch on it. It owns the clock that both sides
+//! of the catalog's times need, the list's generation and the connection to discovery; it must never call
+//! discovery unasked, but for the next call of a watch that stands, nor change what the module was told.
+
+use super::buffers::Stock;
+use super::http;
+use super::owner::{Queue, Word};
+use crate::launch::Launch;
+use async_channel::Receiver;
+use async_io::{Async, Timer};
+use futures_lite::future::or;
+use landingspread_decisions::host::{Listed, State};
+use serde_json::Value;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+/// How long before the process the module's time begins. A server's start before that would be lost, and a
+/// cold server taken for a warm one.
+const HEAD_START: Duration = Duration::from_secs(24 * 3600);
+const WATCH: Duration = Duration::from_secs(20);
+const UP_IN: Duration = Duration::from_secs(1);
+/// Discovery works through calls in turn: how much later than it waits an answer may come.
+const IN_TURN: Duration = Duration::from_secs(4);
+
+/// The module's time: spans since a moment well before the process began.
+#[derive(Clone)]
+pub struct Clock {
+    began: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        Clock { began: Instant::now(), unix }
+    }
+
+    pub fn now(&self) -> Duration {
+        HEAD_START + self.began.elapsed()
+    }
+
+    pub fn instant(&self, at: Duration) -> Instant {
+        let after = at.saturating_sub(HEAD_START).min(Duration::from_secs(365 * 24 * 3600));
+        self.began + after
+    }
+
+    fn of_unix_ms(&self, ms: u64) -> Option<Duration> {
+        let begin = self.unix.saturating_sub(HEAD_START);
+        Duration::from_millis(ms).checked_sub(begin).filter(|at| ms > 0 && !at.is_zero())
+    }
+}
+
+pub struct Entry {
+    pub listed: Listed,
+    pub address: SocketAddr,
+}
+
+#[derive(Default)]
+pub struct Catalog {
+    pub generation: u64,
+    pub whole: bool,
+    pub entries: Vec<Entry>,
+}
+
+impl Catalog {
+    /// All of it or nothing: half a list would drain servers that nobody drained.
+    pub fn take(value: &Value, zones: &[String], clock: &Clock) -> Result<Catalog, String> {
+        let generation = value.get("generation").and_then(Value::as_u64).ok_or("generation is missing")?;
+        let whole = value.get("reset").and_then(Value::as_bool).ok_or("reset is missing")?;
+        let items = value.get("instances").and_then(Value::as_array).ok_or("instances is missing")?;
+        let entry = |(number, item): (usize, &Value)| {
+            Entry::take(item, zones, clock).map_err(|wrong| format!("instances.{number}.{wrong}"))
+        };
+        let entries = items.iter().enumerate().map(entry).collect::<Result<_, _>>()?;
+        Ok(Catalog { generation, whole, entries })
+    }
+}
+
+impl Entry {
+    fn take(item: &Value, zones: &[String], clock: &Clock) -> Result<Entry, String> {
+        let text = |key: &str| item.get(key).and_then(Value::as_str).ok_or(format!("{key} is no text"));
+        let zone = item.get("zone").and_then(Value::as_str);
+        let state = match text("lifecycle")? {
+            "ready" => State::Ready,
+            "draining" => State::Draining,
+            "gone" => State::Gone,
+            other => return Err(format!("lifecycle is unknown: {other:?}")),
+        };
+        let listed = Listed {
+            server: text("instanceId")?.into(),
+            zone: zones.iter().position(|name| zone == Some(name)).unwrap_or(zones.len()) as u32,
+            cell: item.get("cell").and_then(Value::as_u64).unwrap_or(0) as u32,
+            state,
+            nominal: item.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
+            up_since: item.get("startedAtMs").and_then(Value::as_u64).and_then(|ms| clock.of_unix_ms(ms)),
+        };
+        let address =
+            text("hostPort")?.parse().map_err(|_| "hostPort is no address with a port".to_string())?;
+        Ok(Entry { listed, address })
+    }
+}
+
+pub struct Discovery {
+    address: SocketAddr,
+    generation: u64,
+    zones: Vec<String>,
+    clock: Clock,
+    stock: Rc<Stock>,
+    queue: Queue,
+}
+
+impl Discovery {
+    pub fn new(launch: &Launch, stock: Rc<Stock>, queue: Queue) -> Discovery {
+        let (zones, clock) = (launch.zones.clone(), launch.clock.clone());
+        let generation = launch.known.generation;
+        Discovery { address: launch.discovery, generation, zones, clock, stock, queue }
+    }
+
+    /// One watch for each time that the module asks; it lasts until a call fails.
+    pub async fn follow(mut self, asked: Receiver<()>) {
+        while asked.recv().await.is_ok() {
+            let wrong = match self.watch().await {
+                Err(wrong) => wrong,
+                Ok(never) => match never {},
+            };
+            tracing::warn!(generation = self.generation, "watch ended: {wrong}");
+            self.queue.tell(Word::ListFailed);
+        }
+    }
+
+    async fn watch(&mut self) -> Result<std::convert::Infallible, String> {
+        let mut conn = None;
+        // The next call comes at once: later than 0.2 s after an answer it would begin a new watch.
+        loop {
+            let catalog = self.call(&mut conn).await?;
+            self.generation = catalog.generation;
+            self.queue.tell(Word::Listed(catalog));
+        }
+    }
+
+    async fn call(&self, kept: &mut Option<Async<TcpStream>>) -> Result<Catalog, String> {
+        let conn = match kept.take() {
+            Some(conn) => conn,
+            None => in_time(UP_IN, Async::<TcpStream>::connect(self.address)).await?,
+        };
+        let _ = conn.get_ref().set_nodelay(true);
+        let (generation, wait) = (self.generation, WATCH.as_millis());
+        let head = format!(
+            "GET /catalog/members?after={generation}&wait_ms={wait} HTTP/1.1\r\nHost: {}\r\n\r\n",
+            self.address
+        );
+        in_time(UP_IN, http::write(&conn, head.as_bytes(), b"")).await?;
+        let buffer = self.stock.buffer().ok_or("no buffer is free")?;
+        let rsp = in_time(WATCH + IN_TURN, http::read_answer(&conn, buffer)).await?;
+        let status = http::status(rsp.head());
+        if status != Some(200) {
+            return Err(format!("status {status:?}"));
+        }
+        let value = serde_json::from_slice(rsp.body()).map_err(|wrong| wrong.to_string())?;
+        let catalog = Catalog::take(&value, &self.zones, &self.clock)?;
+        *kept = rsp.keep.then_some(conn);
+        Ok(catalog)
+    }
+}
+
+async fn in_time<T, E: std::fmt::Debug>(
+    span: Duration,
+    work: impl Future<Output = Result<T, E>>,
+) -> Result<T, String> {
+    let work = async { work.await.map_err(|wrong| format!("{wrong:?}")) };
+    let late = async {
+        Timer::after(span).await;
+        Err(format!("nothing within {span:?}"))
+    };
+    or(work, late).await
+}
--- /dev/null
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -0,0 +1,211 @@
+//! The way to the endpoints: kept connections, relays and checks. It owns the sockets to them and knows of
+//! each relay whether its last byte was written; it must never send anything twice, pick an endpoint, or use
+//! a connection again whose last answer was not whole.
+
+use super::buffers::{Place, Stock};
+use super::http::{self, Message};
+use crate::launch::Launch;
+use async_io::{Async, Timer};
+use futures_lite::future::or;
+use landingspread_decisions::host::{Load, Outcome};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// The part of the endpoint's own idle time after which a kept connection is closed here: what is written to
+/// one that the endpoint has just closed ends as a reset.
+const KEPT_FOR: f64 = 0.6;
+const REAP_EVERY: Duration = Duration::from_secs(1);
+const CHECK_WITHIN: Duration = Duration::from_millis(500);
+
+/// How far a relay has come. What is not written whole has never run.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Stage {
+    Unwritten,
+    Written,
+    Ended,
+}
+
+/// The bytes of a command as every relay of it sends them, but for the time left.
+pub struct Outgoing {
+    pub head: Vec<u8>,
+    pub message: Message,
+}
+
+struct Conn {
+    stream: Async<TcpStream>,
+    _place: Place,
+}
+
+struct Kept {
+    conn: Conn,
+    since: Instant,
+}
+
+pub struct Endpoints {
+    kept: RefCell<BTreeMap<SocketAddr, Vec<Kept>>>,
+    stock: Rc<Stock>,
+    kept_for: Duration,
+    dial_timeout: Duration,
+}
+
+/// How a relay ended.
+pub struct End {
+    pub outcome: Outcome,
+    pub load: Load,
+    pub answer: Option<Message>,
+}
+
+impl End {
+    pub fn bare(outcome: Outcome) -> End {
+        End { outcome, load: Load::default(), answer: None }
+    }
+}
+
+impl Endpoints {
+    pub fn new(launch: &Launch, stock: Rc<Stock>) -> Endpoints {
+        let (kept_for, dial_timeout) = (launch.conn_idle.mul_f64(KEPT_FOR), launch.dial_timeout);
+        Endpoints { kept: RefCell::default(), stock, kept_for, dial_timeout }
+    }
+
+    /// Sends the command once and hears how that ended, at the latest at `not_past`.
+    pub async fn relay(&self, to: SocketAddr, cmd: &Outgoing, not_past: Instant, stage: &Cell<Stage>) -> End {
+        let late = async {
+            Timer::at(not_past).await;
+            End::bare(if stage.get() == Stage::Written { Outcome::Timeout } else { Outcome::ConnectFailed })
+        };
+        or(self.exchange(to, cmd, not_past, stage), late).await
+    }
+
+    async fn exchange(&self, to: SocketAddr, cmd: &Outgoing, not_past: Instant, stage: &Cell<Stage>) -> End {
+        let never_ran = || End::bare(Outcome::ConnectFailed);
+        let Ok(conn) = self.connection(to).await else { return never_ran() };
+        let Some(buffer) = self.stock.buffer() else { return never_ran() };
+        let left = not_past.saturating_duration_since(Instant::now()).as_millis();
+        let mut head = cmd.head.clone();
+        head.extend_from_slice(format!("X-Expires-In-Ms: {left}\r\n\r\n").as_bytes());
+        if http::write(&conn.stream, &head, cmd.message.body()).await.is_err() {
+            return never_ran();
+        }
+        stage.set(Stage::Written);
+        let Ok(answer) = http::read_answer(&conn.stream, buffer).await else {
+            return End::bare(Outcome::Reset);
+        };
+        if answer.keep {
+            self.keep(to, conn);
+        }
+        let (outcome, load) = read_outcome(answer.head());
+        End { outcome, load, answer: (outcome == Outcome::Ok).then_some(answer) }
+    }
+
+    pub async fn check(&self, to: SocketAddr) -> Outcome {
+        let late = async {
+            Timer::after(CHECK_WITHIN).await;
+            Outcome::Timeout
+        };
+        or(self.ping(to), late).await
+    }
+
+    async fn ping(&self, to: SocketAddr) -> Outcome {
+        let Ok(conn) = self.connection(to).await else { return Outcome::ConnectFailed };
+        let Some(buffer) = self.stock.buffer() else { return Outcome::ConnectFailed };
+        let head = format!("GET /ping HTTP/1.1\r\nHost: {to}\r\n\r\n");
+        if http::write(&conn.stream, head.as_bytes(), b"").await.is_err() {
+            return Outcome::ConnectFailed;
+        }
+        let Ok(answer) = http::read_answer(&conn.stream, buffer).await else { return Outcome::Reset };
+        if answer.keep {
+            self.keep(to, conn);
+        }
+        match http::status(answer.head()) {
+            Some(200) => Outcome::Ok,
+            Some(503) => Outcome::Full,
+            _ => Outcome::Error,
+        }
+    }
+
+    async fn connection(&self, to: SocketAddr) -> io::Result<Conn> {
+        while let Some(kept) = self.kept.borrow_mut().get_mut(&to).and_then(Vec::pop) {
+            if self.usable(&kept) {
+                return Ok(kept.conn);
+            }
+        }
+        let place = loop {
+            match self.stock.for_endpoints.take(0) {
+                Some(place) => break place,
+                None if self.close_longest_kept() => {}
+                None => return Err(io::ErrorKind::QuotaExceeded.into()),
+            }
+        };
+        let late = async {
+            Timer::after(self.dial_timeout).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let stream = or(Async::<TcpStream>::connect(to), late).await?;
+        stream.get_ref().set_nodelay(true)?;
+        Ok(Conn { stream, _place: place })
+    }
+
+    /// An endpoint that died or closed its side shows on the idle connection before anything is risked on it.
+    fn usable(&self, kept: &Kept) -> bool {
+        let silent = |peeked: io::Result<usize>| peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock);
+        kept.since.elapsed() < self.kept_for && silent(kept.conn.stream.get_ref().peek(&mut [0]))
+    }
+
+    fn keep(&self, to: SocketAddr, conn: Conn) {
+        self.kept.borrow_mut().entry(to).or_default().push(Kept { conn, since: Instant::now() });
+    }
+
+    fn close_longest_kept(&self) -> bool {
+        let mut kept = self.kept.borrow_mut();
+        let first = |all: &&mut Vec<Kept>| all.first().map(|kept| kept.since);
+        let oldest = kept.values_mut().filter(|all| !all.is_empty()).min_by_key(first);
+        oldest.map(|all| all.remove(0)).is_some()
+    }
+
+    pub async fn reap(self: Rc<Self>) {
+        loop {
+            Timer::after(REAP_EVERY).await;
+            self.kept.borrow_mut().retain(|_, all| {
+                all.retain(|kept| self.usable(kept));
+                !all.is_empty()
+            });
+        }
+    }
+}
+
+fn read_outcome(head: &[u8]) -> (Outcome, Load) {
+    let mut headers = http::no_headers();
+    let mut rsp = httparse::Response::new(&mut headers);
+    // It was parsed once already, when its end was looked for.
+    if rsp.parse(head).is_err() {
+        return (Outcome::Error, Load::default());
+    }
+    let load = http::header(rsp.headers, "endpoint-load-metrics").map(read_load).unwrap_or_default();
+    let never_ran = http::header(rsp.headers, "x-never-ran") == Some("1");
+    let outcome = match rsp.code {
+        Some(200) => Outcome::Ok,
+        Some(503 | 504) if never_ran => Outcome::Full,
+        _ => Outcome::Error,
+    };
+    (outcome, load)
+}
+
+/// `TEXT inflight=7, queue=2, util=0.61`; the settings have other names for some of these.
+fn read_load(text: &str) -> Load {
+    let mut load = Load::default();
+    let text = text.trim().strip_prefix("TEXT").unwrap_or(text);
+    for pair in text.split(',') {
+        let Some((key, value)) = pair.split_once('=') else { continue };
+        let value = value.trim().parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0);
+        match key.trim() {
+            "queue" | "waiting" => load.queue = value,
+            "inflight" | "active" => load.in_flight = value,
+            _ => {}
+        }
+    }
+    load
+}
--- /dev/null
+++ b/crates/sidecar/src/net/mod.rs
@@ -0,0 +1,78 @@
+//! Starts the parts of the sidecar and joins them, and ends them in order after SIGTERM. It owns the one
+//! thread's executor and the listener's address; it must never touch a command or an endpoint itself.
+
+pub mod buffers;
+pub mod callers;
+pub mod discovery;
+pub mod endpoints;
+pub mod http;
+pub mod owner;
+
+use crate::launch::Launch;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use buffers::Stock;
+use callers::Callers;
+use discovery::Discovery;
+use endpoints::Endpoints;
+use futures_lite::StreamExt;
+use std::fmt;
+use std::io;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+/// After SIGTERM new connections go on coming for up to 0.4 s; what they bring is still to be answered.
+const GO_ON_TAKING: Duration = Duration::from_millis(600);
+
+static BROKEN: AtomicU64 = AtomicU64::new(0);
+
+/// What must hold: asserted in debug builds, counted and logged in release builds.
+macro_rules! must_hold {
+    ($holds:expr, $($text:tt)+) => {
+        if !$holds {
+            $crate::net::broken(format_args!($($text)+));
+        }
+    };
+}
+pub(crate) use must_hold;
+
+pub fn broken(what: fmt::Arguments<'_>) {
+    debug_assert!(false, "{what}");
+    let count = BROKEN.fetch_add(1, Ordering::Relaxed) + 1;
+    tracing::error!(count, "does not hold: {what}");
+}
+
+pub fn serve(launch: Launch) -> io::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(run(launch, executor.clone())))
+}
+
+async fn run(launch: Launch, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Term])?;
+    let listener = Async::<TcpListener>::bind(launch.listen)?;
+    let stock = Stock::new(launch.sockets, launch.memory_mb);
+    let endpoints = Rc::new(Endpoints::new(&launch, stock.clone()));
+    let (queue, words) = owner::queue();
+    let (ask, asked) = async_channel::bounded(1);
+    let discovery = Discovery::new(&launch, stock.clone(), queue.clone());
+    let callers = Rc::new(Callers::new(&launch, stock, queue.clone(), executor.clone()));
+    if !launch.terms.must_ask {
+        // Where changes come unprompted, the watch is there from the start.
+        let _ = ask.try_send(());
+    }
+    executor.spawn(discovery.follow(asked)).detach();
+    executor.spawn(endpoints.clone().reap()).detach();
+    executor.spawn(owner::own(launch, endpoints, executor.clone(), queue, words, ask)).detach();
+    let accepting = executor.spawn(callers.clone().accept(listener));
+    signals.next().await;
+    tracing::info!("SIGTERM: finishing what is taken");
+    callers.begin_to_end();
+    Timer::after(GO_ON_TAKING).await;
+    accepting.cancel().await;
+    callers.ended().await;
+    tracing::info!("all taken commands have their answers");
+    Ok(())
+}
--- /dev/null
+++ b/crates/sidecar/src/net/owner.rs
@@ -0,0 +1,348 @@
+//! The one task that owns the module. Everything that happens reaches it as a word on its queue, in order, and
+//! becomes one call; what the module asks for becomes a final word to a caller, a relay, a check or a watch.
+//! It owns which commands are open and how each relay of them stands; it must never decide anything itself,
+//! wait for a socket, or call the module from within one of the module's own calls.
+
+use super::discovery::{Catalog, Clock};
+use super::endpoints::{End, Endpoints, Outgoing, Stage};
+use super::http::Message;
+use super::must_hold;
+use crate::launch::Launch;
+use async_channel::{Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
+use async_io::Timer;
+use futures_lite::future::or;
+use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Outcome};
+use landingspread_decisions::policy::Policy;
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A command's final word.
+pub enum Final {
+    Answered(Message),
+    Declined(Option<Duration>),
+    Terminated,
+}
+
+/// A command as its caller's side hands it over.
+pub struct Came {
+    pub arrival: Arrival,
+    pub outgoing: Outgoing,
+    pub caller: Sender<Final>,
+}
+
+/// What reaches the owner.
+pub enum Word {
+    Came(Box<Came>),
+    Left(Id),
+    Ended(Id, u32, Box<End>),
+    Checked(Id, Outcome),
+    Listed(Catalog),
+    ListFailed,
+}
+
+/// The sending side of the owner's queue. It has no bound of its own: each open socket has at most one word
+/// in it, and sockets are budgeted.
+#[derive(Clone)]
+pub struct Queue(Sender<Word>);
+
+impl Queue {
+    pub fn tell(&self, word: Word) {
+        let taken = self.0.try_send(word).is_ok();
+        must_hold!(taken, "the owner hears every word");
+    }
+}
+
+pub fn queue() -> (Queue, Receiver<Word>) {
+    let (sender, receiver) = async_channel::unbounded();
+    (Queue(sender), receiver)
+}
+
+struct Shot {
+    server: Id,
+    sent: Duration,
+    stage: Rc<Cell<Stage>>,
+    /// Dropped, it stops the relay and closes its connection. None for what was never sent.
+    task: Option<Task<()>>,
+    ended: bool,
+}
+
+struct Open {
+    due: Duration,
+    outgoing: Rc<Outgoing>,
+    caller: Sender<Final>,
+    finished: bool,
+    shots: Vec<Shot>,
+}
+
+/// The owner's books, reached by the module's calls and by the owner in turn.
+struct Desk {
+    clock: Clock,
+    most_relays: usize,
+    open: BTreeMap<Id, Open>,
+    addresses: BTreeMap<Id, SocketAddr>,
+    wakes: BinaryHeap<Reverse<Duration>>,
+    endpoints: Rc<Endpoints>,
+    executor: Rc<LocalExecutor<'static>>,
+    queue: Queue,
+    ask: Sender<()>,
+}
+
+impl Desk {
+    /// The one final word of a command.
+    fn finish(&mut self, cmd: &Id, word: Final) {
+        let Some(open) = self.open.get_mut(cmd) else { return };
+        must_hold!(!open.finished, "one final word for {cmd}");
+        if !std::mem::replace(&mut open.finished, true) {
+            // A caller that has just left hears nothing more.
+            let _ = open.caller.try_send(word);
+        }
+        self.forget_ended(cmd);
+    }
+
+    fn forget_ended(&mut self, cmd: &Id) {
+        let over = |open: &Open| open.finished && open.shots.iter().all(|shot| shot.ended);
+        if self.open.get(cmd).is_some_and(over) {
+            self.open.remove(cmd);
+        }
+    }
+
+    fn relay(&mut self, cmd: &Id, server: &Id, not_past: Duration) {
+        let now = self.clock.now();
+        let Some(open) = self.open.get_mut(cmd) else {
+            must_hold!(false, "relays are of open commands: {cmd}");
+            return;
+        };
+        let number = open.shots.len() as u32;
+        let not_past = if not_past.is_zero() { open.due } else { not_past.min(open.due) };
+        let stage = Rc::new(Cell::new(Stage::Unwritten));
+        let address = self.addresses.get(server).copied();
+        let may_go = !open.finished && now < not_past && open.shots.len() < self.most_relays;
+        let mut shot = Shot { server: server.clone(), sent: now, stage, task: None, ended: false };
+        match address.filter(|_| may_go) {
+            Some(address) => {
+                let (endpoints, queue) = (self.endpoints.clone(), self.queue.clone());
+                let (outgoing, stage, cmd) = (open.outgoing.clone(), shot.stage.clone(), cmd.clone());
+                let by = self.clock.instant(not_past);
+                shot.task = Some(self.executor.spawn(async move {
+                    let end = endpoints.relay(address, &outgoing, by, &stage).await;
+                    stage.set(Stage::Ended);
+                    queue.tell(Word::Ended(cmd, number, Box::new(end)));
+                }));
+            }
+            None => {
+                shot.stage.set(Stage::Ended);
+                self.queue.tell(Word::Ended(cmd.clone(), number, Box::new(End::bare(Outcome::Moot))));
+            }
+        }
+        open.shots.push(shot);
+    }
+
+    fn cancel(&mut self, cmd: &Id, number: u32) {
+        let shot = self.open.get_mut(cmd).and_then(|open| open.shots.get_mut(number as usize));
+        let Some(shot) = shot else { return };
+        // Another outcome may be on the queue already: then that one stands.
+        let outcome = match shot.stage.replace(Stage::Ended) {
+            Stage::Ended => return,
+            Stage::Written => Outcome::Cancelled,
+            Stage::Unwritten => Outcome::Moot,
+        };
+        shot.task = None;
+        self.queue.tell(Word::Ended(cmd.clone(), number, Box::new(End::bare(outcome))));
+    }
+}
+
+/// The module's hand on the desk.
+struct Hand(Rc<RefCell<Desk>>);
+
+impl Host for Hand {
+    fn relay(&mut self, cmd: &Id, server: &Id, not_past: Duration) {
+        self.0.borrow_mut().relay(cmd, server, not_past);
+    }
+
+    fn decline(&mut self, cmd: &Id, come_back: Option<Duration>) {
+        self.0.borrow_mut().finish(cmd, Final::Declined(come_back));
+    }
+
+    fn terminate(&mut self, cmd: &Id) {
+        self.0.borrow_mut().finish(cmd, Final::Terminated);
+    }
+
+    fn cancel(&mut self, cmd: &Id, relay: u32) {
+        self.0.borrow_mut().cancel(cmd, relay);
+    }
+
+    fn check(&mut self, server: &Id) {
+        let desk = self.0.borrow();
+        let Some(address) = desk.addresses.get(server).copied() else {
+            desk.queue.tell(Word::Checked(server.clone(), Outcome::Moot));
+            return;
+        };
+        let (endpoints, queue, server) = (desk.endpoints.clone(), desk.queue.clone(), server.clone());
+        let check = async move {
+            let outcome = endpoints.check(address).await;
+            queue.tell(Word::Checked(server, outcome));
+        };
+        desk.executor.spawn(check).detach();
+    }
+
+    fn wake_in(&mut self, span: Duration) {
+        let mut desk = self.0.borrow_mut();
+        let at = desk.clock.now() + span;
+        desk.wakes.push(Reverse(at));
+    }
+
+    fn subscribe(&mut self) {
+        // A call that waits already is the one asked for.
+        let _ = self.0.borrow().ask.try_send(());
+    }
+
+    fn note(&mut self, text: &str) {
+        tracing::info!("{text}");
+    }
+}
+
+struct Owner {
+    desk: Rc<RefCell<Desk>>,
+    policy: Policy<Hand>,
+    clock: Clock,
+}
+
+pub async fn own(
+    launch: Launch,
+    endpoints: Rc<Endpoints>,
+    executor: Rc<LocalExecutor<'static>>,
+    queue: Queue,
+    words: Receiver<Word>,
+    ask: Sender<()>,
+) {
+    let clock = launch.clock;
+    let desk = Rc::new(RefCell::new(Desk {
+        clock: clock.clone(),
+        most_relays: launch.terms.allowed.relays as usize,
+        open: BTreeMap::new(),
+        addresses: BTreeMap::new(),
+        wakes: BinaryHeap::new(),
+        endpoints,
+        executor,
+        queue,
+        ask,
+    }));
+    let policy = Policy::start(Hand(desk.clone()), launch.terms, launch.seed, clock.now());
+    let mut owner = Owner { desk, policy, clock };
+    let known = owner.note_addresses(launch.known);
+    owner.policy.list_cached(owner.clock.now(), &known);
+    owner.listen(words).await;
+}
+
+impl Owner {
+    async fn listen(mut self, words: Receiver<Word>) {
+        loop {
+            let wake = self.next_wake();
+            let elapsed = async {
+                match wake {
+                    Some(at) => Timer::at(self.clock.instant(at)).await,
+                    None => futures_lite::future::pending().await,
+                };
+                None
+            };
+            if let Some(word) = or(async { words.recv().await.ok() }, elapsed).await {
+                self.hear(word);
+            }
+            // Looked at after each word: a long queue must not keep the module from its time.
+            let now = self.clock.now();
+            if self.next_wake().is_some_and(|at| at <= now) {
+                self.desk.borrow_mut().wakes.pop();
+                self.policy.woken(now);
+            }
+        }
+    }
+
+    fn next_wake(&self) -> Option<Duration> {
+        self.desk.borrow().wakes.peek().map(|Reverse(at)| *at)
+    }
+
+    fn hear(&mut self, word: Word) {
+        let now = self.clock.now();
+        match word {
+            Word::Came(came) => self.cmd_came(now, *came),
+            Word::Left(id) => self.client_left(now, &id),
+            Word::Ended(id, number, end) => self.relay_ended(now, id, number, *end),
+            Word::Checked(server, outcome) => self.policy.check_ended(now, outcome, &server),
+            Word::Listed(catalog) => {
+                let whole = catalog.whole;
+                let entries = self.note_addresses(catalog);
+                if whole {
+                    self.policy.list_told(now, &entries);
+                } else {
+                    self.policy.list_changed(now, &entries);
+                }
+            }
+            Word::ListFailed => self.policy.list_call_failed(now),
+        }
+    }
+
+    fn note_addresses(&mut self, catalog: Catalog) -> Vec<Listed> {
+        let mut desk = self.desk.borrow_mut();
+        let note = |entry: super::discovery::Entry| {
+            desk.addresses.insert(entry.listed.server.clone(), entry.address);
+            entry.listed
+        };
+        catalog.entries.into_iter().map(note).collect()
+    }
+
+    fn cmd_came(&mut self, now: Duration, came: Came) {
+        let Came { arrival, outgoing, caller } = came;
+        let mut desk = self.desk.borrow_mut();
+        if desk.open.contains_key(&arrival.id) {
+            // Two commands under one id could not be told apart by any endpoint.
+            let _ = caller.try_send(Final::Terminated);
+            return;
+        }
+        let outgoing = Rc::new(outgoing);
+        let open = Open { due: arrival.due, outgoing, caller, finished: false, shots: Vec::new() };
+        desk.open.insert(arrival.id.clone(), open);
+        drop(desk);
+        self.policy.cmd_came(now, arrival);
+    }
+
+    fn client_left(&mut self, now: Duration, id: &Id) {
+        let mut desk = self.desk.borrow_mut();
+        // Its final word may have crossed its leaving.
+        let Some(open) = desk.open.get_mut(id).filter(|open| !open.finished) else { return };
+        open.finished = true;
+        drop(desk);
+        self.policy.client_left(now, id);
+        self.desk.borrow_mut().forget_ended(id);
+    }
+
+    fn relay_ended(&mut self, now: Duration, id: Id, number: u32, end: End) {
+        let mut desk = self.desk.borrow_mut();
+        let Some(open) = desk.open.get_mut(&id) else {
+            must_hold!(false, "a relay ends before its command is forgotten: {id}");
+            return;
+        };
+        let Some(shot) = open.shots.get_mut(number as usize) else { return };
+        must_hold!(!shot.ended, "relay {number} of {id} ends once");
+        shot.ended = true;
+        shot.task = None;
+        let (server, latency) = (shot.server.clone(), now.saturating_sub(shot.sent));
+        if let Some(answer) = end.answer
+            && !open.finished
+        {
+            desk.finish(&id, Final::Answered(answer));
+        }
+        let closed = desk.open.get(&id).is_none_or(|open| open.finished);
+        drop(desk);
+        let End { outcome, load, .. } = End { answer: None, ..end };
+        self.policy.relay_ended(
+            now,
+            Ended { cmd: id.clone(), closed, outcome, relay: number, latency, server, load },
+        );
+        self.desk.borrow_mut().forget_ended(&id);
+    }
+}
