--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -33,6 +33,7 @@
 }
 
 /// What a front must know of a verb to read its commands; the rest of it is the module's.
+#[derive(Clone)]
 pub struct Verb {
     pub name: String,
     pub method: &'static str,
@@ -72,6 +73,14 @@
     }
 }
 
+/// How much is logged: NODE_LOG is error, warn, info, debug or trace.
+pub fn log_level() -> Result<tracing::Level, Fault> {
+    let Some(text) = std::env::var("NODE_LOG").ok().filter(|text| !text.is_empty()) else {
+        return Ok(tracing::Level::INFO);
+    };
+    text.parse().map_err(|_| fault("NODE_LOG", format_args!("{text:?} is no level")))
+}
+
 /// Reads the file named, or the one that NODE_CONFIG names. Where the environment and the file both tell a
 /// thing, the environment is nearer to what the platform does now.
 pub fn read(file: Option<PathBuf>) -> Result<Launch, Fault> {
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -43,13 +43,15 @@
 struct Version {}
 
 fn serve() -> Result<(), String> {
+    let level = launch::log_level().map_err(|wrong| wrong.to_string())?;
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
+    log.with_max_level(level).init();
     let launch = launch::read(None).map_err(|wrong| wrong.to_string())?;
     tracing::info!(name = launch.name, listen = %launch.listen, "starting");
     net::serve(launch).map_err(|wrong| wrong.to_string())
 }
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
     let CommandLine { wanted } = argh::from_env();
     let done = match wanted {
         Wanted::Serve(Serve {}) => serve(),
--- a/crates/sidecar/src/net/buffers.rs
+++ b/crates/sidecar/src/net/buffers.rs
@@ -86,17 +86,16 @@
         Rc::new(Places { most, taken: Cell::new(0) })
     }
 
-    pub fn most(&self) -> usize {
-        self.most
+    pub fn free(&self) -> usize {
+        self.most - self.taken.get()
     }
 
     pub fn taken(&self) -> usize {
         self.taken.get()
     }
 
-    /// A place, as long as so many others stay free.
-    pub fn take(self: &Rc<Self>, leave: usize) -> Option<Place> {
-        if self.taken.get() + leave >= self.most {
+    pub fn take(self: &Rc<Self>) -> Option<Place> {
+        if self.taken.get() >= self.most {
             return None;
         }
         self.taken.set(self.taken.get() + 1);
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -66,10 +66,9 @@
         queue: Queue,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Callers {
-        let verb = |verb: &Verb| Verb { name: verb.name.clone(), ..*verb };
         Callers {
             clock: launch.clock.clone(),
-            verbs: launch.verbs.iter().map(verb).collect(),
+            verbs: launch.verbs.clone(),
             tenants: launch.tenants.clone(),
             max_open: launch.max_open,
             open: Cell::new(0),
@@ -84,18 +83,19 @@
 
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
         loop {
-            // Whoever comes when all places are taken is heard all the same, on a spare one, and turned away
-            // in words: a connection left unaccepted would lose what its client has written to it.
-            if self.stock.for_callers.taken() >= self.stock.for_callers.most().saturating_sub(SPARE) {
+            let Some(place) = self.stock.for_callers.take() else {
                 self.close_longest_idle();
-            }
-            let Some(place) = self.stock.for_callers.take(0) else {
                 Timer::after(NO_ROOM_YET).await;
                 continue;
             };
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let crowded = self.stock.for_callers.take(SPARE).is_none();
+                    // Whoever comes when nearly all places are taken is heard all the same and turned away in
+                    // words: a connection left unaccepted would lose what its client has written to it.
+                    let crowded = self.stock.for_callers.free() < SPARE;
+                    if crowded {
+                        self.close_longest_idle();
+                    }
                     self.executor.spawn(self.clone().talk(stream, place, crowded)).detach();
                 }
                 Err(wrong) => {
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -134,7 +134,7 @@
             }
         }
         let place = loop {
-            match self.stock.for_endpoints.take(0) {
+            match self.stock.for_endpoints.take() {
                 Some(place) => break place,
                 None if self.close_longest_kept() => {}
                 None => return Err(io::ErrorKind::QuotaExceeded.into()),
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -28,6 +28,16 @@
     Terminated,
 }
 
+impl Final {
+    fn name(&self) -> &'static str {
+        match self {
+            Final::Answered(_) => "answered",
+            Final::Declined(_) => "declined",
+            Final::Terminated => "terminated",
+        }
+    }
+}
+
 /// A command as its caller's side hands it over.
 pub struct Came {
     pub arrival: Arrival,
@@ -96,6 +106,7 @@
     /// The one final word of a command.
     fn finish(&mut self, cmd: &Id, word: Final) {
         let Some(open) = self.open.get_mut(cmd) else { return };
+        tracing::debug!("{cmd} is {}", word.name());
         must_hold!(!open.finished, "one final word for {cmd}");
         if !std::mem::replace(&mut open.finished, true) {
             // A caller that has just left hears nothing more.
@@ -336,6 +347,7 @@
         {
             desk.finish(&id, Final::Answered(answer));
         }
+        tracing::debug!("{id} relay {number} to {server}: {:?} after {latency:?}", end.outcome);
         let closed = desk.open.get(&id).is_none_or(|open| open.finished);
         drop(desk);
         let End { outcome, load, .. } = End { answer: None, ..end };
