--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -196,7 +196,7 @@
 fn flatten(value: &Value, path: &str, into: &mut String) {
     let below = |leaf: &str| if path.is_empty() { leaf.to_string() } else { format!("{path}.{leaf}") };
     let mut pair = |text: &str| {
-        let text = text.replace([' ', ','], "_");
+        let text = text.replace(' ', "_");
         // Writing to a String cannot fail.
         let _ = write!(into, "{path}={text} ");
     };
@@ -215,6 +215,9 @@
             let numbered = items.iter().enumerate();
             numbered.for_each(|(number, item)| flatten(item, &below(&number.to_string()), into));
         }
-        Value::Array(_) => {}
+        Value::Array(items) => {
+            let text = |item: &Value| item.as_str().map_or_else(|| item.to_string(), str::to_string);
+            pair(&items.iter().map(text).collect::<Vec<_>>().join(","));
+        }
     }
 }
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -11,17 +11,19 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
+use futures_lite::AsyncReadExt;
 use futures_lite::future::or;
 use landingspread_decisions::host::{Arrival, Id};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
 /// A command whose bytes trickle in for longer is given up.
 const READ_WITHIN: Duration = Duration::from_secs(10);
 const WRITE_WITHIN: Duration = Duration::from_secs(5);
+const LINGER: Duration = Duration::from_secs(1);
 const IDLE_MOST: Duration = Duration::from_secs(300);
 const NO_ROOM_YET: Duration = Duration::from_millis(5);
 const LEFT_MOST_MS: u64 = 3_600_000;
@@ -164,7 +166,11 @@
         };
         let message = match self.read(stream, buffer).await {
             Ok(message) => message,
-            Err(Some(turned)) => return self.turn_away(stream, &turned, false).await,
+            Err(Some(turned)) => {
+                self.turn_away(stream, &turned, false).await;
+                linger(stream).await;
+                return false;
+            }
             Err(None) => return false,
         };
         let keep = message.keep && !self.ending.get();
@@ -220,10 +226,11 @@
             return Err(Turned(405, "the verb takes another method"));
         }
         let header = |name: &str| http::header(head.headers, name);
-        if verb.receipted != header("idempotency-key").is_some() {
-            return Err(Turned(400, "Idempotency-Key goes with receipted verbs, and only with them"));
+        if verb.receipted && header("idempotency-key").is_none_or(str::is_empty) {
+            return Err(Turned(400, "a receipted verb needs an Idempotency-Key"));
         }
-        let id = header("x-trace-id").filter(|id| !id.is_empty() && id.len() <= ID_MOST);
+        let plain = |id: &&str| (1..=ID_MOST).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_graphic());
+        let id = header("x-trace-id").filter(plain);
         let id = id.ok_or(Turned(400, "X-Trace-Id is missing or odd"))?.into();
         let left = match header("x-expires-in-ms").map(str::parse::<u64>) {
             None => verb.limit,
@@ -316,6 +323,19 @@
     }
 }
 
+/// Closing on bytes that nobody read resets the connection, and with it the answer on its way.
+async fn linger(mut stream: &Async<TcpStream>) {
+    let _ = stream.get_ref().shutdown(Shutdown::Write);
+    let read_off = async {
+        let mut bytes = [0; 4096];
+        while matches!(stream.read(&mut bytes).await, Ok(1..)) {}
+    };
+    let late = async {
+        Timer::after(LINGER).await;
+    };
+    or(read_off, late).await;
+}
+
 fn add_header(to: &mut Vec<u8>, header: &httparse::Header<'_>) {
     to.extend_from_slice(header.name.as_bytes());
     to.extend_from_slice(b": ");
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -57,9 +57,10 @@
     [httparse::EMPTY_HEADER; HEADERS_MOST]
 }
 
+/// What is no text is not missing: it reads as a sign that nothing here takes for a value.
 pub fn header<'a>(headers: &[httparse::Header<'a>], name: &str) -> Option<&'a str> {
     let found = headers.iter().find(|header| header.name.eq_ignore_ascii_case(name))?;
-    std::str::from_utf8(found.value).ok().map(str::trim)
+    Some(std::str::from_utf8(found.value).map_or("\u{fffd}", str::trim))
 }
 
 /// Headers that speak of one connection or its framing are not passed on.
@@ -271,3 +272,91 @@
     rsp.parse(head).ok()?;
     rsp.code
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::buffers::Stock;
+    use async_io::block_on;
+    use proptest::prelude::*;
+    use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+    use std::io::Write;
+    use std::net::TcpListener;
+
+    /// What comes of these bytes, written in pieces to a real socket that is closed after them.
+    fn heard(bytes: &[u8], pieces: usize, of_command: bool) -> Result<(Vec<u8>, bool), Bad> {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let mut near = TcpStream::connect(listener.local_addr().expect("an address")).expect("a peer");
+        let far = Async::new(listener.accept().expect("a connection").0).expect("a socket");
+        let bytes = bytes.to_vec();
+        let writer = std::thread::spawn(move || {
+            for piece in bytes.chunks(bytes.len() / pieces + 1) {
+                let _ = near.write_all(piece);
+            }
+        });
+        let buffer = Stock::new(64, 16).buffer().expect("a buffer");
+        let read = async {
+            if of_command { read_command(&far, buffer).await } else { read_answer(&far, buffer).await }
+        };
+        let message = block_on(read);
+        drop(far);
+        writer.join().expect("the writer ends");
+        message.map(|message| (message.body().to_vec(), message.keep))
+    }
+
+    fn run<S: Strategy>(strategy: S, check: impl Fn(S::Value) -> Result<(), TestCaseError>) {
+        let cases = ProptestConfig { cases: 60, failure_persistence: None, ..ProptestConfig::default() };
+        let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+        TestRunner::new_with_rng(cases, rng).run(&strategy, check).expect("it holds in all cases");
+    }
+
+    #[test]
+    fn chunks_come_together_however_they_are_cut() {
+        let strategy = (proptest::collection::vec(any::<u8>(), 0..3000), 1usize..400, 1usize..9);
+        run(strategy, |(body, chunk, pieces)| {
+            let mut bytes = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+            for part in body.chunks(chunk) {
+                bytes.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
+                bytes.extend_from_slice(part);
+                bytes.extend_from_slice(b"\r\n");
+            }
+            bytes.extend_from_slice(b"0\r\nTrailer: 1\r\n\r\n");
+            let (heard, keep) = heard(&bytes, pieces, false).expect("a whole answer");
+            prop_assert!(keep);
+            prop_assert_eq!(heard, body);
+            Ok(())
+        });
+    }
+
+    #[test]
+    fn an_answer_cut_short_is_never_taken_for_a_whole_one() {
+        run((1usize..2000, 0usize..2000), |(length, cut)| {
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+            let mut bytes = head.into_bytes();
+            bytes.extend(std::iter::repeat_n(b'x', cut.min(length - 1)));
+            prop_assert!(matches!(heard(&bytes, 3, false), Err(Bad::Ended | Bad::Broken)));
+            Ok(())
+        });
+    }
+
+    #[test]
+    fn any_bytes_are_told_from_a_command_without_a_panic() {
+        let noise = proptest::collection::vec(any::<u8>(), 0..300);
+        let heads = ["", "GET / HTTP/1.1\r\n", "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"];
+        run((0..heads.len(), noise, 1usize..4), |(head, noise, pieces)| {
+            let bytes = [heads[head].as_bytes(), &noise].concat();
+            if let Ok((body, _)) = heard(&bytes, pieces, true) {
+                prop_assert!(body.len() <= bytes.len());
+            }
+            Ok(())
+        });
+    }
+
+    #[test]
+    fn two_lengths_or_a_length_beside_chunks_are_malformed() {
+        for extra in ["Content-Length: 3", "Content-Length: 4", "Transfer-Encoding: chunked"] {
+            let text = format!("POST /a HTTP/1.1\r\nContent-Length: 3\r\n{extra}\r\n\r\nabc");
+            assert!(matches!(heard(text.as_bytes(), 1, true), Err(Bad::Malformed)), "{extra}");
+        }
+    }
+}
