--- /dev/null
+++ b/crates/sidecar/tests/sockets.rs
@@ -0,0 +1,487 @@
+//! Starts the program and speaks to it over sockets, with small stand-ins for endpoints and discovery.
+
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const BOUNDED: Duration = Duration::from_secs(5);
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn free() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a free port")
+}
+
+/// The head and body of the next message, or None at the connection's end.
+fn message(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    let mut bytes = Vec::new();
+    let mut piece = [0; 4096];
+    loop {
+        if let Some(head) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
+            let text = String::from_utf8_lossy(&bytes[..head]).to_string();
+            let length = value(&text, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+            if bytes.len() >= head + 4 + length {
+                return Some((text, bytes[head + 4..head + 4 + length].to_vec()));
+            }
+        }
+        match stream.read(&mut piece) {
+            Ok(count) if count > 0 => bytes.extend_from_slice(&piece[..count]),
+            _ => return None,
+        }
+    }
+}
+
+fn value(head: &str, name: &str) -> Option<String> {
+    let pairs = head.lines().filter_map(|line| line.split_once(':'));
+    pairs
+        .into_iter()
+        .find(|(key, _)| key.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value.trim().to_string())
+}
+
+/// What an endpoint does with a command.
+#[derive(Clone, Copy)]
+enum Does {
+    Answer,
+    Wait(u64),
+    Break,
+    Fail,
+    TurnAway,
+}
+
+#[derive(Default)]
+struct Seen {
+    heads: Vec<String>,
+    dropped: usize,
+}
+
+struct Endpoint {
+    address: SocketAddr,
+    seen: Arc<Mutex<Seen>>,
+}
+
+impl Endpoint {
+    fn start(does: Does) -> Endpoint {
+        let listener = free();
+        let address = listener.local_addr().expect("an address");
+        let seen = Arc::<Mutex<Seen>>::default();
+        let shared = seen.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let seen = shared.clone();
+                thread::spawn(move || Self::talk(stream, does, &seen));
+            }
+        });
+        Endpoint { address, seen }
+    }
+
+    fn talk(mut stream: TcpStream, does: Does, seen: &Mutex<Seen>) {
+        while let Some((head, body)) = message(&mut stream) {
+            let checked = head.starts_with("GET /ping");
+            if !checked {
+                seen.lock().expect("no panic").heads.push(head.clone());
+            }
+            let ok = format!("HTTP/1.1 200 OK\r\nX-Kept: yes\r\nContent-Length: {}\r\n\r\n", body.len() + 3);
+            let ok = [ok.as_bytes(), b"ok:", &body].concat();
+            let answer = match does {
+                _ if checked => ok,
+                Does::Answer => ok,
+                Does::Break => return,
+                Does::Fail => b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".to_vec(),
+                Does::TurnAway => {
+                    b"HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n".to_vec()
+                }
+                Does::Wait(span) => {
+                    stream.set_read_timeout(Some(ms(span))).expect("a time-out");
+                    if matches!(stream.read(&mut [0]), Ok(0)) {
+                        seen.lock().expect("no panic").dropped += 1;
+                        return;
+                    }
+                    stream.set_read_timeout(None).expect("no time-out");
+                    ok
+                }
+            };
+            if stream.write_all(&answer).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn count(&self) -> usize {
+        self.seen.lock().expect("no panic").heads.len()
+    }
+}
+
+#[derive(Default)]
+struct List {
+    generation: u64,
+    body: String,
+    calls: usize,
+}
+
+/// Answers watches with its whole list; what it says can be changed while it runs.
+struct Discovery {
+    address: SocketAddr,
+    list: Arc<(Mutex<List>, Condvar)>,
+}
+
+impl Discovery {
+    fn start() -> Discovery {
+        let listener = free();
+        let address = listener.local_addr().expect("an address");
+        let list = Arc::<(Mutex<List>, Condvar)>::default();
+        let shared = list.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let list = shared.clone();
+                thread::spawn(move || Self::talk(stream, &list));
+            }
+        });
+        Discovery { address, list }
+    }
+
+    fn talk(mut stream: TcpStream, (list, changed): &(Mutex<List>, Condvar)) {
+        while let Some((head, _)) = message(&mut stream) {
+            let after = head.split(['=', '&']).nth(1).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+            let mut told = list.lock().expect("no panic");
+            told.calls += 1;
+            while told.generation <= after {
+                told = changed.wait(told).expect("no panic");
+            }
+            let answer =
+                format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", told.body.len(), told.body);
+            drop(told);
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn say(&self, generation: u64, body: String) {
+        let (list, changed) = &*self.list;
+        let mut list = list.lock().expect("no panic");
+        (list.generation, list.body) = (generation, body);
+        changed.notify_all();
+    }
+
+    fn calls(&self) -> usize {
+        self.list.0.lock().expect("no panic").calls
+    }
+}
+
+fn catalog(generation: u64, entries: &[(&str, SocketAddr, &str)]) -> Value {
+    let entry = |(id, address, state): &(&str, SocketAddr, &str)| {
+        json!({"instanceId": id, "hostPort": address.to_string(), "zone": "here", "machineType": "m", "cell": 1,
+            "lifecycle": state, "weight": 1.0, "startedAtMs": 0})
+    };
+    json!({"generation": generation, "reset": true,
+        "instances": entries.iter().map(entry).collect::<Vec<_>>()})
+}
+
+fn verb(name: &str, effect: &str) -> Value {
+    json!({"Name": name, "Effect": effect, "KeyScope": "all", "MemorySpan": 2_000_000, "TimeLimit": 2_000_000,
+        "ResponseGoal": 1_000_000, "Utility": 1.0, "OverdueUtility": 0.0})
+}
+
+fn told(known: &Value, listen: SocketAddr, discovery: SocketAddr) -> Value {
+    json!({"name": "n1", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 128}, "known": known,
+        "settings": {"Balancers": 1, "Discovery": "subscribe", "Localities": ["here"], "MyZone": 0, "Tier": 0,
+            "Resolution": 1000, "Verbs": [verb("view", "idempotent"), verb("hold", "deduplicated"),
+                verb("confirm", "at_most_once")],
+            "Tenants": [{"Name": "acme", "QuotaRps": 1000.0, "Share": 1.0}],
+            "PolicyLimits": {"MayCancel": true, "Probes": true, "MostRelays": 6, "ConnIdle": 30_000_000,
+                "DialTimeout": 100_000, "RetryAfter": true, "MaxRetryAfter": 2_500_000, "MaxOpen": 1000},
+            "Rules": {"ColdShare": 0.3, "Cold": 5_000_000, "TipMultiple": 3.0, "Fall": 2_000_000,
+                "DrainGrace": 2_500_000, "AskEvery": 10_000_000, "AnswerSlack": 20_000}}})
+}
+
+struct Sidecar {
+    address: SocketAddr,
+    child: Child,
+    file: PathBuf,
+}
+
+impl Sidecar {
+    fn start(known: &Value, discovery: SocketAddr) -> Sidecar {
+        let address = free().local_addr().expect("an address");
+        let file = std::env::temp_dir().join(format!("landingspread-{}.json", address.port()));
+        std::fs::write(&file, told(known, address, discovery).to_string()).expect("a file");
+        let mut program = Command::new(env!("CARGO_BIN_EXE_landingspread"));
+        program.arg("serve").env("NODE_CONFIG", &file).stderr(Stdio::null());
+        let child = program.spawn().expect("the program starts");
+        let sidecar = Sidecar { address, child, file };
+        let begun = Instant::now();
+        while sidecar.ask("GET /_health HTTP/1.1\r\n\r\n").is_none_or(|(status, _, _)| status != 200) {
+            assert!(begun.elapsed() < BOUNDED, "it is never ready");
+            thread::sleep(ms(5));
+        }
+        sidecar
+    }
+
+    fn with(servers: &[(&str, SocketAddr)]) -> (Sidecar, Discovery) {
+        let ready: Vec<_> = servers.iter().map(|(id, address)| (*id, *address, "ready")).collect();
+        let discovery = Discovery::start();
+        (Sidecar::start(&catalog(1, &ready), discovery.address), discovery)
+    }
+
+    fn open(&self) -> Option<TcpStream> {
+        let stream = TcpStream::connect(self.address).ok()?;
+        stream.set_read_timeout(Some(BOUNDED)).ok()?;
+        Some(stream)
+    }
+
+    fn ask(&self, text: &str) -> Option<(u16, String, Vec<u8>)> {
+        let mut stream = self.open()?;
+        // What is turned away early may close before all is written.
+        let _ = stream.write_all(text.as_bytes());
+        answer(&mut stream)
+    }
+
+    fn cmd(&self, verb: &str, id: &str, left_ms: u64) -> u16 {
+        self.ask(&cmd(verb, id, left_ms)).expect("a final word").0
+    }
+
+    fn running(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+fn answer(stream: &mut TcpStream) -> Option<(u16, String, Vec<u8>)> {
+    let (head, body) = message(stream)?;
+    let status = head.split(' ').nth(1).and_then(|text| text.parse().ok())?;
+    Some((status, head, body))
+}
+
+fn cmd(verb: &str, id: &str, left_ms: u64) -> String {
+    let common =
+        format!("Host: app.svc\r\nX-Trace-Id: {id}\r\nX-Customer: acme\r\nX-Expires-In-Ms: {left_ms}\r\n");
+    match verb {
+        "view" => format!("GET /view/1?x=2 HTTP/1.1\r\n{common}\r\n"),
+        "hold" => {
+            format!("POST /hold HTTP/1.1\r\n{common}Idempotency-Key: k{id}\r\nContent-Length: 4\r\n\r\nbody")
+        }
+        other => format!("POST /{other} HTTP/1.1\r\n{common}Content-Length: 4\r\n\r\nbody"),
+    }
+}
+
+/// An address where nobody listens.
+fn nobody() -> SocketAddr {
+    free().local_addr().expect("an address")
+}
+
+fn within(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < BOUNDED, "{what}");
+        thread::sleep(ms(5));
+    }
+}
+
+#[test]
+fn a_command_is_answered_with_what_the_endpoint_said_and_passed_on_with_less_time() {
+    let endpoint = Endpoint::start(Does::Answer);
+    let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    let mut stream = sidecar.open().expect("a connection");
+    for id in ["a1", "a2"] {
+        stream.write_all(cmd("hold", id, 800).as_bytes()).expect("it is written");
+        let (status, head, body) = answer(&mut stream).expect("an answer");
+        assert_eq!((status, body.as_slice()), (200, &b"ok:body"[..]));
+        assert_eq!(value(&head, "x-kept").as_deref(), Some("yes"));
+    }
+    assert_eq!(sidecar.cmd("view", "a3", 800), 200);
+    let seen = endpoint.seen.lock().expect("no panic");
+    assert!(seen.heads[0].starts_with("POST /hold HTTP/1.1"));
+    assert!(seen.heads[2].starts_with("GET /view/1?x=2 HTTP/1.1"));
+    assert_eq!(value(&seen.heads[0], "x-trace-id").as_deref(), Some("a1"));
+    assert_eq!(value(&seen.heads[0], "idempotency-key").as_deref(), Some("ka1"));
+    let left: u64 =
+        value(&seen.heads[0], "x-expires-in-ms").and_then(|text| text.parse().ok()).expect("time");
+    assert!((700..=800).contains(&left), "{left} ms are left");
+}
+
+#[test]
+fn a_refused_connection_or_a_word_that_it_never_ran_lets_an_effectful_command_go_on() {
+    let (full, good) = (Endpoint::start(Does::TurnAway), Endpoint::start(Does::Answer));
+    let servers = [("s1", nobody()), ("s2", full.address), ("s3", good.address)];
+    let (sidecar, _discovery) = Sidecar::with(&servers);
+    for number in 0..8 {
+        assert_eq!(sidecar.cmd("confirm", &format!("c{number}"), 1500), 200);
+    }
+    assert_eq!(good.count(), 8, "each ran once");
+}
+
+#[test]
+fn an_effectful_command_whose_connection_broke_ends_without_another_relay_or_a_decline() {
+    for does in [Does::Break, Does::Fail] {
+        let endpoints = [Endpoint::start(does), Endpoint::start(does)];
+        let (sidecar, _discovery) =
+            Sidecar::with(&[("s1", endpoints[0].address), ("s2", endpoints[1].address)]);
+        assert_eq!(sidecar.cmd("confirm", "e1", 1500), 502);
+        assert_eq!(endpoints[0].count() + endpoints[1].count(), 1);
+        assert!([429, 503].contains(&sidecar.cmd("view", "p1", 1500)), "a pure one is harmless to try again");
+        assert_eq!(endpoints[0].count() + endpoints[1].count(), 3, "and was tried at both");
+    }
+}
+
+#[test]
+fn nothing_more_goes_to_a_server_that_drains() {
+    let (old, new) = (Endpoint::start(Does::Answer), Endpoint::start(Does::Answer));
+    let (sidecar, discovery) = Sidecar::with(&[("s1", old.address)]);
+    assert_eq!(sidecar.cmd("view", "d0", 1500), 200);
+    within("it watches", || discovery.calls() == 1);
+    let list = [("s1", old.address, "draining"), ("s2", new.address, "ready")];
+    discovery.say(2, catalog(2, &list).to_string());
+    within("the next call comes at once", || discovery.calls() == 2);
+    for number in 1..6 {
+        assert_eq!(sidecar.cmd("view", &format!("d{number}"), 1500), 200);
+    }
+    assert_eq!((old.count(), new.count()), (1, 5));
+}
+
+#[test]
+fn a_slow_endpoint_costs_a_command_no_more_than_its_time_and_hears_that_it_is_over() {
+    let endpoint = Endpoint::start(Does::Wait(3000));
+    let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    let begun = Instant::now();
+    let status = sidecar.cmd("confirm", "w1", 300);
+    let took = begun.elapsed();
+    assert_eq!(status, 502, "it may have run");
+    assert!(took > ms(280) && took < ms(370), "the final word came after {took:?}");
+    within("the endpoint is let go", || endpoint.seen.lock().expect("no panic").dropped == 1);
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_relay() {
+    let endpoint = Endpoint::start(Does::Wait(4000));
+    let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    let mut stream = sidecar.open().expect("a connection");
+    stream.write_all(cmd("view", "l1", 1900).as_bytes()).expect("it is written");
+    within("the relay is out", || endpoint.count() == 1);
+    let begun = Instant::now();
+    drop(stream);
+    within("the endpoint is let go", || endpoint.seen.lock().expect("no panic").dropped == 1);
+    assert!(begun.elapsed() < ms(500));
+    assert_eq!(endpoint.count(), 1, "nothing is sent for it after");
+}
+
+#[test]
+fn without_discovery_or_with_a_list_that_cannot_be_read_the_old_list_holds() {
+    let endpoint = Endpoint::start(Does::Answer);
+    let known = catalog(1, &[("s1", endpoint.address, "ready")]);
+    let alone = Sidecar::start(&known, nobody());
+    assert_eq!(alone.cmd("view", "n1", 1500), 200);
+    let (mut sidecar, discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    let lists = [
+        "{\"generation\": 2, \"reset\": true".to_string(),
+        json!({"generation": 2, "reset": true, "instances": [{"instanceId": "s1"}]}).to_string(),
+        "[]".to_string(),
+    ];
+    for (number, list) in lists.into_iter().enumerate() {
+        discovery.say(2, list);
+        within("it asks again", || discovery.calls() > number + 1);
+        assert_eq!(sidecar.cmd("view", &format!("b{number}"), 1500), 200);
+    }
+    assert!(sidecar.running());
+}
+
+#[test]
+fn bad_input_is_turned_away_in_words_and_reaches_no_endpoint() {
+    let endpoint = Endpoint::start(Does::Answer);
+    let (mut sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    let head = "X-Trace-Id: x\r\nX-Customer: acme\r\n";
+    let cases = [
+        ("\0\0\0\r\n\r\n".to_string(), 400),
+        ("GET /view\r\n\r\n".to_string(), 400),
+        (format!("GET /unknown HTTP/1.1\r\n{head}\r\n"), 404),
+        (format!("GET /confirm HTTP/1.1\r\n{head}\r\n"), 405),
+        (format!("POST /hold HTTP/1.1\r\n{head}Content-Length: 0\r\n\r\n"), 400),
+        ("GET /view HTTP/1.1\r\nX-Customer: acme\r\n\r\n".to_string(), 400),
+        (format!("GET /view HTTP/1.1\r\n{head}X-Expires-In-Ms: soon\r\n\r\n"), 400),
+        (format!("GET /view HTTP/1.1\r\n{head}X-Expires-In-Ms: -5\r\n\r\n"), 400),
+        (format!("GET /view HTTP/1.1\r\n{head}X-Expires-In-Ms: 99999999999999999999\r\n\r\n"), 400),
+        (format!("POST /confirm HTTP/1.1\r\n{head}Content-Length: many\r\n\r\n"), 400),
+        (format!("POST /confirm HTTP/1.1\r\n{head}Content-Length: 70000\r\n\r\n{}", "x".repeat(70_000)), 413),
+        (format!("GET /view HTTP/1.1\r\n{head}X-Long: {}\r\n\r\n", "x".repeat(20_000)), 413),
+        (format!("GET /view HTTP/1.1\r\n{head}{}\r\n", "X-Many: 1\r\n".repeat(100)), 413),
+    ];
+    for (text, wanted) in cases {
+        let (status, _, _) = sidecar.ask(&text).unwrap_or_else(|| panic!("no word on {text:.60}"));
+        assert_eq!(status, wanted, "{text:.60}");
+    }
+    let mut cut = sidecar.open().expect("a connection");
+    cut.write_all(b"POST /confirm HTTP/1.1\r\nContent-Le").expect("it is written");
+    drop(cut);
+    assert_eq!(endpoint.count(), 0);
+    assert_eq!(sidecar.cmd("confirm", "z1", 1500), 200);
+    assert!(sidecar.running());
+}
+
+#[test]
+fn after_sigterm_it_goes_on_taking_for_a_while_finishes_and_exits() {
+    let endpoint = Endpoint::start(Does::Wait(400));
+    let (mut sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    let mut idle = sidecar.open().expect("a connection");
+    let mut early = sidecar.open().expect("a connection");
+    early.write_all(cmd("view", "t1", 1900).as_bytes()).expect("it is written");
+    within("the relay is out", || endpoint.count() == 1);
+    let pid = sidecar.child.id().to_string();
+    assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+    within("it says that it ends", || {
+        sidecar.ask("GET /_health HTTP/1.1\r\n\r\n").is_some_and(|(status, _, _)| status == 503)
+    });
+    assert_eq!(sidecar.cmd("view", "t2", 1900), 200, "a new connection is still heard");
+    let (status, head, _) = answer(&mut early).expect("what was taken is finished");
+    assert_eq!((status, value(&head, "connection").as_deref()), (200, Some("close")));
+    assert!(answer(&mut idle).is_none(), "what waits is closed");
+    within("it exits", || !sidecar.running());
+    assert_eq!(sidecar.child.wait().expect("a child").code(), Some(0));
+}
+
+#[test]
+fn a_faulty_configuration_is_told_by_its_key() {
+    let good = told(&catalog(1, &[]), nobody(), nobody());
+    let with = |pointer: &str, value: Value| {
+        let mut faulty = good.clone();
+        *faulty.pointer_mut(pointer).expect("a key") = value;
+        faulty
+    };
+    let cases = BTreeMap::from([
+        ("listen", with("/listen", json!("nowhere"))),
+        ("limits.sockets", with("/limits/sockets", json!("many"))),
+        ("limits.memory_mb", with("/limits/memory_mb", json!(1))),
+        ("known: instances", with("/known", json!({"generation": 1, "reset": true}))),
+        ("settings.Verbs.1.Name", with("/settings/Verbs/1/Name", json!(7))),
+        ("Rules.ColdShare", with("/settings/Rules/ColdShare", json!("cold"))),
+        ("seed", with("/seed", Value::Null)),
+    ]);
+    let check = |told: &Value| {
+        let file = std::env::temp_dir().join(format!("landingspread-check-{}.json", nobody().port()));
+        std::fs::write(&file, told.to_string()).expect("a file");
+        let mut program = Command::new(env!("CARGO_BIN_EXE_landingspread"));
+        let output = program.arg("check").arg("--file").arg(&file).output().expect("it runs");
+        let _ = std::fs::remove_file(&file);
+        (output.status.success(), String::from_utf8_lossy(&output.stderr).to_string())
+    };
+    assert_eq!(check(&good), (true, String::new()));
+    for (key, told) in &cases {
+        let (fine, said) = check(told);
+        assert!(!fine && said.contains(key), "{key}: {said}");
+    }
+}
