Tests: an address for each stand-in, reads that a signal broke off go on

Seen: one run in about twenty failed at differing tests, with foreign commands at a stand-in or no answer read. Checked: the sidecar's log shows the answer sent; the test's read had ended with Interrupted (it has a time-out, so a signal breaks it off). Ports let go by one test turned up in another. 112 runs on all cores pass now.

--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -3,9 +3,10 @@
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -16,8 +17,22 @@
     Duration::from_millis(count)
 }
 
+/// A free port on an address of its own: a port that one test lets go must not turn up in another.
 fn free() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").expect("a free port")
+    static GIVEN: AtomicU32 = AtomicU32::new(1);
+    let (pid, number) = (std::process::id(), GIVEN.fetch_add(1, Ordering::Relaxed));
+    let address = Ipv4Addr::new(127, 1 + (pid >> 8) as u8 % 250, pid as u8, number as u8);
+    TcpListener::bind((address, 0)).expect("a free port")
+}
+
+/// A read with a time-out is broken off by any signal to the process, such as that of a child's end.
+fn read(stream: &mut TcpStream, into: &mut [u8]) -> std::io::Result<usize> {
+    loop {
+        match stream.read(into) {
+            Err(wrong) if wrong.kind() == std::io::ErrorKind::Interrupted => {}
+            other => return other,
+        }
+    }
 }
 
 /// The head and body of the next message, or None at the connection's end.
@@ -32,7 +47,7 @@
                 return Some((text, bytes[head + 4..head + 4 + length].to_vec()));
             }
         }
-        match stream.read(&mut piece) {
+        match read(stream, &mut piece) {
             Ok(count) if count > 0 => bytes.extend_from_slice(&piece[..count]),
             _ => return None,
         }
@@ -101,7 +116,7 @@
                 }
                 Does::Wait(span) => {
                     stream.set_read_timeout(Some(ms(span))).expect("a time-out");
-                    if matches!(stream.read(&mut [0]), Ok(0)) {
+                    if matches!(read(&mut stream, &mut [0]), Ok(0)) {
                         seen.lock().expect("no panic").dropped += 1;
                         return;
                     }
@@ -213,7 +228,7 @@
 impl Sidecar {
     fn start(known: &Value, discovery: SocketAddr) -> Sidecar {
         let address = free().local_addr().expect("an address");
-        let file = std::env::temp_dir().join(format!("landingspread-{}.json", address.port()));
+        let file = std::env::temp_dir().join(format!("landingspread-{address}.json"));
         std::fs::write(&file, told(known, address, discovery).to_string()).expect("a file");
         let mut program = Command::new(env!("CARGO_BIN_EXE_landingspread"));
         program.arg("serve").env("NODE_CONFIG", &file).stderr(Stdio::null());
@@ -472,7 +487,7 @@
         ("seed", with("/seed", Value::Null)),
     ]);
     let check = |told: &Value| {
-        let file = std::env::temp_dir().join(format!("landingspread-check-{}.json", nobody().port()));
+        let file = std::env::temp_dir().join(format!("landingspread-check-{}.json", nobody()));
         std::fs::write(&file, told.to_string()).expect("a file");
         let mut program = Command::new(env!("CARGO_BIN_EXE_landingspread"));
         let output = program.arg("check").arg("--file").arg(&file).output().expect("it runs");
