--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -92,12 +92,10 @@
             };
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    // Whoever comes when nearly all places are taken is heard all the same and turned away in
-                    // words: a connection left unaccepted would lose what its client has written to it.
-                    let crowded = self.stock.for_callers.free() < SPARE;
-                    if crowded {
-                        self.close_longest_idle();
-                    }
+                    // Whoever comes when only spare places are left and all others are at work is heard all the
+                    // same and turned away in words: a connection left unaccepted would lose what its client
+                    // has written to it.
+                    let crowded = self.stock.for_callers.free() < SPARE && !self.close_longest_idle();
                     self.executor.spawn(self.clone().talk(stream, place, crowded)).detach();
                 }
                 Err(wrong) => {
@@ -108,10 +106,9 @@
         }
     }
 
-    fn close_longest_idle(&self) {
-        if let Some((_, close)) = self.idle.borrow_mut().pop_first() {
-            let _ = close.try_send(());
-        }
+    fn close_longest_idle(&self) -> bool {
+        let longest = self.idle.borrow_mut().pop_first();
+        longest.is_some_and(|(_, close)| close.try_send(()).is_ok())
     }
 
     /// From now on each answer is its connection's last.
@@ -122,9 +119,7 @@
     /// Closes what waits and comes back when nobody is left.
     pub async fn ended(&self) {
         while self.stock.for_callers.taken() > 0 {
-            while !self.idle.borrow().is_empty() {
-                self.close_longest_idle();
-            }
+            while self.close_longest_idle() {}
             Timer::after(NO_ROOM_YET).await;
         }
     }
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -66,6 +66,7 @@
 #[derive(Clone, Copy)]
 enum Does {
     Answer,
+    AnswerAndClose,
     Wait(u64),
     Break,
     Fail,
@@ -108,7 +109,7 @@
             let ok = [ok.as_bytes(), b"ok:", &body].concat();
             let answer = match does {
                 _ if checked => ok,
-                Does::Answer => ok,
+                Does::Answer | Does::AnswerAndClose => ok,
                 Does::Break => return,
                 Does::Fail => b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".to_vec(),
                 Does::TurnAway => {
@@ -124,7 +125,7 @@
                     ok
                 }
             };
-            if stream.write_all(&answer).is_err() {
+            if stream.write_all(&answer).is_err() || matches!(does, Does::AnswerAndClose) {
                 return;
             }
         }
@@ -355,6 +356,33 @@
     }
 }
 
+#[test]
+fn a_kept_connection_that_the_endpoint_has_closed_is_not_written_to() {
+    let endpoint = Endpoint::start(Does::AnswerAndClose);
+    let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    for number in 0..5 {
+        assert_eq!(sidecar.cmd("confirm", &format!("k{number}"), 1500), 200);
+        thread::sleep(ms(20));
+    }
+}
+
+#[test]
+fn idle_callers_make_room_for_new_ones_and_past_that_each_still_hears_a_word() {
+    let endpoint = Endpoint::start(Does::Wait(500));
+    let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    let idle: Vec<TcpStream> = (0..100).filter_map(|_| sidecar.open()).collect();
+    assert_eq!(sidecar.cmd("view", "i1", 1900), 200, "of 128 sockets 100 are idle");
+    let mut busy: Vec<TcpStream> = (0..60).filter_map(|_| sidecar.open()).collect();
+    for (number, stream) in busy.iter_mut().enumerate() {
+        // One that was closed while idle shows when its answer is read.
+        let _ = stream.write_all(cmd("view", &format!("i{number}x"), 1900).as_bytes());
+    }
+    let words: Vec<u16> = busy.iter_mut().filter_map(|stream| Some(answer(stream)?.0)).collect();
+    assert!(words.len() >= 30 && words.iter().all(|status| [200, 503].contains(status)), "{words:?}");
+    drop(idle);
+    assert_eq!(sidecar.cmd("view", "i2", 1900), 200);
+}
+
 #[test]
 fn nothing_more_goes_to_a_server_that_drains() {
     let (old, new) = (Endpoint::start(Does::Answer), Endpoint::start(Does::Answer));
