--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -209,7 +209,7 @@
 
 fn told(known: &Value, listen: SocketAddr, discovery: SocketAddr) -> Value {
     json!({"name": "n1", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "8c1f",
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 128}, "known": known,
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 100}, "known": known,
         "settings": {"Balancers": 1, "Discovery": "subscribe", "Localities": ["here"], "MyZone": 0, "Tier": 0,
             "Resolution": 1000, "Verbs": [verb("view", "idempotent"), verb("hold", "deduplicated"),
                 verb("confirm", "at_most_once")],
@@ -369,16 +369,21 @@
 #[test]
 fn idle_callers_make_room_for_new_ones_and_past_that_each_still_hears_a_word() {
     let endpoint = Endpoint::start(Does::Wait(500));
-    let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    let servers = ["s1", "s2", "s3", "s4", "s5", "s6"].map(|id| (id, endpoint.address));
+    let (sidecar, _discovery) = Sidecar::with(&servers);
     let idle: Vec<TcpStream> = (0..100).filter_map(|_| sidecar.open()).collect();
-    assert_eq!(sidecar.cmd("view", "i1", 1900), 200, "of 128 sockets 100 are idle");
+    assert_eq!(sidecar.cmd("view", "i1", 1900), 200, "all places are taken by idle ones");
     let mut busy: Vec<TcpStream> = (0..60).filter_map(|_| sidecar.open()).collect();
     for (number, stream) in busy.iter_mut().enumerate() {
         // One that was closed while idle shows when its answer is read.
         let _ = stream.write_all(cmd("view", &format!("i{number}x"), 1900).as_bytes());
     }
-    let words: Vec<u16> = busy.iter_mut().filter_map(|stream| Some(answer(stream)?.0)).collect();
-    assert!(words.len() >= 30 && words.iter().all(|status| [200, 503].contains(status)), "{words:?}");
+    let words: Vec<_> = busy.iter_mut().filter_map(answer).collect();
+    assert!(words.len() >= 30 && words.iter().all(|(status, _, _)| [200, 503].contains(status)));
+    assert!(
+        words.iter().any(|(_, _, body)| body.starts_with(b"too many")),
+        "no place is left, and it says so"
+    );
     drop(idle);
     assert_eq!(sidecar.cmd("view", "i2", 1900), 200);
 }
@@ -460,7 +465,6 @@
         (format!("GET /view HTTP/1.1\r\n{head}X-Expires-In-Ms: -5\r\n\r\n"), 400),
         (format!("GET /view HTTP/1.1\r\n{head}X-Expires-In-Ms: 99999999999999999999\r\n\r\n"), 400),
         (format!("POST /confirm HTTP/1.1\r\n{head}Content-Length: many\r\n\r\n"), 400),
-        (format!("POST /confirm HTTP/1.1\r\n{head}Content-Length: 70000\r\n\r\n{}", "x".repeat(70_000)), 413),
         (format!("GET /view HTTP/1.1\r\n{head}X-Long: {}\r\n\r\n", "x".repeat(20_000)), 413),
         (format!("GET /view HTTP/1.1\r\n{head}{}\r\n", "X-Many: 1\r\n".repeat(100)), 413),
     ];
@@ -468,6 +472,12 @@
         let (status, _, _) = sidecar.ask(&text).unwrap_or_else(|| panic!("no word on {text:.60}"));
         assert_eq!(status, wanted, "{text:.60}");
     }
+    let mut long = sidecar.open().expect("a connection");
+    let _ =
+        long.write_all(format!("POST /confirm HTTP/1.1\r\n{head}Content-Length: 70000\r\n\r\n").as_bytes());
+    let _ = long.write_all(&[b'x'; 70_000]);
+    assert_eq!(answer(&mut long).map(|(status, _, _)| status), Some(413));
+    assert_eq!(read(&mut long, &mut [0]).ok(), Some(0), "the end comes in order, not as a reset");
     let mut cut = sidecar.open().expect("a connection");
     cut.write_all(b"POST /confirm HTTP/1.1\r\nContent-Le").expect("it is written");
     drop(cut);
