--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -368,7 +368,7 @@
 
 #[test]
 fn idle_callers_make_room_for_new_ones_and_past_that_each_still_hears_a_word() {
-    let endpoint = Endpoint::start(Does::Wait(500));
+    let endpoint = Endpoint::start(Does::Wait(900));
     let servers = ["s1", "s2", "s3", "s4", "s5", "s6"].map(|id| (id, endpoint.address));
     let (sidecar, _discovery) = Sidecar::with(&servers);
     let idle: Vec<TcpStream> = (0..100).filter_map(|_| sidecar.open()).collect();
@@ -474,8 +474,8 @@
     }
     let mut long = sidecar.open().expect("a connection");
     let _ =
-        long.write_all(format!("POST /confirm HTTP/1.1\r\n{head}Content-Length: 70000\r\n\r\n").as_bytes());
-    let _ = long.write_all(&[b'x'; 70_000]);
+        long.write_all(format!("POST /confirm HTTP/1.1\r\n{head}Content-Length: 200000\r\n\r\n").as_bytes());
+    let _ = long.write_all(&[b'x'; 200_000]);
     assert_eq!(answer(&mut long).map(|(status, _, _)| status), Some(413));
     assert_eq!(read(&mut long, &mut [0]).ok(), Some(0), "the end comes in order, not as a reset");
     let mut cut = sidecar.open().expect("a connection");
