--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -81,14 +81,16 @@
     }
 
     async fn exchange(&self, to: SocketAddr, cmd: &Outgoing, not_past: Instant, stage: &Cell<Stage>) -> End {
-        let never_ran = || End::bare(Outcome::ConnectFailed);
-        let Ok(conn) = self.connection(to).await else { return never_ran() };
-        let Some(buffer) = self.stock.buffer() else { return never_ran() };
+        let conn = match self.connection(to).await {
+            Ok(conn) => conn,
+            Err(outcome) => return End::bare(outcome),
+        };
+        let Some(buffer) = self.stock.buffer() else { return End::bare(Outcome::Moot) };
         let left = not_past.saturating_duration_since(Instant::now()).as_millis();
         let mut head = cmd.head.clone();
         head.extend_from_slice(format!("X-Expires-In-Ms: {left}\r\n\r\n").as_bytes());
         if http::write(&conn.stream, &head, cmd.message.body()).await.is_err() {
-            return never_ran();
+            return End::bare(Outcome::ConnectFailed);
         }
         stage.set(Stage::Written);
         let Ok(answer) = http::read_answer(&conn.stream, buffer).await else {
@@ -110,8 +112,11 @@
     }
 
     async fn ping(&self, to: SocketAddr) -> Outcome {
-        let Ok(conn) = self.connection(to).await else { return Outcome::ConnectFailed };
-        let Some(buffer) = self.stock.buffer() else { return Outcome::ConnectFailed };
+        let conn = match self.connection(to).await {
+            Ok(conn) => conn,
+            Err(outcome) => return outcome,
+        };
+        let Some(buffer) = self.stock.buffer() else { return Outcome::Moot };
         let head = format!("GET /ping HTTP/1.1\r\nHost: {to}\r\n\r\n");
         if http::write(&conn.stream, head.as_bytes(), b"").await.is_err() {
             return Outcome::ConnectFailed;
@@ -127,7 +132,8 @@
         }
     }
 
-    async fn connection(&self, to: SocketAddr) -> io::Result<Conn> {
+    /// Where this sidecar itself has no place left, nothing is held against the endpoint: the relay is moot.
+    async fn connection(&self, to: SocketAddr) -> Result<Conn, Outcome> {
         while let Some(kept) = self.kept.borrow_mut().get_mut(&to).and_then(Vec::pop) {
             if self.usable(&kept) {
                 return Ok(kept.conn);
@@ -137,15 +143,15 @@
             match self.stock.for_endpoints.take() {
                 Some(place) => break place,
                 None if self.close_longest_kept() => {}
-                None => return Err(io::ErrorKind::QuotaExceeded.into()),
+                None => return Err(Outcome::Moot),
             }
         };
         let late = async {
             Timer::after(self.dial_timeout).await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        let stream = or(Async::<TcpStream>::connect(to), late).await?;
-        stream.get_ref().set_nodelay(true)?;
+        let stream = or(Async::<TcpStream>::connect(to), late).await.map_err(|_| Outcome::ConnectFailed)?;
+        let _ = stream.get_ref().set_nodelay(true);
         Ok(Conn { stream, _place: place })
     }
 
