--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 const SOCKETS: u64 = 1024;
-const SOCKETS_LEAST: u64 = 64;
+const SOCKETS_LEAST: u64 = 40;
 const MEMORY_MB: u64 = 192;
 const MEMORY_MB_LEAST: u64 = 16;
 const CONN_IDLE: Duration = Duration::from_secs(30);
--- a/crates/sidecar/src/net/buffers.rs
+++ b/crates/sidecar/src/net/buffers.rs
@@ -10,8 +10,10 @@
 /// Descriptors for all that is neither a caller nor an endpoint: standard streams, the reactor's own, the
 /// signal pipe, the listener, discovery.
 const SET_ASIDE: usize = 24;
-/// Places kept for callers who come when all others are taken, so that they hear a word at least.
-pub const SPARE: usize = 16;
+/// Places kept for callers who come when all others are taken, so that they hear a word at least: so many,
+/// but a small part of what there is.
+const SPARE: usize = 16;
+const SPARE_PART: usize = 8;
 
 pub struct Stock {
     idle: RefCell<Vec<Box<[u8]>>>,
@@ -86,8 +88,8 @@
         Rc::new(Places { most, taken: Cell::new(0) })
     }
 
-    pub fn free(&self) -> usize {
-        self.most - self.taken.get()
+    pub fn only_spare_ones_left(&self) -> bool {
+        self.most - self.taken.get() < SPARE.min(self.most / SPARE_PART)
     }
 
     pub fn taken(&self) -> usize {
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -2,7 +2,7 @@
 //! back. It owns the callers' sockets and what is answered to bad input; it must never hold a buffer for a
 //! connection that waits, answer a taken command by its own choice, or reach the module but by the queue.
 
-use super::buffers::{Buffer, Place, SPARE, Stock};
+use super::buffers::{Buffer, Place, Stock};
 use super::discovery::Clock;
 use super::endpoints::Outgoing;
 use super::http::{self, Bad, Message};
@@ -95,7 +95,7 @@
                     // Whoever comes when only spare places are left and all others are at work is heard all the
                     // same and turned away in words: a connection left unaccepted would lose what its client
                     // has written to it.
-                    let crowded = self.stock.for_callers.free() < SPARE && !self.close_longest_idle();
+                    let crowded = self.stock.for_callers.only_spare_ones_left() && !self.close_longest_idle();
                     self.executor.spawn(self.clone().talk(stream, place, crowded)).detach();
                 }
                 Err(wrong) => {
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -209,7 +209,7 @@
 
 fn told(known: &Value, listen: SocketAddr, discovery: SocketAddr) -> Value {
     json!({"name": "n1", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "8c1f",
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 100}, "known": known,
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 80}, "known": known,
         "settings": {"Balancers": 1, "Discovery": "subscribe", "Localities": ["here"], "MyZone": 0, "Tier": 0,
             "Resolution": 1000, "Verbs": [verb("view", "idempotent"), verb("hold", "deduplicated"),
                 verb("confirm", "at_most_once")],
