--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -25,6 +25,7 @@
 const WRITE_WITHIN: Duration = Duration::from_secs(5);
 const LINGER: Duration = Duration::from_secs(1);
 const IDLE_MOST: Duration = Duration::from_secs(300);
+const FRESH: Duration = Duration::from_millis(500);
 const NO_ROOM_YET: Duration = Duration::from_millis(5);
 const LEFT_MOST_MS: u64 = 3_600_000;
 const ID_MOST: usize = 128;
@@ -126,15 +127,25 @@
 
     async fn talk(self: Rc<Self>, stream: Async<TcpStream>, _place: Place, crowded: bool) {
         let _ = stream.get_ref().set_nodelay(true);
-        while self.something_comes(&stream).await {
-            let keep = self.one_message(&stream, crowded).await;
-            if !keep || crowded || self.ending.get() {
-                break;
-            }
+        let mut fresh = true;
+        while self.something_comes(&stream, fresh).await && self.one_message(&stream, crowded).await {
+            fresh = false;
         }
     }
 
-    async fn something_comes(&self, stream: &Async<TcpStream>) -> bool {
+    async fn something_comes(&self, stream: &Async<TcpStream>, fresh: bool) -> bool {
+        if fresh {
+            // Its first command is most likely on its way already, and a client sends no command again that a
+            // new connection has lost: such a one does not count as idle yet.
+            let comes = async { Some(stream.readable().await.is_ok()) };
+            let late = async {
+                Timer::after(FRESH).await;
+                None
+            };
+            if let Some(comes) = or(comes, late).await {
+                return comes;
+            }
+        }
         let number = self.idled.get();
         self.idled.set(number + 1);
         let (close, closed): (Sender<()>, Receiver<()>) = async_channel::bounded(1);
@@ -142,7 +153,8 @@
         let comes = async { stream.readable().await.is_ok() };
         let ends = async {
             let _ = closed.recv().await;
-            false
+            // A command may have come in this very moment.
+            matches!(stream.get_ref().peek(&mut [0]), Ok(1))
         };
         let too_long = async {
             Timer::after(IDLE_MOST).await;
@@ -168,7 +180,7 @@
             }
             Err(None) => return false,
         };
-        let keep = message.keep && !self.ending.get();
+        let keep = message.keep && !crowded && !self.ending.get();
         match self.understand(&message) {
             Err(turned) => self.turn_away(stream, &turned, keep).await,
             Ok(Asked::Health) if self.ending.get() => {
@@ -176,7 +188,7 @@
             }
             Ok(Asked::Health) => self.say(stream, 200, "", b"ready\n", keep).await,
             Ok(Asked::Cmd(_)) if crowded || self.open.get() >= self.max_open => {
-                self.turn_away(stream, &Turned(503, "too many commands are open"), keep && !crowded).await
+                self.turn_away(stream, &Turned(503, "too many commands are open"), keep).await
             }
             Ok(Asked::Cmd(cmd)) => {
                 self.open.set(self.open.get() + 1);
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -388,6 +388,19 @@
     assert_eq!(sidecar.cmd("view", "i2", 1900), 200);
 }
 
+#[test]
+fn a_new_connection_is_not_closed_for_room_before_its_first_command() {
+    let endpoint = Endpoint::start(Does::Answer);
+    let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    let mut new: Vec<TcpStream> = (0..40).filter_map(|_| sidecar.open()).collect();
+    thread::sleep(ms(100));
+    for (number, stream) in new.iter_mut().enumerate() {
+        let _ = stream.write_all(cmd("confirm", &format!("f{number}"), 1900).as_bytes());
+    }
+    let words = new.iter_mut().filter_map(answer).count();
+    assert_eq!(words, 40, "of 80 sockets 28 are for callers; each hears a word all the same");
+}
+
 #[test]
 fn nothing_more_goes_to_a_server_that_drains() {
     let (old, new) = (Endpoint::start(Does::Answer), Endpoint::start(Does::Answer));
