--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -2,6 +2,7 @@
 
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -71,6 +72,25 @@
     Break,
     Fail,
     TurnAway,
+    /// One of the others for each command, by chance that goes by the command's head and this.
+    Any(u64),
+}
+
+impl Does {
+    fn with(self, head: &str) -> Does {
+        let Does::Any(seed) = self else { return self };
+        let mut hasher = DefaultHasher::new();
+        (seed, value(head, "x-trace-id")).hash(&mut hasher);
+        match hasher.finish() % 12 {
+            0 => Does::Break,
+            1 => Does::Fail,
+            2 => Does::TurnAway,
+            3 => Does::Wait(2500),
+            4 => Does::Wait(60),
+            5 => Does::AnswerAndClose,
+            _ => Does::Answer,
+        }
+    }
 }
 
 #[derive(Default)]
@@ -101,7 +121,7 @@
 
     fn talk(mut stream: TcpStream, does: Does, seen: &Mutex<Seen>) {
         while let Some((head, body)) = message(&mut stream) {
-            let checked = head.starts_with("GET /ping");
+            let (checked, does) = (head.starts_with("GET /ping"), does.with(&head));
             if !checked {
                 seen.lock().expect("no panic").heads.push(head.clone());
             }
@@ -109,7 +129,7 @@
             let ok = [ok.as_bytes(), b"ok:", &body].concat();
             let answer = match does {
                 _ if checked => ok,
-                Does::Answer | Does::AnswerAndClose => ok,
+                Does::Answer | Does::AnswerAndClose | Does::Any(_) => ok,
                 Does::Break => return,
                 Does::Fail => b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".to_vec(),
                 Does::TurnAway => {
@@ -462,6 +482,51 @@
     assert!(sidecar.running());
 }
 
+/// Commands of all verbs from many callers at once against endpoints that do anything: each gets one final
+/// word in its time, and an effectful one runs once at most and is declined only if it never ran.
+#[test]
+fn the_rules_hold_whatever_endpoints_do() {
+    for seed in 0..3 {
+        let endpoints: Vec<Endpoint> = (0..4).map(|at| Endpoint::start(Does::Any(seed * 10 + at))).collect();
+        let ids = ["s1", "s2", "s3", "s4"];
+        let mut servers: Vec<_> = ids.into_iter().zip(endpoints.iter().map(|one| one.address)).collect();
+        servers.push(("s5", nobody()));
+        let (mut sidecar, _discovery) = Sidecar::with(&servers);
+        let ran = |id: &str| {
+            let ran_at = |(at, one): (usize, &Endpoint)| {
+                let seen = one.seen.lock().expect("no panic");
+                let mine = |head: &&String| value(head, "x-trace-id").as_deref() == Some(id);
+                let turned =
+                    |head: &String| matches!(Does::Any(seed * 10 + at as u64).with(head), Does::TurnAway);
+                seen.heads.iter().filter(mine).filter(|head| !turned(head)).count()
+            };
+            endpoints.iter().enumerate().map(ran_at).sum::<usize>()
+        };
+        thread::scope(|scope| {
+            for caller in 0..8 {
+                let (sidecar, ran) = (&sidecar, &ran);
+                scope.spawn(move || {
+                    let mut stream = sidecar.open().expect("a connection");
+                    for number in 0..12 {
+                        let id = format!("r{seed}-{caller}-{number}");
+                        let verb = ["view", "hold", "confirm"][(caller + number) % 3];
+                        let begun = Instant::now();
+                        stream.write_all(cmd(verb, &id, 400).as_bytes()).expect("it is written");
+                        let (status, _, _) = answer(&mut stream).expect("one final word");
+                        assert!(begun.elapsed() < ms(470), "{id} took {:?}", begun.elapsed());
+                        assert!([200, 502, 503].contains(&status));
+                        if verb == "confirm" {
+                            let ran = ran(&id);
+                            assert!(ran <= 1 && !(status == 503 && ran > 0) && (status != 200 || ran == 1));
+                        }
+                    }
+                });
+            }
+        });
+        assert!(sidecar.running());
+    }
+}
+
 #[test]
 fn bad_input_is_turned_away_in_words_and_reaches_no_endpoint() {
     let endpoint = Endpoint::start(Does::Answer);
