--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -93,9 +93,9 @@
             };
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    // Whoever comes when only spare places are left and all others are at work is heard all the
-                    // same and turned away in words: a connection left unaccepted would lose what its client
-                    // has written to it.
+                    // Whoever comes when only spare places are left and all others are at work is heard all
+                    // the same and turned away in words: a connection left unaccepted would lose what its
+                    // client has written to it.
                     let crowded = self.stock.for_callers.only_spare_ones_left() && !self.close_longest_idle();
                     self.executor.spawn(self.clone().talk(stream, place, crowded)).detach();
                 }
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -215,8 +215,8 @@
 
 fn catalog(generation: u64, entries: &[(&str, SocketAddr, &str)]) -> Value {
     let entry = |(id, address, state): &(&str, SocketAddr, &str)| {
-        json!({"instanceId": id, "hostPort": address.to_string(), "zone": "here", "machineType": "m", "cell": 1,
-            "lifecycle": state, "weight": 1.0, "startedAtMs": 0})
+        json!({"instanceId": id, "hostPort": address.to_string(), "zone": "here", "machineType": "m",
+            "cell": 1, "lifecycle": state, "weight": 1.0, "startedAtMs": 0})
     };
     json!({"generation": generation, "reset": true,
         "instances": entries.iter().map(entry).collect::<Vec<_>>()})
