--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -1,7 +1,7 @@
 //! The one task that owns the module. Everything that happens reaches it as a word on its queue, in order,
 //! and becomes one call; what the module asks for becomes a final word to a caller, a relay, a check or a
-//! watch. It owns which commands are open and how each relay of them stands; it must never decide anything itself,
-//! wait for a socket, or call the module from within one of the module's own calls.
+//! watch. It owns which commands are open and how each relay of them stands; it must never decide anything
+//! itself, wait for a socket, or call the module from within one of the module's own calls.
 
 use super::discovery::{Catalog, Clock};
 use super::endpoints::{End, Endpoints, Outgoing, Stage};
