--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -81,26 +81,37 @@
     }
 
     async fn exchange(&self, to: SocketAddr, cmd: &Outgoing, not_past: Instant, stage: &Cell<Stage>) -> End {
-        let conn = match self.connection(to).await {
-            Ok(conn) => conn,
-            Err(outcome) => return End::bare(outcome),
+        let head = || {
+            let left = not_past.saturating_duration_since(Instant::now()).as_millis();
+            [&cmd.head[..], format!("X-Expires-In-Ms: {left}\r\n\r\n").as_bytes()].concat()
         };
-        let Some(buffer) = self.stock.buffer() else { return End::bare(Outcome::Moot) };
-        let left = not_past.saturating_duration_since(Instant::now()).as_millis();
-        let mut head = cmd.head.clone();
-        head.extend_from_slice(format!("X-Expires-In-Ms: {left}\r\n\r\n").as_bytes());
-        if http::write(&conn.stream, &head, cmd.message.body()).await.is_err() {
-            return End::bare(Outcome::ConnectFailed);
+        match self.once(to, head, cmd.message.body(), || stage.set(Stage::Written)).await {
+            Ok(answer) => {
+                let (outcome, load) = read_outcome(answer.head());
+                End { outcome, load, answer: (outcome == Outcome::Ok).then_some(answer) }
+            }
+            Err(outcome) => End::bare(outcome),
         }
-        stage.set(Stage::Written);
-        let Ok(answer) = http::read_answer(&conn.stream, buffer).await else {
-            return End::bare(Outcome::Reset);
-        };
+    }
+
+    /// Writes one message to the endpoint, once, and reads its whole answer. The head is made when there is a
+    /// connection, as the time left goes on while one comes up.
+    async fn once(
+        &self,
+        to: SocketAddr,
+        head: impl FnOnce() -> Vec<u8>,
+        body: &[u8],
+        written: impl FnOnce(),
+    ) -> Result<Message, Outcome> {
+        let conn = self.connection(to).await?;
+        let buffer = self.stock.buffer().ok_or(Outcome::Moot)?;
+        http::write(&conn.stream, &head(), body).await.map_err(|_| Outcome::ConnectFailed)?;
+        written();
+        let answer = http::read_answer(&conn.stream, buffer).await.map_err(|_| Outcome::Reset)?;
         if answer.keep {
             self.keep(to, conn);
         }
-        let (outcome, load) = read_outcome(answer.head());
-        End { outcome, load, answer: (outcome == Outcome::Ok).then_some(answer) }
+        Ok(answer)
     }
 
     pub async fn check(&self, to: SocketAddr) -> Outcome {
@@ -112,23 +123,12 @@
     }
 
     async fn ping(&self, to: SocketAddr) -> Outcome {
-        let conn = match self.connection(to).await {
-            Ok(conn) => conn,
-            Err(outcome) => return outcome,
-        };
-        let Some(buffer) = self.stock.buffer() else { return Outcome::Moot };
-        let head = format!("GET /ping HTTP/1.1\r\nHost: {to}\r\n\r\n");
-        if http::write(&conn.stream, head.as_bytes(), b"").await.is_err() {
-            return Outcome::ConnectFailed;
-        }
-        let Ok(answer) = http::read_answer(&conn.stream, buffer).await else { return Outcome::Reset };
-        if answer.keep {
-            self.keep(to, conn);
-        }
-        match http::status(answer.head()) {
-            Some(200) => Outcome::Ok,
-            Some(503) => Outcome::Full,
-            _ => Outcome::Error,
+        let head = || format!("GET /ping HTTP/1.1\r\nHost: {to}\r\n\r\n").into_bytes();
+        match self.once(to, head, b"", || {}).await.map(|answer| http::status(answer.head())) {
+            Ok(Some(200)) => Outcome::Ok,
+            Ok(Some(503)) => Outcome::Full,
+            Ok(_) => Outcome::Error,
+            Err(outcome) => outcome,
         }
     }
 
