--- a/crates/sidecar/src/net/buffers.rs
+++ b/crates/sidecar/src/net/buffers.rs
@@ -65,6 +65,11 @@
         &mut self.bytes[self.filled..]
     }
 
+    pub fn drop_front(&mut self, count: usize) {
+        self.bytes.copy_within(count..self.filled, 0);
+        self.filled -= count;
+    }
+
     pub fn fill(&mut self, count: usize) {
         self.filled += count;
     }
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -85,6 +85,8 @@
     framing: Framing,
     keep: bool,
     expects: bool,
+    /// An interim answer (1xx): the real one is still to come.
+    interim: bool,
 }
 
 impl Shape {
@@ -107,7 +109,7 @@
             _ => return Err(Bad::Malformed),
         };
         let keep = minor == 1 && !says("connection", "close") && !matches!(framing, Framing::ToEnd);
-        Ok(Shape { head, framing, keep, expects: says("expect", "100-continue") })
+        Ok(Shape { head, framing, keep, expects: says("expect", "100-continue"), interim: false })
     }
 
     fn of_command(bytes: &[u8]) -> Result<Option<Shape>, Bad> {
@@ -128,11 +130,14 @@
         let mut head = httparse::Response::new(&mut headers);
         match head.parse(bytes) {
             Ok(httparse::Status::Complete(length)) => {
+                let interim = matches!(head.code, Some(100..200));
                 let bare = match head.code {
                     Some(204 | 304) => Framing::Length(0),
+                    _ if interim => Framing::Length(0),
                     _ => Framing::ToEnd,
                 };
-                Self::of(length, head.version.unwrap_or(1), head.headers, bare).map(Some)
+                let shape = Self::of(length, head.version.unwrap_or(1), head.headers, bare)?;
+                Ok(Some(Shape { interim, ..shape }))
             }
             Ok(httparse::Status::Partial) => Ok(None),
             Err(_) => Err(Bad::Malformed),
@@ -164,15 +169,14 @@
     shape_of: fn(&[u8]) -> Result<Option<Shape>, Bad>,
 ) -> Result<Message, Bad> {
     let shape = loop {
-        more(stream, &mut buffer).await?;
-        if let Some(shape) = shape_of(buffer.filled())? {
-            break shape;
-        }
-        if buffer.filled().len() > HEAD_MOST {
-            return Err(Bad::TooLarge);
+        match shape_of(buffer.filled())? {
+            Some(shape) if shape.interim => buffer.drop_front(shape.head),
+            Some(shape) => break shape,
+            None if buffer.filled().len() > HEAD_MOST => return Err(Bad::TooLarge),
+            None => more(stream, &mut buffer).await?,
         }
     };
-    let Shape { head, framing, mut keep, expects } = shape;
+    let Shape { head, framing, mut keep, expects, .. } = shape;
     if head > HEAD_MOST || matches!(framing, Framing::Length(length) if length > BODY_MOST) {
         return Err(Bad::TooLarge);
     }
@@ -352,6 +356,28 @@
         });
     }
 
+    #[test]
+    fn a_body_of_the_full_size_is_carried_and_one_byte_more_is_too_large() {
+        for (length, pieces) in [(BODY_MOST, 1), (BODY_MOST, 7), (BODY_MOST + 1, 1)] {
+            let head = format!("POST /a HTTP/1.1\r\nContent-Length: {length}\r\n\r\n");
+            let bytes = [head.as_bytes(), &vec![b'x'; length]].concat();
+            match heard(&bytes, pieces, true) {
+                Ok((body, keep)) => assert!(keep && body.len() == BODY_MOST),
+                Err(bad) => assert!(length > BODY_MOST && matches!(bad, Bad::TooLarge)),
+            }
+        }
+    }
+
+    #[test]
+    fn interim_answers_are_read_over() {
+        let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+        let text = format!("{interim}HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+        for pieces in 1..9 {
+            let heard = heard(text.as_bytes(), pieces, false).expect("the real answer");
+            assert_eq!(heard, (b"abc".to_vec(), true));
+        }
+    }
+
     #[test]
     fn two_lengths_or_a_length_beside_chunks_are_malformed() {
         for extra in ["Content-Length: 3", "Content-Length: 4", "Transfer-Encoding: chunked"] {
