--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -73,18 +73,20 @@
     }
 }
 
+/// A variable of the environment; an empty one says nothing.
+fn told(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|text| !text.is_empty())
+}
+
 /// How much is logged: NODE_LOG is error, warn, info, debug or trace.
 pub fn log_level() -> Result<tracing::Level, Fault> {
-    let Some(text) = std::env::var("NODE_LOG").ok().filter(|text| !text.is_empty()) else {
-        return Ok(tracing::Level::INFO);
-    };
+    let Some(text) = told("NODE_LOG") else { return Ok(tracing::Level::INFO) };
     text.parse().map_err(|_| fault("NODE_LOG", format_args!("{text:?} is no level")))
 }
 
 /// Reads the file named, or the one that NODE_CONFIG names. Where the environment and the file both tell a
 /// thing, the environment is nearer to what the platform does now.
 pub fn read(file: Option<PathBuf>) -> Result<Launch, Fault> {
-    let told = |name: &str| std::env::var(name).ok().filter(|text| !text.is_empty());
     let path = match file {
         Some(path) => path,
         None => told("NODE_CONFIG").ok_or_else(|| fault("NODE_CONFIG", "is not set"))?.into(),
@@ -92,10 +94,10 @@
     let text = std::fs::read_to_string(&path).map_err(|wrong| fault(&path.display().to_string(), wrong))?;
     let root: Value =
         serde_json::from_str(&text).map_err(|wrong| fault(&path.display().to_string(), wrong))?;
-    take(&root, told)
+    take(&root)
 }
 
-fn take(root: &Value, told: impl Fn(&str) -> Option<String>) -> Result<Launch, Fault> {
+fn take(root: &Value) -> Result<Launch, Fault> {
     let text = |variable: &str, key: &str| match told(variable) {
         Some(text) => Ok(text),
         None => string(root, key).map(str::to_string),
@@ -106,11 +108,11 @@
     };
     let clock = Clock::start();
     let zones = names(root, "settings.Localities", None)?;
-    let known = match root.get("known") {
-        None | Some(Value::Null) => Catalog::default(),
+    let known = match at(root, "known") {
+        None => Catalog::default(),
         Some(known) => Catalog::take(known, &zones, &clock).map_err(|wrong| fault("known", wrong))?,
     };
-    let settings = root.get("settings").ok_or_else(|| fault("settings", "is missing"))?;
+    let settings = at(root, "settings").ok_or_else(|| fault("settings", "is missing"))?;
     let mut pairs = String::new();
     flatten(settings, "", &mut pairs);
     let terms = Terms::decode(&pairs).map_err(|wrong| Fault(format!("settings: {wrong}")))?;
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -7,6 +7,7 @@
 use super::endpoints::Outgoing;
 use super::http::{self, Bad, Message};
 use super::owner::{Came, Final, Queue, Word};
+use super::within;
 use crate::launch::{Launch, Verb};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -137,13 +138,8 @@
         if fresh {
             // Its first command is most likely on its way already, and a client sends no command again that a
             // new connection has lost: such a one does not count as idle yet.
-            let comes = async { Some(stream.readable().await.is_ok()) };
-            let late = async {
-                Timer::after(FRESH).await;
-                None
-            };
-            if let Some(comes) = or(comes, late).await {
-                return comes;
+            if let Some(comes) = within(FRESH, stream.readable()).await {
+                return comes.is_ok();
             }
         }
         let number = self.idled.get();
@@ -156,11 +152,7 @@
             // A command may have come in this very moment.
             matches!(stream.get_ref().peek(&mut [0]), Ok(1))
         };
-        let too_long = async {
-            Timer::after(IDLE_MOST).await;
-            false
-        };
-        let comes = or(comes, or(ends, too_long)).await;
+        let comes = within(IDLE_MOST, or(comes, ends)).await.unwrap_or(false);
         self.idle.borrow_mut().remove(&number);
         comes
     }
@@ -186,7 +178,7 @@
             Ok(Asked::Health) if self.ending.get() => {
                 self.turn_away(stream, &Turned(503, "ending"), false).await
             }
-            Ok(Asked::Health) => self.say(stream, 200, "", b"ready\n", keep).await,
+            Ok(Asked::Health) => self.say(stream, 200, b"", b"ready\n", keep).await,
             Ok(Asked::Cmd(_)) if crowded || self.open.get() >= self.max_open => {
                 self.turn_away(stream, &Turned(503, "too many commands are open"), keep).await
             }
@@ -201,18 +193,13 @@
 
     /// `None`: nobody is there to be told what was wrong.
     async fn read(&self, stream: &Async<TcpStream>, buffer: Buffer) -> Result<Message, Option<Turned>> {
-        let late = async {
-            Timer::after(READ_WITHIN).await;
-            Err(Some(Turned(408, "it took too long to come")))
-        };
-        let read = async {
-            http::read_command(stream, buffer).await.map_err(|bad| match bad {
-                Bad::Malformed => Some(Turned(400, "this is no HTTP/1.1 message")),
-                Bad::TooLarge => Some(Turned(413, "a head or body is too large")),
-                Bad::Ended | Bad::Broken => None,
-            })
-        };
-        or(read, late).await
+        match within(READ_WITHIN, http::read_command(stream, buffer)).await {
+            Some(Ok(message)) => Ok(message),
+            Some(Err(Bad::Malformed)) => Err(Some(Turned(400, "this is no HTTP/1.1 message"))),
+            Some(Err(Bad::TooLarge)) => Err(Some(Turned(413, "a head or body is too large"))),
+            Some(Err(Bad::Ended | Bad::Broken)) => Err(None),
+            None => Err(Some(Turned(408, "it took too long to come"))),
+        }
     }
 
     fn understand(&self, message: &Message) -> Result<Asked, Turned> {
@@ -273,9 +260,10 @@
             Final::Answered(answer) => self.pass_on(stream, &answer, keep).await,
             Final::Declined(come_back) => {
                 let come_back = come_back.map(|span| format!("Retry-After: {:.3}\r\n", span.as_secs_f64()));
-                self.say(stream, 503, come_back.as_deref().unwrap_or(""), b"declined\n", keep).await
+                self.say(stream, 503, come_back.as_deref().unwrap_or("").as_bytes(), b"declined\n", keep)
+                    .await
             }
-            Final::Terminated => self.say(stream, 502, "", b"terminated\n", keep).await,
+            Final::Terminated => self.say(stream, 502, b"", b"terminated\n", keep).await,
         }
     }
 
@@ -288,20 +276,16 @@
                 add_header(&mut passed, header);
             }
         }
-        self.say_with(stream, 200, &passed, answer.body(), keep).await
+        self.say(stream, 200, &passed, answer.body(), keep).await
     }
 
     async fn turn_away(&self, stream: &Async<TcpStream>, turned: &Turned, keep: bool) -> bool {
         let Turned(status, why) = turned;
         tracing::debug!(status, why, "turned away");
-        self.say(stream, *status, "", format!("{why}\n").as_bytes(), keep).await
+        self.say(stream, *status, b"", format!("{why}\n").as_bytes(), keep).await
     }
 
-    async fn say(&self, stream: &Async<TcpStream>, status: u16, more: &str, body: &[u8], keep: bool) -> bool {
-        self.say_with(stream, status, more.as_bytes(), body, keep).await
-    }
-
-    async fn say_with(
+    async fn say(
         &self,
         stream: &Async<TcpStream>,
         status: u16,
@@ -314,12 +298,7 @@
         let mut head = format!("HTTP/1.1 {status} {}\r\n{close}", reason(status)).into_bytes();
         head.extend_from_slice(more);
         head.extend_from_slice(format!("Content-Length: {length}\r\n\r\n").as_bytes());
-        let late = async {
-            Timer::after(WRITE_WITHIN).await;
-            false
-        };
-        let write = async { http::write(stream, &head, body).await.is_ok() };
-        or(write, late).await && keep
+        matches!(within(WRITE_WITHIN, http::write(stream, &head, body)).await, Some(Ok(()))) && keep
     }
 }
 
@@ -337,10 +316,7 @@
         let mut bytes = [0; 4096];
         while matches!(stream.read(&mut bytes).await, Ok(1..)) {}
     };
-    let late = async {
-        Timer::after(LINGER).await;
-    };
-    or(read_off, late).await;
+    within(LINGER, read_off).await;
 }
 
 fn add_header(to: &mut Vec<u8>, header: &httparse::Header<'_>) {
--- a/crates/sidecar/src/net/discovery.rs
+++ b/crates/sidecar/src/net/discovery.rs
@@ -5,10 +5,10 @@
 use super::buffers::Stock;
 use super::http;
 use super::owner::{Queue, Word};
+use super::within;
 use crate::launch::Launch;
 use async_channel::Receiver;
-use async_io::{Async, Timer};
-use futures_lite::future::or;
+use async_io::Async;
 use landingspread_decisions::host::{Listed, State};
 use serde_json::Value;
 use std::net::{SocketAddr, TcpStream};
@@ -168,10 +168,6 @@
     span: Duration,
     work: impl Future<Output = Result<T, E>>,
 ) -> Result<T, String> {
-    let work = async { work.await.map_err(|wrong| format!("{wrong:?}")) };
-    let late = async {
-        Timer::after(span).await;
-        Err(format!("nothing within {span:?}"))
-    };
-    or(work, late).await
+    let done = within(span, work).await.ok_or_else(|| format!("nothing within {span:?}"))?;
+    done.map_err(|wrong| format!("{wrong:?}"))
 }
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -4,6 +4,7 @@
 
 use super::buffers::{Place, Stock};
 use super::http::{self, Message};
+use super::within;
 use crate::launch::Launch;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
@@ -115,11 +116,7 @@
     }
 
     pub async fn check(&self, to: SocketAddr) -> Outcome {
-        let late = async {
-            Timer::after(CHECK_WITHIN).await;
-            Outcome::Timeout
-        };
-        or(self.ping(to), late).await
+        within(CHECK_WITHIN, self.ping(to)).await.unwrap_or(Outcome::Timeout)
     }
 
     async fn ping(&self, to: SocketAddr) -> Outcome {
@@ -146,11 +143,9 @@
                 None => return Err(Outcome::Moot),
             }
         };
-        let late = async {
-            Timer::after(self.dial_timeout).await;
-            Err(io::ErrorKind::TimedOut.into())
+        let Some(Ok(stream)) = within(self.dial_timeout, Async::<TcpStream>::connect(to)).await else {
+            return Err(Outcome::ConnectFailed);
         };
-        let stream = or(Async::<TcpStream>::connect(to), late).await.map_err(|_| Outcome::ConnectFailed)?;
         let _ = stream.get_ref().set_nodelay(true);
         Ok(Conn { stream, _place: place })
     }
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -132,8 +132,7 @@
             Ok(httparse::Status::Complete(length)) => {
                 let interim = matches!(head.code, Some(100..200));
                 let bare = match head.code {
-                    Some(204 | 304) => Framing::Length(0),
-                    _ if interim => Framing::Length(0),
+                    Some(100..200 | 204 | 304) => Framing::Length(0),
                     _ => Framing::ToEnd,
                 };
                 let shape = Self::of(length, head.version.unwrap_or(1), head.headers, bare)?;
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -17,6 +17,7 @@
 use discovery::Discovery;
 use endpoints::Endpoints;
 use futures_lite::StreamExt;
+use futures_lite::future::or;
 use std::fmt;
 use std::io;
 use std::net::TcpListener;
@@ -45,6 +46,15 @@
     tracing::error!(count, "does not hold: {what}");
 }
 
+/// What the work brings, or None when it takes longer.
+pub async fn within<T>(span: Duration, work: impl Future<Output = T>) -> Option<T> {
+    let late = async {
+        Timer::after(span).await;
+        None
+    };
+    or(async { Some(work.await) }, late).await
+}
+
 pub fn serve(launch: Launch) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     async_io::block_on(executor.run(run(launch, executor.clone())))
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -332,6 +332,7 @@
     }
 
     fn relay_ended(&mut self, now: Duration, id: Id, number: u32, end: End) {
+        let End { outcome, load, answer } = end;
         let mut desk = self.desk.borrow_mut();
         let Some(open) = desk.open.get_mut(&id) else {
             must_hold!(false, "a relay ends before its command is forgotten: {id}");
@@ -342,15 +343,14 @@
         shot.ended = true;
         shot.task = None;
         let (server, latency) = (shot.server.clone(), now.saturating_sub(shot.sent));
-        if let Some(answer) = end.answer
+        if let Some(answer) = answer
             && !open.finished
         {
             desk.finish(&id, Final::Answered(answer));
         }
-        tracing::debug!("{id} relay {number} to {server}: {:?} after {latency:?}", end.outcome);
+        tracing::debug!("{id} relay {number} to {server}: {outcome:?} after {latency:?}");
         let closed = desk.open.get(&id).is_none_or(|open| open.finished);
         drop(desk);
-        let End { outcome, load, .. } = End { answer: None, ..end };
         self.policy.relay_ended(
             now,
             Ended { cmd: id.clone(), closed, outcome, relay: number, latency, server, load },
