SIGHUP reads the configuration again and moves the watch to its discovery

Checked: mod.rs waited for Signal::Term only, so the default action of SIGHUP ended the process; nothing else had gone wrong before 3.04 s. Ruled out: discovery closing its connections, as the log has no line before.

Now launch.rs reads the file again (what it says of discovery goes before the environment, which a process keeps from its start); a fault is logged with its key and the old configuration holds. Else the task that waits at the old discovery is cancelled, its connection with it, and the new one's whole list is asked for at once, as its generations may count from elsewhere. An ask that came while a watch stood is dropped when the watch ends, or it would be called again at once.

--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch.rs
@@ -1,6 +1,6 @@
-//! What the sidecar is told at its start. It owns the only reading of the environment and of the
-//! configuration file, every default and every check of them; a fault names its key. It must never be asked
-//! again once the sidecar serves, and must never decide anything about a command.
+//! What the sidecar is told at its start, and again by SIGHUP. It owns the only reading of the environment and
+//! of the configuration file, every default and every check of them; a fault names its key. It must never
+//! change what the sidecar goes by, which is for its caller, nor decide anything about a command.
 
 use crate::net::discovery::{Catalog, Clock};
 use landingspread_decisions::terms::Terms;
@@ -87,17 +87,25 @@
 /// Reads the file named, or the one that NODE_CONFIG names. Where the environment and the file both tell a
 /// thing, the environment is nearer to what the platform does now.
 pub fn read(file: Option<PathBuf>) -> Result<Launch, Fault> {
+    take(&root(file)?, told)
+}
+
+/// Reads the file once more. A process keeps the environment that it began with: what the file says of
+/// discovery by now is newer.
+pub fn read_again() -> Result<Launch, Fault> {
+    take(&root(None)?, |name| told(name).filter(|_| name != "NODE_DISCOVERY"))
+}
+
+fn root(file: Option<PathBuf>) -> Result<Value, Fault> {
     let path = match file {
         Some(path) => path,
         None => told("NODE_CONFIG").ok_or_else(|| fault("NODE_CONFIG", "is not set"))?.into(),
     };
     let text = std::fs::read_to_string(&path).map_err(|wrong| fault(&path.display().to_string(), wrong))?;
-    let root: Value =
-        serde_json::from_str(&text).map_err(|wrong| fault(&path.display().to_string(), wrong))?;
-    take(&root)
+    serde_json::from_str(&text).map_err(|wrong| fault(&path.display().to_string(), wrong))
 }
 
-fn take(root: &Value) -> Result<Launch, Fault> {
+fn take(root: &Value, told: impl Fn(&str) -> Option<String>) -> Result<Launch, Fault> {
     let text = |variable: &str, key: &str| match told(variable) {
         Some(text) => Ok(text),
         None => string(root, key).map(str::to_string),
--- a/crates/sidecar/src/net/discovery.rs
+++ b/crates/sidecar/src/net/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery: its catalog as the module's entries, and the one watch on it. It owns the clock that both sides
 //! of the catalog's times need, the list's generation and the connection to discovery; it must never call
-//! discovery unasked, but for the next call of a watch that stands, nor change what the module was told.
+//! discovery unasked, but for the next call of a watch that stands or has moved, nor change what the module
+//! was told.
 
 use super::buffers::Stock;
 use super::http;
@@ -101,9 +102,11 @@
     }
 }
 
+#[derive(Clone)]
 pub struct Discovery {
     address: SocketAddr,
-    generation: u64,
+    /// What the list in hand is; none of what this discovery counts by, then its whole list is due.
+    generation: Option<u64>,
     zones: Vec<String>,
     clock: Clock,
     stock: Rc<Stock>,
@@ -113,10 +116,16 @@
 impl Discovery {
     pub fn new(launch: &Launch, stock: Rc<Stock>, queue: Queue) -> Discovery {
         let (zones, clock) = (launch.zones.clone(), launch.clock.clone());
-        let generation = launch.known.generation;
+        let generation = Some(launch.known.generation);
         Discovery { address: launch.discovery, generation, zones, clock, stock, queue }
     }
 
+    /// Another discovery may count its generations from elsewhere, and may have heard of drains that the old
+    /// one never told.
+    pub fn move_to(&mut self, address: SocketAddr) {
+        (self.address, self.generation) = (address, None);
+    }
+
     /// One watch for each time that the module asks; it lasts until a call fails.
     pub async fn follow(mut self, asked: Receiver<()>) {
         while asked.recv().await.is_ok() {
@@ -124,7 +133,9 @@
                 Err(wrong) => wrong,
                 Ok(never) => match never {},
             };
-            tracing::warn!(generation = self.generation, "watch ended: {wrong}");
+            tracing::warn!(discovery = %self.address, "watch ended: {wrong}");
+            // What was asked for while the watch stood is answered by the word that it has ended.
+            while asked.try_recv().is_ok() {}
             self.queue.tell(Word::ListFailed);
         }
     }
@@ -134,7 +145,7 @@
         // The next call comes at once: later than 0.2 s after an answer it would begin a new watch.
         loop {
             let catalog = self.call(&mut conn).await?;
-            self.generation = catalog.generation;
+            self.generation = Some(catalog.generation);
             self.queue.tell(Word::Listed(catalog));
         }
     }
@@ -145,11 +156,9 @@
             None => in_time(UP_IN, Async::<TcpStream>::connect(self.address)).await?,
         };
         let _ = conn.get_ref().set_nodelay(true);
-        let (generation, wait) = (self.generation, WATCH.as_millis());
-        let head = format!(
-            "GET /catalog/members?after={generation}&wait_ms={wait} HTTP/1.1\r\nHost: {}\r\n\r\n",
-            self.address
-        );
+        let query = |after: u64| format!("?after={after}&wait_ms={}", WATCH.as_millis());
+        let query = self.generation.map(query).unwrap_or_default();
+        let head = format!("GET /catalog/members{query} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
         in_time(UP_IN, http::write(&conn, head.as_bytes(), b"")).await?;
         let buffer = self.stock.buffer().ok_or("no buffer is free")?;
         let rsp = in_time(WATCH + IN_TURN, http::read_answer(&conn, buffer)).await?;
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -8,7 +8,7 @@
 pub mod http;
 pub mod owner;
 
-use crate::launch::Launch;
+use crate::launch::{self, Launch};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -61,23 +61,35 @@
 }
 
 async fn run(launch: Launch, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
-    let mut signals = Signals::new([Signal::Term])?;
+    let mut signals = Signals::new([Signal::Term, Signal::Hup])?;
     let listener = Async::<TcpListener>::bind(launch.listen)?;
     let stock = Stock::new(launch.sockets, launch.memory_mb);
     let endpoints = Rc::new(Endpoints::new(&launch, stock.clone()));
     let (queue, words) = owner::queue();
     let (ask, asked) = async_channel::bounded(1);
-    let discovery = Discovery::new(&launch, stock.clone(), queue.clone());
+    let mut discovery = Discovery::new(&launch, stock.clone(), queue.clone());
     let callers = Rc::new(Callers::new(&launch, stock, queue.clone(), executor.clone()));
     if !launch.terms.must_ask {
         // Where changes come unprompted, the watch is there from the start.
         let _ = ask.try_send(());
     }
-    executor.spawn(discovery.follow(asked)).detach();
+    let mut following = executor.spawn(discovery.clone().follow(asked.clone()));
     executor.spawn(endpoints.clone().reap()).detach();
-    executor.spawn(owner::own(launch, endpoints, executor.clone(), queue, words, ask)).detach();
+    executor.spawn(owner::own(launch, endpoints, executor.clone(), queue, words, ask.clone())).detach();
     let accepting = executor.spawn(callers.clone().accept(listener));
-    signals.next().await;
+    while let Some(Ok(Signal::Hup)) = signals.next().await {
+        match launch::read_again() {
+            Ok(new) => {
+                tracing::info!(discovery = %new.discovery, "SIGHUP: the configuration is read again");
+                // Cancelled, the watch that waits lets go of its connection.
+                following.cancel().await;
+                discovery.move_to(new.discovery);
+                let _ = ask.try_send(());
+                following = executor.spawn(discovery.clone().follow(asked.clone()));
+            }
+            Err(fault) => tracing::error!("SIGHUP: the old configuration holds: {fault}"),
+        }
+    }
     tracing::info!("SIGTERM: finishing what is taken");
     callers.begin_to_end();
     Timer::after(GO_ON_TAKING).await;
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -161,6 +161,7 @@
     generation: u64,
     body: String,
     calls: usize,
+    left: usize,
 }
 
 /// Answers watches with its whole list; what it says can be changed while it runs.
@@ -190,8 +191,13 @@
             let mut told = list.lock().expect("no panic");
             told.calls += 1;
             while told.generation <= after {
-                told = changed.wait(told).expect("no panic");
+                told = changed.wait_timeout(told, ms(10)).expect("no panic").0;
+                if stream.set_nonblocking(true).is_ok() && matches!(stream.peek(&mut [0]), Ok(0)) {
+                    told.left += 1;
+                    return;
+                }
             }
+            stream.set_nonblocking(false).expect("a stream that blocks");
             let answer =
                 format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", told.body.len(), told.body);
             drop(told);
@@ -208,6 +214,11 @@
         changed.notify_all();
     }
 
+    /// How many watches were left while they waited.
+    fn left(&self) -> usize {
+        self.list.0.lock().expect("no panic").left
+    }
+
     fn calls(&self) -> usize {
         self.list.0.lock().expect("no panic").calls
     }
@@ -286,6 +297,18 @@
         self.ask(&cmd(verb, id, left_ms)).expect("a final word").0
     }
 
+    /// Replaces the configuration and says so.
+    fn hang_up(&self, config: &str) {
+        std::fs::write(&self.file, config).expect("a file");
+        self.signal("-HUP");
+        thread::sleep(ms(100));
+    }
+
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
+    }
+
     fn running(&mut self) -> bool {
         self.child.try_wait().expect("a child").is_none()
     }
@@ -564,6 +587,33 @@
     assert!(sidecar.running());
 }
 
+#[test]
+fn sighup_moves_the_watch_to_the_discovery_that_the_file_names_and_keeps_it_if_the_file_is_faulty() {
+    let endpoints = [(); 3].map(|()| Endpoint::start(Does::Answer));
+    let (mut sidecar, old) = Sidecar::with(&[("s1", endpoints[0].address)]);
+    within("it watches", || old.calls() == 1);
+    let known = catalog(1, &[("s1", endpoints[0].address, "ready")]);
+    let mut faulty = told(&known, sidecar.address, nobody());
+    faulty["settings"]["Verbs"][0]["Effect"] = json!(7);
+    sidecar.hang_up(&faulty.to_string());
+    sidecar.hang_up("{");
+    assert_eq!(sidecar.cmd("view", "h1", 1500), 200);
+    old.say(7, catalog(7, &[("s2", endpoints[1].address, "ready")]).to_string());
+    within("the old watch goes on", || old.calls() == 2);
+    within("its list is taken", || sidecar.cmd("view", "h2", 1500) == 200 && endpoints[1].count() > 0);
+    let new = Discovery::start();
+    new.say(3, catalog(3, &[("s3", endpoints[2].address, "ready")]).to_string());
+    sidecar.hang_up(&told(&known, sidecar.address, new.address).to_string());
+    within("the whole list is taken, then watched, also where it is counted lower", || new.calls() == 2);
+    within("the watch at the old one is let go", || old.left() == 1);
+    let before = endpoints[1].count();
+    for number in 0..4 {
+        assert_eq!(sidecar.cmd("view", &format!("h3{number}"), 1500), 200);
+    }
+    assert_eq!((endpoints[1].count(), endpoints[2].count()), (before, 4));
+    assert!(sidecar.running());
+}
+
 #[test]
 fn after_sigterm_it_goes_on_taking_for_a_while_finishes_and_exits() {
     let endpoint = Endpoint::start(Does::Wait(400));
@@ -572,8 +622,7 @@
     let mut early = sidecar.open().expect("a connection");
     early.write_all(cmd("view", "t1", 1900).as_bytes()).expect("it is written");
     within("the relay is out", || endpoint.count() == 1);
-    let pid = sidecar.child.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs").success());
+    sidecar.signal("-TERM");
     within("it says that it ends", || {
         sidecar.ask("GET /_health HTTP/1.1\r\n\r\n").is_some_and(|(status, _, _)| status == 503)
     });
