After SIGTERM kept connections are answered on until 1.5 s before the end

The log has the second copy's SIGTERM at 16.5 s while the first, stopped at 13.5 s, is back at 17.8 s only. Checked with each outcome logged: the second answered nothing after 17 s though its callers still had connections. At fault: callers.rs begin_to_end, which made each answer its connection's last from SIGTERM on, so that callers were sent to a sidecar that was not there. Ruled out: the time of the restart (it does not go by our exit: 4.3 s after SIGTERM with either).

Now connections are kept until 1.5 s before SIGKILL can come (longest time limit, 3 s at most, and 0.7 s); each command is due 0.15 s before that at the latest. A probe of opens and closes (not kept) shows callers using them until 0.85 s after SIGTERM; what is left between that and the first copy's return no sidecar could answer.

--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -37,7 +37,10 @@
     tenants: Vec<String>,
     max_open: usize,
     open: Cell<usize>,
-    ending: Cell<bool>,
+    /// Set by SIGTERM: when the last command must have its final word.
+    all_due: Cell<Option<Duration>>,
+    /// From now on each answer is its connection's last.
+    parting: Cell<bool>,
     /// Connections that wait for a command, longest first, each with the word that closes it.
     idle: RefCell<BTreeMap<u64, Sender<()>>>,
     idled: Cell<u64>,
@@ -76,7 +79,8 @@
             tenants: launch.tenants.clone(),
             max_open: launch.max_open,
             open: Cell::new(0),
-            ending: Cell::new(false),
+            all_due: Cell::new(None),
+            parting: Cell::new(false),
             idle: RefCell::default(),
             idled: Cell::new(0),
             stock,
@@ -113,13 +117,14 @@
         longest.is_some_and(|(_, close)| close.try_send(()).is_ok())
     }
 
-    /// From now on each answer is its connection's last.
-    pub fn begin_to_end(&self) {
-        self.ending.set(true);
+    /// Commands are taken as before, but each is due within this span.
+    pub fn begin_to_end(&self, within: Duration) {
+        self.all_due.set(Some(self.clock.now() + within));
     }
 
-    /// Closes what waits and comes back when nobody is left.
+    /// Closes what waits, makes each answer its connection's last and comes back when nobody is left.
     pub async fn ended(&self) {
+        self.parting.set(true);
         while self.stock.for_callers.taken() > 0 {
             while self.close_longest_idle() {}
             Timer::after(NO_ROOM_YET).await;
@@ -172,10 +177,10 @@
             }
             Err(None) => return false,
         };
-        let keep = message.keep && !crowded && !self.ending.get();
+        let keep = message.keep && !crowded && !self.parting.get();
         match self.understand(&message) {
             Err(turned) => self.turn_away(stream, &turned, keep).await,
-            Ok(Asked::Health) if self.ending.get() => {
+            Ok(Asked::Health) if self.all_due.get().is_some() => {
                 self.turn_away(stream, &Turned(503, "ending"), false).await
             }
             Ok(Asked::Health) => self.say(stream, 200, b"", b"ready\n", keep).await,
@@ -242,7 +247,8 @@
     async fn carry(&self, stream: &Async<TcpStream>, cmd: Cmd, message: Message, came: Duration) -> bool {
         let keep = message.keep;
         let Cmd { id, verb, tenant, left, head } = cmd;
-        let arrival = Arrival { id: id.clone(), verb, due: came + left, tenant };
+        let due = self.all_due.get().map_or(came + left, |all_due| all_due.min(came + left));
+        let arrival = Arrival { id: id.clone(), verb, due, tenant };
         let (caller, word) = async_channel::bounded(1);
         let outgoing = Outgoing { head, message };
         self.queue.tell(Word::Came(Box::new(Came { arrival, outgoing, caller })));
@@ -255,7 +261,7 @@
             self.queue.tell(Word::Left(id));
             return false;
         };
-        let keep = keep && !self.ending.get();
+        let keep = keep && !self.parting.get();
         match word {
             Final::Answered(answer) => self.pass_on(stream, &answer, keep).await,
             Final::Declined(come_back) => {
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -25,7 +25,16 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-/// After SIGTERM new connections go on coming for up to 0.4 s; what they bring is still to be answered.
+/// How long after SIGTERM the platform lets commands finish, but for their longest time limit, and how much of
+/// that limit it goes by at most.
+const KILLED_AFTER: Duration = Duration::from_millis(700);
+const LIMIT_MOST: Duration = Duration::from_secs(3);
+/// What is taken has its final word this long before that.
+const IN_HAND: Duration = Duration::from_millis(150);
+/// The last part of it is for what is open, the first for taking: callers who keep their connections are
+/// answered here while another sidecar, stopped before this one, is not back yet.
+const FINISHING: Duration = Duration::from_millis(1500);
+/// New connections go on coming for up to 0.4 s.
 const GO_ON_TAKING: Duration = Duration::from_millis(600);
 
 static BROKEN: AtomicU64 = AtomicU64::new(0);
@@ -66,6 +75,7 @@
     let stock = Stock::new(launch.sockets, launch.memory_mb);
     let endpoints = Rc::new(Endpoints::new(&launch, stock.clone()));
     let (queue, words) = owner::queue();
+    let longest = launch.verbs.iter().map(|verb| verb.limit).max().unwrap_or_default().min(LIMIT_MOST);
     let (ask, asked) = async_channel::bounded(1);
     let mut discovery = Discovery::new(&launch, stock.clone(), queue.clone());
     let callers = Rc::new(Callers::new(&launch, stock, queue.clone(), executor.clone()));
@@ -91,8 +101,9 @@
         }
     }
     tracing::info!("SIGTERM: finishing what is taken");
-    callers.begin_to_end();
-    Timer::after(GO_ON_TAKING).await;
+    let until_killed = longest + KILLED_AFTER;
+    callers.begin_to_end(until_killed - IN_HAND);
+    Timer::after(until_killed.saturating_sub(FINISHING).max(GO_ON_TAKING)).await;
     accepting.cancel().await;
     callers.ended().await;
     tracing::info!("all taken commands have their answers");
