A watch waits for 2 s and a silent one is given up 1 s later, not after 24 s

Checked with each outcome and list logged: both front copies went on with the four servers known at the start; their first call to discovery was accepted and never answered, and was waited for until 24 s (discovery.rs, WATCH and IN_TURN). Ruled out: a list that can't be read or a discovery that is down (both log 'watch ended', nothing did), marks (the servers did turn away).

Large fleets wait longer, so that all copies together make at most 50 calls a second.

--- a/crates/sidecar/src/net/discovery.rs
+++ b/crates/sidecar/src/net/discovery.rs
@@ -19,10 +19,14 @@
 /// How long before the process the module's time begins. A server's start before that would be lost, and a
 /// cold server taken for a warm one.
 const HEAD_START: Duration = Duration::from_secs(24 * 3600);
-const WATCH: Duration = Duration::from_secs(20);
+/// A connection that has gone silent shows only when a call's time is over: until then drains are not heard
+/// of. So calls wait briefly, but all copies together make no more of them than so many a second.
+const WATCH_LEAST: Duration = Duration::from_secs(2);
+const WATCH_MOST: Duration = Duration::from_secs(20);
+const CALLS_A_SECOND: f64 = 50.0;
 const UP_IN: Duration = Duration::from_secs(1);
 /// Discovery works through calls in turn: how much later than it waits an answer may come.
-const IN_TURN: Duration = Duration::from_secs(4);
+const IN_TURN: Duration = Duration::from_secs(1);
 
 /// The module's time: spans since a moment well before the process began.
 #[derive(Clone)]
@@ -107,6 +111,7 @@
     address: SocketAddr,
     /// What the list in hand is; none of what this discovery counts by, then its whole list is due.
     generation: Option<u64>,
+    wait: Duration,
     zones: Vec<String>,
     clock: Clock,
     stock: Rc<Stock>,
@@ -117,7 +122,9 @@
     pub fn new(launch: &Launch, stock: Rc<Stock>, queue: Queue) -> Discovery {
         let (zones, clock) = (launch.zones.clone(), launch.clock.clone());
         let generation = Some(launch.known.generation);
-        Discovery { address: launch.discovery, generation, zones, clock, stock, queue }
+        let share = Duration::from_secs_f64(launch.terms.balancers / CALLS_A_SECOND);
+        let wait = share.clamp(WATCH_LEAST, WATCH_MOST);
+        Discovery { address: launch.discovery, generation, wait, zones, clock, stock, queue }
     }
 
     /// Another discovery may count its generations from elsewhere, and may have heard of drains that the old
@@ -145,7 +152,9 @@
         // The next call comes at once: later than 0.2 s after an answer it would begin a new watch.
         loop {
             let catalog = self.call(&mut conn).await?;
-            self.generation = Some(catalog.generation);
+            let (generation, entries) = (catalog.generation, catalog.entries.len());
+            tracing::debug!(generation, whole = catalog.whole, entries, "a list");
+            self.generation = Some(generation);
             self.queue.tell(Word::Listed(catalog));
         }
     }
@@ -156,12 +165,12 @@
             None => in_time(UP_IN, Async::<TcpStream>::connect(self.address)).await?,
         };
         let _ = conn.get_ref().set_nodelay(true);
-        let query = |after: u64| format!("?after={after}&wait_ms={}", WATCH.as_millis());
+        let query = |after: u64| format!("?after={after}&wait_ms={}", self.wait.as_millis());
         let query = self.generation.map(query).unwrap_or_default();
         let head = format!("GET /catalog/members{query} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
         in_time(UP_IN, http::write(&conn, head.as_bytes(), b"")).await?;
         let buffer = self.stock.buffer().ok_or("no buffer is free")?;
-        let rsp = in_time(WATCH + IN_TURN, http::read_answer(&conn, buffer)).await?;
+        let rsp = in_time(self.wait + IN_TURN, http::read_answer(&conn, buffer)).await?;
         let status = http::status(rsp.head());
         if status != Some(200) {
             return Err(format!("status {status:?}"));
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -164,7 +164,7 @@
     left: usize,
 }
 
-/// Answers watches with its whole list; what it says can be changed while it runs.
+/// Answers watches with its whole list once there is news; what it says can be changed while it runs.
 struct Discovery {
     address: SocketAddr,
     list: Arc<(Mutex<List>, Condvar)>,
@@ -459,6 +459,17 @@
     assert_eq!((old.count(), new.count()), (1, 5));
 }
 
+#[test]
+fn a_watch_whose_connection_stays_silent_is_given_up_and_called_anew() {
+    let (old, new) = (Endpoint::start(Does::Answer), Endpoint::start(Does::Answer));
+    let (sidecar, discovery) = Sidecar::with(&[("s1", old.address)]);
+    // The stand-in says nothing before there is news, whatever the call said that it waits.
+    within("the silent call is let go", || discovery.left() == 1);
+    within("and comes again", || discovery.calls() == 2);
+    discovery.say(2, catalog(2, &[("s2", new.address, "ready")]).to_string());
+    within("its answer is taken", || sidecar.cmd("view", "q1", 1500) == 200 && new.count() > 0);
+}
+
 #[test]
 fn a_slow_endpoint_costs_a_command_no_more_than_its_time_and_hears_that_it_is_over() {
     let endpoint = Endpoint::start(Does::Wait(3000));
