--- a/crates/sidecar/src/net/buffers.rs
+++ b/crates/sidecar/src/net/buffers.rs
@@ -2,6 +2,7 @@
 //! of each there may be; it must never wait for one, so that whoever goes without can say so at once.
 
 use std::cell::{Cell, RefCell};
+use std::ops::Range;
 use std::rc::Rc;
 
 pub const HEAD_MOST: usize = 16 * 1024;
@@ -26,16 +27,23 @@
 impl Stock {
     pub fn new(sockets: usize, memory_mb: usize) -> Rc<Stock> {
         let places = sockets.saturating_sub(SET_ASIDE);
+        let all = Rc::new(Cell::new(places));
         Rc::new(Stock {
             idle: RefCell::default(),
             buffers_out: Cell::new(0),
             // The other half is for all else.
             buffers_most: memory_mb * 1024 * 1024 / 2 / SIZE,
-            for_callers: Places::new(places / 2),
-            for_endpoints: Places::new(places - places / 2),
+            // Neither side can take the last two fifths from the other, nor leave them unused.
+            for_callers: Places::new(places * 3 / 5, &all),
+            for_endpoints: Places::new(places * 3 / 5, &all),
         })
     }
 
+    /// Read, a list takes several times the memory of its text: at 32 MB there is room for some 5,000 servers.
+    pub fn buffers_for_a_list(&self) -> usize {
+        (self.buffers_most / 16).max(1)
+    }
+
     pub fn buffer(self: &Rc<Self>) -> Option<Buffer> {
         if self.buffers_out.get() >= self.buffers_most {
             return None;
@@ -70,6 +78,12 @@
         self.filled -= count;
     }
 
+    /// Moves what lies behind the gap up to its start.
+    pub fn close_gap(&mut self, gap: Range<usize>) {
+        self.bytes.copy_within(gap.end..self.filled, gap.start);
+        self.filled -= gap.len();
+    }
+
     pub fn fill(&mut self, count: usize) {
         self.filled += count;
     }
@@ -86,15 +100,21 @@
 pub struct Places {
     most: usize,
     taken: Cell<usize>,
+    /// Free ones, whatever the kind.
+    free: Rc<Cell<usize>>,
 }
 
 impl Places {
-    fn new(most: usize) -> Rc<Places> {
-        Rc::new(Places { most, taken: Cell::new(0) })
+    fn new(most: usize, free: &Rc<Cell<usize>>) -> Rc<Places> {
+        Rc::new(Places { most, taken: Cell::new(0), free: free.clone() })
+    }
+
+    fn left(&self) -> usize {
+        (self.most - self.taken.get()).min(self.free.get())
     }
 
     pub fn only_spare_ones_left(&self) -> bool {
-        self.most - self.taken.get() < SPARE.min(self.most / SPARE_PART)
+        self.left() < SPARE.min(self.most / SPARE_PART)
     }
 
     pub fn taken(&self) -> usize {
@@ -102,10 +122,11 @@
     }
 
     pub fn take(self: &Rc<Self>) -> Option<Place> {
-        if self.taken.get() >= self.most {
+        if self.left() == 0 {
             return None;
         }
         self.taken.set(self.taken.get() + 1);
+        self.free.set(self.free.get() - 1);
         Some(Place(self.clone()))
     }
 }
@@ -116,5 +137,6 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.0.taken.set(self.0.taken.get() - 1);
+        self.0.free.set(self.0.free.get() + 1);
     }
 }
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -22,11 +22,19 @@
 use std::time::Duration;
 
 /// A command whose bytes trickle in for longer is given up.
-const READ_WITHIN: Duration = Duration::from_secs(10);
+const READ_WITHIN: Duration = Duration::from_secs(5);
 const WRITE_WITHIN: Duration = Duration::from_secs(5);
-const LINGER: Duration = Duration::from_secs(1);
+/// A stranger, who has not brought a whole command yet, has this long from connecting on to bring one.
+const STRANGER: Duration = Duration::from_millis(2300);
+/// What comes after an error is read off for so long and so far before the connection is closed on it.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_MOST: usize = 1024 * 1024;
+/// What a caller writes ahead of its answer is read off so far; past that it waits.
+const AHEAD_MOST: usize = 64 * 1024;
 const IDLE_MOST: Duration = Duration::from_secs(300);
-const FRESH: Duration = Duration::from_millis(500);
+/// A new connection's first command follows at once where it comes at all. Longer, a crowd of silent ones would
+/// hold up those who come after it.
+const FRESH: Duration = Duration::from_millis(20);
 const NO_ROOM_YET: Duration = Duration::from_millis(5);
 const LEFT_MOST_MS: u64 = 3_600_000;
 const ID_MOST: usize = 128;
@@ -41,9 +49,13 @@
     all_due: Cell<Option<Duration>>,
     /// From now on each answer is its connection's last.
     parting: Cell<bool>,
-    /// Connections that wait for a command, longest first, each with the word that closes it.
-    idle: RefCell<BTreeMap<u64, Sender<()>>>,
-    idled: Cell<u64>,
+    /// Connections that wait for a command, strangers first and then the longest, each with the word that
+    /// closes it.
+    idle: RefCell<BTreeMap<(bool, u64), Sender<()>>>,
+    /// How many strangers have just come.
+    fresh: Cell<usize>,
+    /// Numbers given to connections that wait and to commands.
+    numbers: Cell<u64>,
     stock: Rc<Stock>,
     queue: Queue,
     executor: Rc<LocalExecutor<'static>>,
@@ -82,7 +94,8 @@
             all_due: Cell::new(None),
             parting: Cell::new(false),
             idle: RefCell::default(),
-            idled: Cell::new(0),
+            fresh: Cell::new(0),
+            numbers: Cell::new(0),
             stock,
             queue,
             executor,
@@ -92,7 +105,7 @@
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
         loop {
             let Some(place) = self.stock.for_callers.take() else {
-                self.close_longest_idle();
+                let _ = self.close_strangers() || self.close_longest_idle();
                 Timer::after(NO_ROOM_YET).await;
                 continue;
             };
@@ -101,7 +114,8 @@
                     // Whoever comes when only spare places are left and all others are at work is heard all
                     // the same and turned away in words: a connection left unaccepted would lose what its
                     // client has written to it.
-                    let crowded = self.stock.for_callers.only_spare_ones_left() && !self.close_longest_idle();
+                    let crowded = self.no_place_left().await;
+                    self.fresh.set(self.fresh.get() + 1);
                     self.executor.spawn(self.clone().talk(stream, place, crowded)).detach();
                 }
                 Err(wrong) => {
@@ -112,6 +126,30 @@
         }
     }
 
+    /// Makes room where only spare places are left. In a crowd that has just come it waits for who of them says
+    /// nothing, rather than close callers who spoke well.
+    async fn no_place_left(&self) -> bool {
+        while self.stock.for_callers.only_spare_ones_left() {
+            if !self.close_strangers() && self.fresh.get() == 0 {
+                return !self.close_longest_idle();
+            }
+            Timer::after(NO_ROOM_YET).await;
+        }
+        false
+    }
+
+    /// The older half of them: a crowd comes faster than one could be closed for each that is taken.
+    fn close_strangers(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let strangers: Vec<_> = idle.range(..(true, 0)).map(|(number, _)| *number).collect();
+        for number in &strangers[..strangers.len().div_ceil(2)] {
+            if let Some(close) = idle.remove(number) {
+                let _ = close.try_send(());
+            }
+        }
+        !strangers.is_empty()
+    }
+
     fn close_longest_idle(&self) -> bool {
         let longest = self.idle.borrow_mut().pop_first();
         longest.is_some_and(|(_, close)| close.try_send(()).is_ok())
@@ -133,22 +171,27 @@
 
     async fn talk(self: Rc<Self>, stream: Async<TcpStream>, _place: Place, crowded: bool) {
         let _ = stream.get_ref().set_nodelay(true);
-        let mut fresh = true;
-        while self.something_comes(&stream, fresh).await && self.one_message(&stream, crowded).await {
-            fresh = false;
+        let mut since = Some(self.clock.now());
+        while self.something_comes(&stream, since).await && self.one_message(&stream, since, crowded).await {
+            since = None;
         }
     }
 
-    async fn something_comes(&self, stream: &Async<TcpStream>, fresh: bool) -> bool {
-        if fresh {
-            // Its first command is most likely on its way already, and a client sends no command again that a
-            // new connection has lost: such a one does not count as idle yet.
-            if let Some(comes) = within(FRESH, stream.readable()).await {
+    fn number(&self) -> u64 {
+        self.numbers.replace(self.numbers.get() + 1)
+    }
+
+    /// `since`: when a stranger connected.
+    async fn something_comes(&self, stream: &Async<TcpStream>, since: Option<Duration>) -> bool {
+        if since.is_some() {
+            // A client sends no command again that a new connection has lost: it does not count as idle yet.
+            let comes = within(FRESH, stream.readable()).await;
+            self.fresh.set(self.fresh.get() - 1);
+            if let Some(comes) = comes {
                 return comes.is_ok();
             }
         }
-        let number = self.idled.get();
-        self.idled.set(number + 1);
+        let number = (since.is_none(), self.number());
         let (close, closed): (Sender<()>, Receiver<()>) = async_channel::bounded(1);
         self.idle.borrow_mut().insert(number, close);
         let comes = async { stream.readable().await.is_ok() };
@@ -157,29 +200,33 @@
             // A command may have come in this very moment.
             matches!(stream.get_ref().peek(&mut [0]), Ok(1))
         };
-        let comes = within(IDLE_MOST, or(comes, ends)).await.unwrap_or(false);
+        let most = since.map_or(IDLE_MOST, |since| self.left_to_a_stranger(since));
+        let comes = within(most, or(comes, ends)).await.unwrap_or(false);
         self.idle.borrow_mut().remove(&number);
         comes
     }
 
+    fn left_to_a_stranger(&self, since: Duration) -> Duration {
+        (since + STRANGER).saturating_sub(self.clock.now())
+    }
+
     /// Whether the connection may carry another.
-    async fn one_message(&self, stream: &Async<TcpStream>, crowded: bool) -> bool {
-        let came = self.clock.now();
+    async fn one_message(&self, stream: &Async<TcpStream>, since: Option<Duration>, crowded: bool) -> bool {
         let Some(buffer) = self.stock.buffer() else {
             return self.turn_away(stream, &Turned(503, "no buffer is free"), false).await;
         };
-        let message = match self.read(stream, buffer).await {
+        let most = since.map_or(READ_WITHIN, |since| self.left_to_a_stranger(since));
+        let message = match self.read(stream, buffer, most).await {
             Ok(message) => message,
-            Err(Some(turned)) => {
-                self.turn_away(stream, &turned, false).await;
-                linger(stream).await;
-                return false;
-            }
+            Err(Some(turned)) => return self.turn_away(stream, &turned, false).await,
             Err(None) => return false,
         };
+        // A command's time counts from its last byte.
+        let came = self.clock.now();
         let keep = message.keep && !crowded && !self.parting.get();
         match self.understand(&message) {
-            Err(turned) => self.turn_away(stream, &turned, keep).await,
+            // Who is wrong once is so again: it must come anew, and makes room meanwhile.
+            Err(turned) => self.turn_away(stream, &turned, false).await,
             Ok(Asked::Health) if self.all_due.get().is_some() => {
                 self.turn_away(stream, &Turned(503, "ending"), false).await
             }
@@ -197,8 +244,13 @@
     }
 
     /// `None`: nobody is there to be told what was wrong.
-    async fn read(&self, stream: &Async<TcpStream>, buffer: Buffer) -> Result<Message, Option<Turned>> {
-        match within(READ_WITHIN, http::read_command(stream, buffer)).await {
+    async fn read(
+        &self,
+        stream: &Async<TcpStream>,
+        buffer: Buffer,
+        most: Duration,
+    ) -> Result<Message, Option<Turned>> {
+        match within(most, http::read_command(stream, buffer)).await {
             Some(Ok(message)) => Ok(message),
             Some(Err(Bad::Malformed)) => Err(Some(Turned(400, "this is no HTTP/1.1 message"))),
             Some(Err(Bad::TooLarge)) => Err(Some(Turned(413, "a head or body is too large"))),
@@ -250,18 +302,29 @@
         let due = self.all_due.get().map_or(came + left, |all_due| all_due.min(came + left));
         let arrival = Arrival { id: id.clone(), verb, due, tenant };
         let (caller, word) = async_channel::bounded(1);
-        let outgoing = Outgoing { head, message };
-        self.queue.tell(Word::Came(Box::new(Came { arrival, outgoing, caller })));
+        let careful = self.verbs[verb].method != "GET";
+        let outgoing = Outgoing { head, message, careful };
+        let number = self.number();
+        self.queue.tell(Word::Came(Box::new(Came { number, arrival, outgoing, caller })));
         let heard = async { word.recv().await.ok() };
+        let ahead = Cell::new(0);
         let left = async {
-            gone(stream).await;
+            gone(stream, &ahead).await;
             None
         };
         let Some(word) = or(heard, left).await else {
-            self.queue.tell(Word::Left(id));
+            self.queue.tell(Word::Left(id, number));
             return false;
         };
-        let keep = keep && !self.parting.get();
+        let keep = keep && !self.parting.get() && ahead.get() == 0;
+        let keep = self.last_word(stream, word, keep).await;
+        if !keep {
+            linger(stream).await;
+        }
+        keep
+    }
+
+    async fn last_word(&self, stream: &Async<TcpStream>, word: Final, keep: bool) -> bool {
         match word {
             Final::Answered(answer) => self.pass_on(stream, &answer, keep).await,
             Final::Declined(come_back) => {
@@ -288,7 +351,11 @@
     async fn turn_away(&self, stream: &Async<TcpStream>, turned: &Turned, keep: bool) -> bool {
         let Turned(status, why) = turned;
         tracing::debug!(status, why, "turned away");
-        self.say(stream, *status, b"", format!("{why}\n").as_bytes(), keep).await
+        let keep = self.say(stream, *status, b"", format!("{why}\n").as_bytes(), keep).await;
+        if !keep {
+            linger(stream).await;
+        }
+        keep
     }
 
     async fn say(
@@ -308,19 +375,30 @@
     }
 }
 
-async fn gone(stream: &Async<TcpStream>) {
-    if let Ok(1) = stream.peek(&mut [0]).await {
-        // It has written ahead; its end cannot be seen past that.
-        futures_lite::future::pending::<()>().await;
+/// Comes back when the caller has left. What it writes ahead of its answer would hide that, so it is read off
+/// and counted: no client of this protocol does so, and the connection is closed after the answer.
+async fn gone(mut stream: &Async<TcpStream>, ahead: &Cell<usize>) {
+    let mut bytes = [0; 1024];
+    while ahead.get() < AHEAD_MOST {
+        match stream.read(&mut bytes).await {
+            Ok(count @ 1..) => ahead.set(ahead.get() + count),
+            _ => return,
+        }
     }
+    futures_lite::future::pending::<()>().await;
 }
 
 /// Closing on bytes that nobody read resets the connection, and with it the answer on its way.
 async fn linger(mut stream: &Async<TcpStream>) {
     let _ = stream.get_ref().shutdown(Shutdown::Write);
     let read_off = async {
-        let mut bytes = [0; 4096];
-        while matches!(stream.read(&mut bytes).await, Ok(1..)) {}
+        let (mut bytes, mut all) = ([0; 4096], 0);
+        while let Ok(count @ 1..) = stream.read(&mut bytes).await {
+            all += count;
+            if all > LINGER_MOST {
+                break;
+            }
+        }
     };
     within(LINGER, read_off).await;
 }
--- a/crates/sidecar/src/net/discovery.rs
+++ b/crates/sidecar/src/net/discovery.rs
@@ -12,6 +12,7 @@
 use async_io::Async;
 use landingspread_decisions::host::{Listed, State};
 use serde_json::Value;
+use std::io::BufReader;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
@@ -169,13 +170,12 @@
         let query = self.generation.map(query).unwrap_or_default();
         let head = format!("GET /catalog/members{query} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
         in_time(UP_IN, http::write(&conn, head.as_bytes(), b"")).await?;
-        let buffer = self.stock.buffer().ok_or("no buffer is free")?;
-        let rsp = in_time(self.wait + IN_TURN, http::read_answer(&conn, buffer)).await?;
-        let status = http::status(rsp.head());
-        if status != Some(200) {
-            return Err(format!("status {status:?}"));
+        let answer = http::read_long(&conn, &self.stock, self.stock.buffers_for_a_list());
+        let mut rsp = in_time(self.wait + IN_TURN, answer).await?;
+        if rsp.status != Some(200) {
+            return Err(format!("status {:?}", rsp.status));
         }
-        let value = serde_json::from_slice(rsp.body()).map_err(|wrong| wrong.to_string())?;
+        let value = serde_json::from_reader(BufReader::new(&mut rsp)).map_err(|wrong| wrong.to_string())?;
         let catalog = Catalog::take(&value, &self.zones, &self.clock)?;
         *kept = rsp.keep.then_some(conn);
         Ok(catalog)
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -3,12 +3,12 @@
 //! a connection again whose last answer was not whole.
 
 use super::buffers::{Place, Stock};
-use super::http::{self, Message};
+use super::http::{self, Bad, Message};
 use super::within;
 use crate::launch::Launch;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
-use landingspread_decisions::host::{Load, Outcome};
+use landingspread_decisions::host::{Id, Load, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -22,6 +22,12 @@
 const REAP_EVERY: Duration = Duration::from_secs(1);
 const CHECK_WITHIN: Duration = Duration::from_millis(500);
 
+/// A second copy of an answer, or noise, comes right behind the first: a connection is used again only once it
+/// has been quiet for so long, or what comes late would be read as the next command's answer.
+const QUIET: Duration = Duration::from_millis(3);
+/// More than this many to one endpoint are not kept.
+const KEPT_MOST: usize = 16;
+
 /// How far a relay has come. What is not written whole has never run.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Stage {
@@ -34,6 +40,15 @@
 pub struct Outgoing {
     pub head: Vec<u8>,
     pub message: Message,
+    /// A break in the middle would end it, as it is not sent again elsewhere.
+    pub careful: bool,
+}
+
+/// Where a relay or a check goes. The same address may be another server's later.
+#[derive(Clone)]
+pub struct Target {
+    pub server: Id,
+    pub address: SocketAddr,
 }
 
 struct Conn {
@@ -43,11 +58,46 @@
 
 struct Kept {
     conn: Conn,
+    address: SocketAddr,
     since: Instant,
 }
 
+/// How often kept connections broke without a word when they were used again, by how long they had been idle.
+/// Endpoints may let go of idle ones sooner than they say, and not all say so by closing.
+#[derive(Default)]
+struct Breaks {
+    bins: [(u32, u32); 12],
+}
+
+impl Breaks {
+    const FIRST_MS: u64 = 25;
+    const FULL: u32 = 128;
+    /// One in so many is too often.
+    const BORNE: u32 = 24;
+
+    fn bin(idle: Duration) -> usize {
+        let steps = idle.as_millis() as u64 / Self::FIRST_MS;
+        (u64::BITS - steps.leading_zeros()).min(11) as usize
+    }
+
+    fn add(&mut self, idle: Duration, broke: bool) {
+        let (all, broken) = &mut self.bins[Self::bin(idle)];
+        (*all, *broken) = (*all + 1, *broken + u32::from(broke));
+        if *all >= Self::FULL {
+            (*all, *broken) = (*all / 2, *broken / 2);
+        }
+    }
+
+    /// What is often broken after some time is so after more.
+    fn often_after(&self, idle: Duration) -> bool {
+        let often = |(all, broken): &(u32, u32)| *broken >= 2 && broken * Self::BORNE > *all;
+        self.bins[..=Self::bin(idle)].iter().any(often)
+    }
+}
+
 pub struct Endpoints {
-    kept: RefCell<BTreeMap<SocketAddr, Vec<Kept>>>,
+    kept: RefCell<BTreeMap<Id, Vec<Kept>>>,
+    breaks: RefCell<Breaks>,
     stock: Rc<Stock>,
     kept_for: Duration,
     dial_timeout: Duration,
@@ -69,11 +119,11 @@
 impl Endpoints {
     pub fn new(launch: &Launch, stock: Rc<Stock>) -> Endpoints {
         let (kept_for, dial_timeout) = (launch.conn_idle.mul_f64(KEPT_FOR), launch.dial_timeout);
-        Endpoints { kept: RefCell::default(), stock, kept_for, dial_timeout }
+        Endpoints { kept: RefCell::default(), breaks: RefCell::default(), stock, kept_for, dial_timeout }
     }
 
     /// Sends the command once and hears how that ended, at the latest at `not_past`.
-    pub async fn relay(&self, to: SocketAddr, cmd: &Outgoing, not_past: Instant, stage: &Cell<Stage>) -> End {
+    pub async fn relay(&self, to: &Target, cmd: &Outgoing, not_past: Instant, stage: &Cell<Stage>) -> End {
         let late = async {
             Timer::at(not_past).await;
             End::bare(if stage.get() == Stage::Written { Outcome::Timeout } else { Outcome::ConnectFailed })
@@ -81,12 +131,12 @@
         or(self.exchange(to, cmd, not_past, stage), late).await
     }
 
-    async fn exchange(&self, to: SocketAddr, cmd: &Outgoing, not_past: Instant, stage: &Cell<Stage>) -> End {
+    async fn exchange(&self, to: &Target, cmd: &Outgoing, not_past: Instant, stage: &Cell<Stage>) -> End {
         let head = || {
             let left = not_past.saturating_duration_since(Instant::now()).as_millis();
             [&cmd.head[..], format!("X-Expires-In-Ms: {left}\r\n\r\n").as_bytes()].concat()
         };
-        match self.once(to, head, cmd.message.body(), || stage.set(Stage::Written)).await {
+        match self.once(to, cmd.careful, head, cmd.message.body(), || stage.set(Stage::Written)).await {
             Ok(answer) => {
                 let (outcome, load) = read_outcome(answer.head());
                 End { outcome, load, answer: (outcome == Outcome::Ok).then_some(answer) }
@@ -99,29 +149,35 @@
     /// connection, as the time left goes on while one comes up.
     async fn once(
         &self,
-        to: SocketAddr,
+        to: &Target,
+        careful: bool,
         head: impl FnOnce() -> Vec<u8>,
         body: &[u8],
         written: impl FnOnce(),
     ) -> Result<Message, Outcome> {
-        let conn = self.connection(to).await?;
+        let (conn, idle) = self.connection(to, careful).await?;
         let buffer = self.stock.buffer().ok_or(Outcome::Moot)?;
         http::write(&conn.stream, &head(), body).await.map_err(|_| Outcome::ConnectFailed)?;
         written();
-        let answer = http::read_answer(&conn.stream, buffer).await.map_err(|_| Outcome::Reset)?;
+        let answer = http::read_answer(&conn.stream, buffer).await;
+        if let Some(idle) = idle {
+            let broke = matches!(answer, Err(Bad::Ended | Bad::Broken));
+            self.breaks.borrow_mut().add(idle, broke);
+        }
+        let answer = answer.map_err(|_| Outcome::Reset)?;
         if answer.keep {
             self.keep(to, conn);
         }
         Ok(answer)
     }
 
-    pub async fn check(&self, to: SocketAddr) -> Outcome {
+    pub async fn check(&self, to: &Target) -> Outcome {
         within(CHECK_WITHIN, self.ping(to)).await.unwrap_or(Outcome::Timeout)
     }
 
-    async fn ping(&self, to: SocketAddr) -> Outcome {
-        let head = || format!("GET /ping HTTP/1.1\r\nHost: {to}\r\n\r\n").into_bytes();
-        match self.once(to, head, b"", || {}).await.map(|answer| http::status(answer.head())) {
+    async fn ping(&self, to: &Target) -> Outcome {
+        let head = || format!("GET /ping HTTP/1.1\r\nHost: {}\r\n\r\n", to.address).into_bytes();
+        match self.once(to, false, head, b"", || {}).await.map(|answer| http::status(answer.head())) {
             Ok(Some(200)) => Outcome::Ok,
             Ok(Some(503)) => Outcome::Full,
             Ok(_) => Outcome::Error,
@@ -129,12 +185,11 @@
         }
     }
 
-    /// Where this sidecar itself has no place left, nothing is held against the endpoint: the relay is moot.
-    async fn connection(&self, to: SocketAddr) -> Result<Conn, Outcome> {
-        while let Some(kept) = self.kept.borrow_mut().get_mut(&to).and_then(Vec::pop) {
-            if self.usable(&kept) {
-                return Ok(kept.conn);
-            }
+    /// A connection, and how long it was idle if it was kept. Where this sidecar itself has no place left,
+    /// nothing is held against the endpoint: the relay is moot.
+    async fn connection(&self, to: &Target, careful: bool) -> Result<(Conn, Option<Duration>), Outcome> {
+        if let Some(kept) = self.kept_one(to, careful) {
+            return Ok((kept.conn, Some(kept.since.elapsed())));
         }
         let place = loop {
             match self.stock.for_endpoints.take() {
@@ -143,11 +198,31 @@
                 None => return Err(Outcome::Moot),
             }
         };
-        let Some(Ok(stream)) = within(self.dial_timeout, Async::<TcpStream>::connect(to)).await else {
+        let Some(Ok(stream)) = within(self.dial_timeout, Async::<TcpStream>::connect(to.address)).await
+        else {
             return Err(Outcome::ConnectFailed);
         };
         let _ = stream.get_ref().set_nodelay(true);
-        Ok(Conn { stream, _place: place })
+        Ok((Conn { stream, _place: place }, None))
+    }
+
+    /// The one idle for the shortest time that will do.
+    fn kept_one(&self, to: &Target, careful: bool) -> Option<Kept> {
+        let mut kept = self.kept.borrow_mut();
+        let all = kept.get_mut(&to.server)?;
+        all.retain(|kept| kept.address == to.address && self.usable(kept));
+        let breaks = self.breaks.borrow();
+        let fits = |kept: &Kept| {
+            let idle = kept.since.elapsed();
+            idle >= QUIET && !(careful && breaks.often_after(idle))
+        };
+        let at = all.iter().rposition(fits)?;
+        Some(all.remove(at))
+    }
+
+    /// A server that is gone needs its connections no more, and its id never comes back.
+    pub fn forget(&self, server: &Id) {
+        self.kept.borrow_mut().remove(server);
     }
 
     /// An endpoint that died or closed its side shows on the idle connection before anything is risked on it.
@@ -156,8 +231,13 @@
         kept.since.elapsed() < self.kept_for && silent(kept.conn.stream.get_ref().peek(&mut [0]))
     }
 
-    fn keep(&self, to: SocketAddr, conn: Conn) {
-        self.kept.borrow_mut().entry(to).or_default().push(Kept { conn, since: Instant::now() });
+    fn keep(&self, to: &Target, conn: Conn) {
+        let mut kept = self.kept.borrow_mut();
+        let all = kept.entry(to.server.clone()).or_default();
+        if all.len() >= KEPT_MOST {
+            all.remove(0);
+        }
+        all.push(Kept { conn, address: to.address, since: Instant::now() });
     }
 
     fn close_longest_kept(&self) -> bool {
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -1,14 +1,18 @@
-//! HTTP/1.1 as bytes: heads by httparse, bodies by their framing, whole messages in one buffer. It owns the
-//! framing both ways; it must never know what a command is, keep a connection, or send anything twice.
+//! HTTP/1.1 as bytes: heads by httparse, bodies by their framing, whole messages in one buffer (a list may
+//! take more). It owns the framing both ways; it must never know what a command is, keep a connection, or send anything twice.
 
-use super::buffers::{BODY_MOST, Buffer, HEAD_MOST};
+use super::buffers::{BODY_MOST, Buffer, HEAD_MOST, Stock};
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 use std::net::TcpStream;
 use std::ops::Range;
+use std::rc::Rc;
 
 const HEADERS_MOST: usize = 64;
+/// A chunk's size or a trailer is no longer than this.
+const LINE_MOST: usize = 1024;
 
 /// Why a message is not one.
 #[derive(Debug)]
@@ -58,9 +62,12 @@
 }
 
 /// What is no text is not missing: it reads as a sign that nothing here takes for a value.
+fn text<'a>(header: &httparse::Header<'a>) -> &'a str {
+    std::str::from_utf8(header.value).map_or("\u{fffd}", str::trim)
+}
+
 pub fn header<'a>(headers: &[httparse::Header<'a>], name: &str) -> Option<&'a str> {
-    let found = headers.iter().find(|header| header.name.eq_ignore_ascii_case(name))?;
-    Some(std::str::from_utf8(found.value).map_or("\u{fffd}", str::trim))
+    headers.iter().find(|header| header.name.eq_ignore_ascii_case(name)).map(text)
 }
 
 /// Headers that speak of one connection or its framing are not passed on.
@@ -91,20 +98,19 @@
 
 impl Shape {
     fn of(head: usize, minor: u8, headers: &[httparse::Header<'_>], bare: Framing) -> Result<Shape, Bad> {
-        let says = |name: &str, word: &str| {
-            header(headers, name).is_some_and(|text| text.to_ascii_lowercase().contains(word))
+        let named = |name: &'static str| {
+            headers.iter().filter(move |header| header.name.eq_ignore_ascii_case(name)).map(text)
         };
-        let lengths = headers.iter().filter(|header| header.name.eq_ignore_ascii_case("content-length"));
-        // Two lengths, or a length beside chunks, are how one message is smuggled in another.
-        let framing = match (says("transfer-encoding", "chunked"), lengths.count()) {
-            (true, 0) => Framing::Chunked,
-            (false, 0) if header(headers, "transfer-encoding").is_none() => bare,
-            (false, 1) => {
-                let text = header(headers, "content-length").unwrap_or("");
-                if text.is_empty() || !text.bytes().all(|byte| byte.is_ascii_digit()) {
-                    return Err(Bad::Malformed);
-                }
-                Framing::Length(text.parse().map_err(|_| Bad::TooLarge)?)
+        let says = |name, word: &str| named(name).any(|text| text.to_ascii_lowercase().contains(word));
+        let codings: Vec<&str> = named("transfer-encoding").collect();
+        let lengths: Vec<&str> = named("content-length").collect();
+        // Two lengths, a length beside any coding, or a coding that another reader may take otherwise are how
+        // one message is smuggled in another.
+        let framing = match (codings.as_slice(), lengths.as_slice()) {
+            ([], []) => bare,
+            ([coding], []) if minor == 1 && coding.eq_ignore_ascii_case("chunked") => Framing::Chunked,
+            ([], [length]) if !length.is_empty() && length.bytes().all(|byte| byte.is_ascii_digit()) => {
+                Framing::Length(length.parse().map_err(|_| Bad::TooLarge)?)
             }
             _ => return Err(Bad::Malformed),
         };
@@ -162,96 +168,199 @@
     read(stream, buffer, Shape::of_answer).await
 }
 
-async fn read(
+/// Reads on until the head is whole.
+async fn read_head(
     stream: &Async<TcpStream>,
-    mut buffer: Buffer,
+    buffer: &mut Buffer,
     shape_of: fn(&[u8]) -> Result<Option<Shape>, Bad>,
-) -> Result<Message, Bad> {
-    let shape = loop {
+) -> Result<Shape, Bad> {
+    loop {
         match shape_of(buffer.filled())? {
+            Some(shape) if shape.head > HEAD_MOST => return Err(Bad::TooLarge),
             Some(shape) if shape.interim => buffer.drop_front(shape.head),
-            Some(shape) => break shape,
+            Some(shape) => return Ok(shape),
             None if buffer.filled().len() > HEAD_MOST => return Err(Bad::TooLarge),
-            None => more(stream, &mut buffer).await?,
+            None => more(stream, buffer).await?,
         }
-    };
-    let Shape { head, framing, mut keep, expects, .. } = shape;
-    if head > HEAD_MOST || matches!(framing, Framing::Length(length) if length > BODY_MOST) {
+    }
+}
+
+async fn read(
+    stream: &Async<TcpStream>,
+    mut buffer: Buffer,
+    shape_of: fn(&[u8]) -> Result<Option<Shape>, Bad>,
+) -> Result<Message, Bad> {
+    let Shape { head, framing, keep, expects, .. } = read_head(stream, &mut buffer, shape_of).await?;
+    if matches!(framing, Framing::Length(length) if length > BODY_MOST) {
         return Err(Bad::TooLarge);
     }
     let waits = !matches!(framing, Framing::Length(length) if buffer.filled().len() >= head + length);
     if expects && waits {
         write(stream, b"HTTP/1.1 100 Continue\r\n\r\n", b"").await?;
     }
-    let end = match framing {
-        Framing::Length(length) => {
-            while buffer.filled().len() < head + length {
-                more(stream, &mut buffer).await?;
-            }
-            keep &= buffer.filled().len() == head + length;
-            head + length
+    let mut body = Body::new(framing, head);
+    while !body.take_in(&mut buffer)? {
+        // A body past its most never fits.
+        if body.end - head > BODY_MOST {
+            return Err(Bad::TooLarge);
         }
-        Framing::Chunked => loop {
-            if let Some((end, used)) = unchunk(buffer.filled_mut(), head)? {
-                keep &= used == buffer.filled().len();
-                break end;
-            }
-            more(stream, &mut buffer).await?;
-        },
-        Framing::ToEnd => loop {
-            match more(stream, &mut buffer).await {
-                Ok(()) => {}
-                Err(Bad::Ended) => break buffer.filled().len(),
-                Err(wrong) => return Err(wrong),
-            }
-        },
-    };
-    if end - head > BODY_MOST {
+        body.more(stream, &mut buffer).await?;
+    }
+    if body.end - head > BODY_MOST {
         return Err(Bad::TooLarge);
     }
-    Ok(Message { buffer, head, body: head..end, keep })
+    let keep = keep && buffer.filled().len() == body.end;
+    Ok(Message { buffer, head, body: head..body.end, keep })
 }
 
-/// Once all chunks are there, moves their contents together behind the head; gives the body's end and that of
-/// the chunks.
-fn unchunk(bytes: &mut [u8], head: usize) -> Result<Option<(usize, usize)>, Bad> {
-    let mut parts: Vec<Range<usize>> = Vec::new();
-    let mut at = head;
-    loop {
-        let (line, size) = match httparse::parse_chunk_size(&bytes[at..]) {
-            Ok(httparse::Status::Complete(found)) => found,
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(_) => return Err(Bad::Malformed),
-        };
-        let size = usize::try_from(size).ok().filter(|size| *size <= BODY_MOST).ok_or(Bad::TooLarge)?;
-        at += line;
-        if size == 0 {
-            break;
+/// Where a body stands while it comes: its contents reach up to `end`; what lies behind was not looked at.
+struct Body {
+    framing: Framing,
+    end: usize,
+    /// How much of the length, or of the chunk, is still to come.
+    left: usize,
+    at: At,
+    ended: bool,
+}
+
+#[derive(Clone, Copy)]
+enum At {
+    Size,
+    Contents,
+    Trailers,
+}
+
+impl Body {
+    fn new(framing: Framing, head: usize) -> Body {
+        let left = if let Framing::Length(length) = framing { length } else { 0 };
+        Body { framing, end: head, left, at: At::Size, ended: false }
+    }
+
+    async fn more(&mut self, stream: &Async<TcpStream>, buffer: &mut Buffer) -> Result<(), Bad> {
+        match more(stream, buffer).await {
+            Err(Bad::Ended) if matches!(self.framing, Framing::ToEnd) => {
+                self.ended = true;
+                Ok(())
+            }
+            other => other,
         }
-        if bytes.len() < at + size + 2 {
-            return Ok(None);
+    }
+
+    /// Takes in what has come since the last time; whether the body is whole now.
+    fn take_in(&mut self, buffer: &mut Buffer) -> Result<bool, Bad> {
+        match self.framing {
+            Framing::Length(_) => {
+                let now = self.left.min(buffer.filled().len() - self.end);
+                (self.end, self.left) = (self.end + now, self.left - now);
+                Ok(self.left == 0)
+            }
+            Framing::ToEnd => {
+                self.end = buffer.filled().len();
+                Ok(self.ended)
+            }
+            Framing::Chunked => {
+                let mut read = self.end;
+                let whole = self.unchunk(buffer.filled_mut(), &mut read);
+                // Framing that was read goes: many small chunks must not fill the buffer with it.
+                buffer.close_gap(self.end..read);
+                whole
+            }
         }
-        if &bytes[at + size..at + size + 2] != b"\r\n" {
-            return Err(Bad::Malformed);
+    }
+
+    fn unchunk(&mut self, bytes: &mut [u8], read: &mut usize) -> Result<bool, Bad> {
+        loop {
+            let rest = &bytes[*read..];
+            match self.at {
+                At::Size => {
+                    let (line, size) = match httparse::parse_chunk_size(rest) {
+                        Ok(httparse::Status::Complete(found)) => found,
+                        Ok(httparse::Status::Partial) if rest.len() > LINE_MOST => return Err(Bad::TooLarge),
+                        Ok(httparse::Status::Partial) => return Ok(false),
+                        Err(_) => return Err(Bad::Malformed),
+                    };
+                    self.left = usize::try_from(size).map_err(|_| Bad::TooLarge)?;
+                    self.at = if size == 0 { At::Trailers } else { At::Contents };
+                    *read += line;
+                }
+                At::Contents => {
+                    let now = self.left.min(rest.len());
+                    bytes.copy_within(*read..*read + now, self.end);
+                    (self.end, self.left, *read) = (self.end + now, self.left - now, *read + now);
+                    let rest = &bytes[*read..];
+                    if self.left > 0 || rest.len() < 2 {
+                        return Ok(false);
+                    }
+                    if !rest.starts_with(b"\r\n") {
+                        return Err(Bad::Malformed);
+                    }
+                    (self.at, *read) = (At::Size, *read + 2);
+                }
+                // Trailers are read over, up to the empty line.
+                At::Trailers => match rest.windows(2).position(|pair| pair == b"\r\n") {
+                    Some(line) => {
+                        *read += line + 2;
+                        if line == 0 {
+                            return Ok(true);
+                        }
+                    }
+                    None if rest.len() > LINE_MOST => return Err(Bad::TooLarge),
+                    None => return Ok(false),
+                },
+            }
         }
-        parts.push(at..at + size);
-        at += size + 2;
     }
-    // Trailers are read over, up to the empty line.
-    loop {
-        let Some(line) = bytes[at..].windows(2).position(|pair| pair == b"\r\n") else { return Ok(None) };
-        at += line + 2;
-        if line == 0 {
-            break;
+}
+
+/// An answer whose body may take many buffers.
+pub struct Long {
+    pub status: Option<u16>,
+    pub keep: bool,
+    parts: VecDeque<(Buffer, Range<usize>)>,
+}
+
+/// The list of a large fleet is far longer than any command's body; it may take so many buffers, and gives
+/// each back as it is read.
+pub async fn read_long(stream: &Async<TcpStream>, stock: &Rc<Stock>, most: usize) -> Result<Long, Bad> {
+    let fresh = || stock.buffer().ok_or(Bad::TooLarge);
+    let mut buffer = fresh()?;
+    let Shape { head, framing, keep, .. } = read_head(stream, &mut buffer, Shape::of_answer).await?;
+    let mut long = Long { status: status(&buffer.filled()[..head]), keep, parts: VecDeque::new() };
+    let (mut body, mut from) = (Body::new(framing, head), head);
+    while !body.take_in(&mut buffer)? {
+        if buffer.spare().is_empty() {
+            if long.parts.len() + 1 >= most {
+                return Err(Bad::TooLarge);
+            }
+            let mut next = fresh()?;
+            // A chunk's size may be cut by the buffer's end: what was not taken in begins the next one.
+            let rest = &buffer.filled()[body.end..];
+            next.spare()[..rest.len()].copy_from_slice(rest);
+            next.fill(rest.len());
+            long.parts.push_back((std::mem::replace(&mut buffer, next), from..body.end));
+            (from, body.end) = (0, 0);
         }
+        body.more(stream, &mut buffer).await?;
     }
-    let mut end = head;
-    for part in parts {
-        let length = part.len();
-        bytes.copy_within(part, end);
-        end += length;
+    long.keep &= buffer.filled().len() == body.end;
+    long.parts.push_back((buffer, from..body.end));
+    Ok(long)
+}
+
+impl io::Read for Long {
+    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
+        while let Some((buffer, left)) = self.parts.front_mut() {
+            if left.start == left.end {
+                self.parts.pop_front();
+                continue;
+            }
+            let now = left.len().min(into.len());
+            into[..now].copy_from_slice(&buffer.filled()[left.start..left.start + now]);
+            left.start += now;
+            return Ok(now);
+        }
+        Ok(0)
     }
-    Ok(Some((end, at)))
 }
 
 /// Writes both whole, in as few packets as can be.
@@ -286,11 +395,15 @@
     use std::io::Write;
     use std::net::TcpListener;
 
+    fn pair() -> (TcpStream, Async<TcpStream>) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let near = TcpStream::connect(listener.local_addr().expect("an address")).expect("a peer");
+        (near, Async::new(listener.accept().expect("a connection").0).expect("a socket"))
+    }
+
     /// What comes of these bytes, written in pieces to a real socket that is closed after them.
     fn heard(bytes: &[u8], pieces: usize, of_command: bool) -> Result<(Vec<u8>, bool), Bad> {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let mut near = TcpStream::connect(listener.local_addr().expect("an address")).expect("a peer");
-        let far = Async::new(listener.accept().expect("a connection").0).expect("a socket");
+        let (mut near, far) = pair();
         let bytes = bytes.to_vec();
         let writer = std::thread::spawn(move || {
             for piece in bytes.chunks(bytes.len() / pieces + 1) {
@@ -379,9 +492,48 @@
 
     #[test]
     fn two_lengths_or_a_length_beside_chunks_are_malformed() {
-        for extra in ["Content-Length: 3", "Content-Length: 4", "Transfer-Encoding: chunked"] {
-            let text = format!("POST /a HTTP/1.1\r\nContent-Length: 3\r\n{extra}\r\n\r\nabc");
-            assert!(matches!(heard(text.as_bytes(), 1, true), Err(Bad::Malformed)), "{extra}");
+        let codings = ["chunked", "gzip", "identity", "xchunked", "gzip\r\nTransfer-Encoding: chunked", ""];
+        let codings = codings.map(|coding| format!("Transfer-Encoding: {coding}"));
+        let lengths = ["Content-Length: 3".to_string(), "Content-Length: 4".to_string()];
+        for extra in codings.iter().chain(&lengths) {
+            for text in [format!("Content-Length: 3\r\n{extra}"), format!("{extra}\r\nContent-Length: 3")] {
+                let text = format!("POST /a HTTP/1.1\r\n{text}\r\n\r\nabc");
+                assert!(matches!(heard(text.as_bytes(), 1, true), Err(Bad::Malformed)), "{extra}");
+            }
+        }
+        for version in ["1.0", "1.1"] {
+            let coding = if version == "1.0" { "chunked" } else { "gzip, chunked" };
+            let text = format!("POST /a HTTP/{version}\r\nTransfer-Encoding: {coding}\r\n\r\n0\r\n\r\n");
+            assert!(matches!(heard(text.as_bytes(), 1, true), Err(Bad::Malformed)), "{coding}");
+        }
+    }
+
+    #[test]
+    fn a_list_of_many_buffers_is_read_whole_and_one_past_its_most_is_too_large() {
+        let body: Vec<u8> = (0..300_000u32).flat_map(|number| number.to_be_bytes()).collect();
+        let chunked = |size: usize| {
+            let chunk = |part: &[u8]| [format!("{:x}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat();
+            let chunks: Vec<u8> = body.chunks(size).flat_map(chunk).collect();
+            [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", &chunks[..], b"0\r\n\r\n"].concat()
+        };
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        for bytes in [[head.as_bytes(), &body].concat(), chunked(7), chunked(90_001)] {
+            for most in [20, 10] {
+                let (near, far) = pair();
+                let bytes = bytes.clone();
+                let writer = std::thread::spawn(move || (&near).write_all(&bytes).is_ok());
+                let stock = Stock::new(64, 16);
+                match block_on(read_long(&far, &stock, most)) {
+                    Ok(mut long) => {
+                        let mut heard = Vec::new();
+                        io::Read::read_to_end(&mut long, &mut heard).expect("from memory");
+                        assert!(most == 20 && heard == body && long.keep && long.status == Some(200));
+                    }
+                    Err(bad) => assert!(most == 10 && matches!(bad, Bad::TooLarge)),
+                }
+                drop(far);
+                writer.join().expect("the writer ends");
+            }
         }
     }
 }
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -3,8 +3,8 @@
 //! watch. It owns which commands are open and how each relay of them stands; it must never decide anything
 //! itself, wait for a socket, or call the module from within one of the module's own calls.
 
-use super::discovery::{Catalog, Clock};
-use super::endpoints::{End, Endpoints, Outgoing, Stage};
+use super::discovery::{Catalog, Clock, Entry};
+use super::endpoints::{End, Endpoints, Outgoing, Stage, Target};
 use super::http::Message;
 use super::must_hold;
 use crate::launch::Launch;
@@ -12,7 +12,7 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use futures_lite::future::or;
-use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Outcome};
+use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Outcome, State};
 use landingspread_decisions::policy::Policy;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -38,8 +38,9 @@
     }
 }
 
-/// A command as its caller's side hands it over.
+/// A command as its caller's side hands it over. Two callers may use one id: the number tells them apart.
 pub struct Came {
+    pub number: u64,
     pub arrival: Arrival,
     pub outgoing: Outgoing,
     pub caller: Sender<Final>,
@@ -48,7 +49,7 @@
 /// What reaches the owner.
 pub enum Word {
     Came(Box<Came>),
-    Left(Id),
+    Left(Id, u64),
     Ended(Id, u32, Box<End>),
     Checked(Id, Outcome),
     Listed(Catalog),
@@ -82,6 +83,7 @@
 }
 
 struct Open {
+    number: u64,
     due: Duration,
     outgoing: Rc<Outgoing>,
     caller: Sender<Final>,
@@ -139,8 +141,9 @@
                 let (endpoints, queue) = (self.endpoints.clone(), self.queue.clone());
                 let (outgoing, stage, cmd) = (open.outgoing.clone(), shot.stage.clone(), cmd.clone());
                 let by = self.clock.instant(not_past);
+                let target = Target { server: server.clone(), address };
                 shot.task = Some(self.executor.spawn(async move {
-                    let end = endpoints.relay(address, &outgoing, by, &stage).await;
+                    let end = endpoints.relay(&target, &outgoing, by, &stage).await;
                     stage.set(Stage::Ended);
                     queue.tell(Word::Ended(cmd, number, Box::new(end)));
                 }));
@@ -193,10 +196,11 @@
             desk.queue.tell(Word::Checked(server.clone(), Outcome::Moot));
             return;
         };
-        let (endpoints, queue, server) = (desk.endpoints.clone(), desk.queue.clone(), server.clone());
+        let (endpoints, queue) = (desk.endpoints.clone(), desk.queue.clone());
+        let target = Target { server: server.clone(), address };
         let check = async move {
-            let outcome = endpoints.check(address).await;
-            queue.tell(Word::Checked(server, outcome));
+            let outcome = endpoints.check(&target).await;
+            queue.tell(Word::Checked(target.server, outcome));
         };
         desk.executor.spawn(check).detach();
     }
@@ -281,7 +285,7 @@
         let now = self.clock.now();
         match word {
             Word::Came(came) => self.cmd_came(now, *came),
-            Word::Left(id) => self.client_left(now, &id),
+            Word::Left(id, number) => self.client_left(now, &id, number),
             Word::Ended(id, number, end) => self.relay_ended(now, id, number, *end),
             Word::Checked(server, outcome) => self.policy.check_ended(now, outcome, &server),
             Word::Listed(catalog) => {
@@ -297,17 +301,27 @@
         }
     }
 
+    /// A server that is gone, or not in a whole list, is forgotten: new ones come under new ids all day.
     fn note_addresses(&mut self, catalog: Catalog) -> Vec<Listed> {
-        let mut desk = self.desk.borrow_mut();
-        let note = |entry: super::discovery::Entry| {
-            desk.addresses.insert(entry.listed.server.clone(), entry.address);
-            entry.listed
-        };
-        catalog.entries.into_iter().map(note).collect()
+        let Desk { addresses, endpoints, .. } = &mut *self.desk.borrow_mut();
+        let gone = |entry: &Entry| entry.listed.state == State::Gone;
+        let old = if catalog.whole { std::mem::take(addresses) } else { BTreeMap::new() };
+        for entry in &catalog.entries {
+            if gone(entry) {
+                addresses.remove(&entry.listed.server);
+                endpoints.forget(&entry.listed.server);
+            } else {
+                addresses.insert(entry.listed.server.clone(), entry.address);
+            }
+        }
+        old.keys()
+            .filter(|server| !addresses.contains_key(*server))
+            .for_each(|server| endpoints.forget(server));
+        catalog.entries.into_iter().map(|entry| entry.listed).collect()
     }
 
     fn cmd_came(&mut self, now: Duration, came: Came) {
-        let Came { arrival, outgoing, caller } = came;
+        let Came { number, arrival, outgoing, caller } = came;
         let mut desk = self.desk.borrow_mut();
         if desk.open.contains_key(&arrival.id) {
             // Two commands under one id could not be told apart by any endpoint.
@@ -315,16 +329,18 @@
             return;
         }
         let outgoing = Rc::new(outgoing);
-        let open = Open { due: arrival.due, outgoing, caller, finished: false, shots: Vec::new() };
+        let open = Open { number, due: arrival.due, outgoing, caller, finished: false, shots: Vec::new() };
         desk.open.insert(arrival.id.clone(), open);
         drop(desk);
         self.policy.cmd_came(now, arrival);
     }
 
-    fn client_left(&mut self, now: Duration, id: &Id) {
+    fn client_left(&mut self, now: Duration, id: &Id, number: u64) {
         let mut desk = self.desk.borrow_mut();
-        // Its final word may have crossed its leaving.
-        let Some(open) = desk.open.get_mut(id).filter(|open| !open.finished) else { return };
+        // Its final word may have crossed its leaving; and a second caller under an open id may leave before it
+        // hears that it is terminated, which is not the first one's leaving.
+        let left = |open: &&mut Open| open.number == number && !open.finished;
+        let Some(open) = desk.open.get_mut(id).filter(left) else { return };
         open.finished = true;
         drop(desk);
         self.policy.client_left(now, id);
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -72,6 +72,10 @@
     Break,
     Fail,
     TurnAway,
+    /// Answers, but lets go without a word of a connection that was idle for so many milliseconds.
+    LetGoAfter(u64),
+    /// Answers, and a little later once more.
+    AnswerTwice,
     /// One of the others for each command, by chance that goes by the command's head and this.
     Any(u64),
 }
@@ -96,6 +100,7 @@
 #[derive(Default)]
 struct Seen {
     heads: Vec<String>,
+    connections: usize,
     dropped: usize,
 }
 
@@ -120,16 +125,27 @@
     }
 
     fn talk(mut stream: TcpStream, does: Does, seen: &Mutex<Seen>) {
+        seen.lock().expect("no panic").connections += 1;
+        let mut answered = Instant::now();
         while let Some((head, body)) = message(&mut stream) {
+            if matches!(does, Does::LetGoAfter(idle) if answered.elapsed() > ms(idle)) {
+                return;
+            }
             let (checked, does) = (head.starts_with("GET /ping"), does.with(&head));
             if !checked {
                 seen.lock().expect("no panic").heads.push(head.clone());
             }
-            let ok = format!("HTTP/1.1 200 OK\r\nX-Kept: yes\r\nContent-Length: {}\r\n\r\n", body.len() + 3);
+            let (id, length) = (value(&head, "x-trace-id").unwrap_or_default(), body.len() + 3);
+            let ok = format!("HTTP/1.1 200 OK\r\nX-Kept: {id}\r\nContent-Length: {length}\r\n\r\n");
             let ok = [ok.as_bytes(), b"ok:", &body].concat();
             let answer = match does {
                 _ if checked => ok,
-                Does::Answer | Does::AnswerAndClose | Does::Any(_) => ok,
+                Does::Answer | Does::AnswerAndClose | Does::LetGoAfter(_) | Does::Any(_) => ok,
+                Does::AnswerTwice => {
+                    let _ = stream.write_all(&ok);
+                    thread::sleep(ms(1));
+                    ok
+                }
                 Does::Break => return,
                 Does::Fail => b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".to_vec(),
                 Does::TurnAway => {
@@ -148,6 +164,7 @@
             if stream.write_all(&answer).is_err() || matches!(does, Does::AnswerAndClose) {
                 return;
             }
+            answered = Instant::now();
         }
     }
 
@@ -362,7 +379,7 @@
         stream.write_all(cmd("hold", id, 800).as_bytes()).expect("it is written");
         let (status, head, body) = answer(&mut stream).expect("an answer");
         assert_eq!((status, body.as_slice()), (200, &b"ok:body"[..]));
-        assert_eq!(value(&head, "x-kept").as_deref(), Some("yes"));
+        assert_eq!(value(&head, "x-kept").as_deref(), Some(id));
     }
     assert_eq!(sidecar.cmd("view", "a3", 800), 200);
     let seen = endpoint.seen.lock().expect("no panic");
@@ -409,6 +426,79 @@
     }
 }
 
+#[test]
+fn once_idle_connections_were_let_go_in_silence_an_effectful_command_takes_a_new_one() {
+    let endpoint = Endpoint::start(Does::LetGoAfter(80));
+    let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    let mut broken = 0;
+    for number in 0..12 {
+        broken += usize::from(sidecar.cmd("view", &format!("p{number}"), 1500) != 200);
+        thread::sleep(ms(120));
+    }
+    assert!(broken >= 3, "pure ones find it out: {broken}");
+    for number in 0..6 {
+        assert_eq!(sidecar.cmd("confirm", &format!("u{number}"), 1500), 200);
+        thread::sleep(ms(120));
+    }
+}
+
+#[test]
+fn a_second_copy_of_an_answer_is_never_taken_for_the_next_ones() {
+    let endpoint = Endpoint::start(Does::AnswerTwice);
+    let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    let mut stream = sidecar.open().expect("a connection");
+    for number in 0..30 {
+        let id = format!("t{number}");
+        stream.write_all(cmd("hold", &id, 800).as_bytes()).expect("it is written");
+        let (status, head, _) = answer(&mut stream).expect("an answer");
+        assert_eq!((status, value(&head, "x-kept")), (200, Some(id)));
+    }
+}
+
+#[test]
+fn a_new_server_at_an_old_ones_address_gets_connections_of_its_own() {
+    let endpoint = Endpoint::start(Does::Answer);
+    let (sidecar, discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    for (generation, server) in [(2, "s2"), (3, "s3")] {
+        assert_eq!(sidecar.cmd("view", server, 1500), 200);
+        thread::sleep(ms(10));
+        let before = discovery.calls();
+        discovery.say(generation, catalog(generation, &[(server, endpoint.address, "ready")]).to_string());
+        within("the list is taken", || discovery.calls() > before);
+    }
+    assert_eq!(sidecar.cmd("view", "last", 1500), 200);
+    assert_eq!(endpoint.seen.lock().expect("no panic").connections, 3);
+}
+
+#[test]
+fn strangers_are_closed_in_time_and_before_callers_who_spoke_well() {
+    let endpoint = Endpoint::start(Does::Answer);
+    let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    let mut known = sidecar.open().expect("a connection");
+    let mut ask = |id: &str| {
+        known.write_all(cmd("view", id, 1500).as_bytes()).expect("it is written");
+        answer(&mut known).map(|(status, _, _)| status)
+    };
+    assert_eq!(ask("k1"), Some(200));
+    let begun = Instant::now();
+    let mut trickle = sidecar.open().expect("a connection");
+    let mut silent: Vec<TcpStream> = (0..70).filter_map(|_| sidecar.open()).collect();
+    for byte in b"GET /view HTT" {
+        let _ = trickle.write_all(&[*byte]);
+        thread::sleep(ms(100));
+    }
+    assert_eq!(ask("k2"), Some(200), "the crowd took its room from itself");
+    let word = answer(&mut trickle).map(|(status, _, _)| status);
+    assert!(word.is_none_or(|status| status == 408), "{word:?}");
+    assert!(silent.iter_mut().all(|stream| answer(stream).is_none()));
+    assert!(begun.elapsed() < ms(2900), "{:?}", begun.elapsed());
+    assert_eq!(ask("k3"), Some(200));
+    let mut wrong = sidecar.open().expect("a connection");
+    wrong.write_all(b"GET /nothing HTTP/1.1\r\n\r\n").expect("it is written");
+    assert_eq!(answer(&mut wrong).map(|(status, _, _)| status), Some(404));
+    assert_eq!(read(&mut wrong, &mut [0]).ok(), Some(0), "an error is its connection's last word");
+}
+
 #[test]
 fn idle_callers_make_room_for_new_ones_and_past_that_each_still_hears_a_word() {
     let endpoint = Endpoint::start(Does::Wait(900));
@@ -436,12 +526,11 @@
     let endpoint = Endpoint::start(Does::Answer);
     let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
     let mut new: Vec<TcpStream> = (0..40).filter_map(|_| sidecar.open()).collect();
-    thread::sleep(ms(100));
     for (number, stream) in new.iter_mut().enumerate() {
         let _ = stream.write_all(cmd("confirm", &format!("f{number}"), 1900).as_bytes());
     }
     let words = new.iter_mut().filter_map(answer).count();
-    assert_eq!(words, 40, "of 80 sockets 28 are for callers; each hears a word all the same");
+    assert_eq!(words, 40, "of 80 sockets 33 are for callers; each hears a word all the same");
 }
 
 #[test]
@@ -496,6 +585,45 @@
     assert_eq!(endpoint.count(), 1, "nothing is sent for it after");
 }
 
+#[test]
+fn a_client_that_leaves_behind_bytes_written_ahead_ends_its_relay_and_only_its_own() {
+    let endpoint = Endpoint::start(Does::Wait(600));
+    let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address), ("s2", endpoint.address)]);
+    let mut first = sidecar.open().expect("a connection");
+    first.write_all(cmd("view", "o1", 1900).as_bytes()).expect("it is written");
+    within("the relay is out", || endpoint.count() == 1);
+    // The same id again, from one who leaves at once: it may leave before it hears that it is terminated.
+    for _ in 0..20 {
+        let mut second = sidecar.open().expect("a connection");
+        second.write_all(cmd("view", "o1", 1900).as_bytes()).expect("it is written");
+    }
+    assert_eq!(answer(&mut first).map(|(status, _, _)| status), Some(200));
+    let mut ahead = sidecar.open().expect("a connection");
+    ahead.write_all(cmd("view", "o2", 1900).repeat(3).as_bytes()).expect("it is written");
+    within("the relay is out", || endpoint.count() == 2);
+    let begun = Instant::now();
+    drop(ahead);
+    within("the endpoint is let go", || endpoint.seen.lock().expect("no panic").dropped == 1);
+    assert!(begun.elapsed() < ms(400));
+    assert_eq!(endpoint.count(), 2);
+}
+
+#[test]
+fn a_list_of_thousands_of_servers_is_taken() {
+    let endpoint = Endpoint::start(Does::Answer);
+    let (sidecar, discovery) = Sidecar::with(&[]);
+    assert_eq!(sidecar.cmd("view", "w1", 900), 503);
+    let mut list = catalog(2, &[("s1", endpoint.address, "ready")]);
+    let mut drained = list["instances"][0].clone();
+    drained["lifecycle"] = json!("draining");
+    for number in 0..2000 {
+        drained["instanceId"] = json!(format!("old-{number}"));
+        list["instances"].as_array_mut().expect("a list").push(drained.clone());
+    }
+    discovery.say(2, list.to_string());
+    within("it is taken", || sidecar.cmd("view", "w2", 900) == 200);
+}
+
 #[test]
 fn without_discovery_or_with_a_list_that_cannot_be_read_the_old_list_holds() {
     let endpoint = Endpoint::start(Does::Answer);
