--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -47,8 +47,6 @@
 const HOLD: f64 = 0.25;
 /// A relay is overdue at this many times the time in which nine of ten are answered.
 const OVERDUE: f64 = 4.0;
-/// And at this many where its server has answered nothing at all since: most goals end before the other.
-const SILENT: f64 = 1.5;
 /// How steeply the price of a crossing lowers a far server's weight.
 const CROSSING_AVERSION: f64 = 60.0;
 /// Clients come back after this share of the response goal: later, nothing could be earned any more.
@@ -160,9 +158,6 @@
     nominal: f64,
     up_since: Option<Duration>,
     runs: Vec<u32>,
-    /// Straight failures of all verbs.
-    run: u32,
-    answered: Duration,
     mark: Option<Mark>,
     ramp_from: Option<Duration>,
     /// By chance, so that copies told of a start at one moment do not all send to it at one moment.
@@ -186,7 +181,7 @@
 
     /// A process that started anew has nothing to do with what was learned of the old one.
     fn restarted(&mut self, at: Duration) {
-        self.runs.iter_mut().chain([&mut self.run]).for_each(|run| *run = 0);
+        self.runs.iter_mut().for_each(|run| *run = 0);
         self.mark = None;
         self.report = None;
         self.sends = 0.0;
@@ -365,7 +360,7 @@
 
     fn take_entries(&mut self, entries: &[Listed]) {
         entries.iter().for_each(|entry| self.take_entry(entry));
-        // New ones come under new ids all day.
+        // New ones come under new ids all day: each draw would look at all that ever were.
         self.servers.retain(|_, server| server.ready || server.out > 0);
         self.choose_servers();
         self.place_held();
@@ -390,8 +385,8 @@
         }
         let new = !self.servers.contains_key(&entry.server);
         let first = self.chance();
-        let server = self.servers.entry(entry.server.clone());
-        let server = server.or_insert_with(|| Server::new(entry, verbs, first));
+        let start = || Server::new(entry, verbs, first);
+        let server = self.servers.entry(entry.server.clone()).or_insert_with(start);
         server.ready = true;
         server.nominal = if entry.nominal > 0.0 { entry.nominal } else { 1.0 };
         let fresh = |at: &Duration| *at + self.terms.cold.warm_after > self.now;
@@ -466,8 +461,8 @@
             if verb.overdue_utility > 0.0 { arrival.due } else { arrival.due.min(now + verb.goal) };
         self.verbs[arrival.verb].asked.add(now, 1.0);
         self.spare_relays = (self.spare_relays + RELAY_SHARE).min(RELAY_BURST);
-        let (verb, beyond) = (arrival.verb, self.beyond_quota(arrival.tenant));
-        let cmd = Cmd { verb, good_until, beyond, ..Cmd::default() };
+        let beyond = self.beyond_quota(arrival.tenant);
+        let cmd = Cmd { verb: arrival.verb, good_until, beyond, ..Cmd::default() };
         self.cmds.insert(arrival.id.clone(), cmd);
         self.held.push(arrival.id.clone());
         self.place_held();
@@ -512,9 +507,8 @@
     /// What a command earns for each second that it keeps a place, the more the less of its verb is answered:
     /// part of the goal may go by the worst answered verb.
     fn rank(&self, cmd: &Cmd) -> f64 {
-        let (Some(verb), record) = (self.terms.verbs.get(cmd.verb), &self.verbs[cmd.verb]) else {
-            return 0.0;
-        };
+        let Some(verb) = self.terms.verbs.get(cmd.verb) else { return 0.0 };
+        let record = &self.verbs[cmd.verb];
         let answered = record.answered.count(self.now) / record.asked.count(self.now).max(1.0);
         let short = 1.0 + WORST_VERB * self.terms.goal.worst_verb * (1.0 / answered.clamp(0.1, 1.0) - 1.0);
         let time = if self.terms.utility_by_work { 1.0 } else { self.expected(cmd.verb).max(0.01) };
@@ -554,8 +548,9 @@
     /// Relays the command now if some server has room for it.
     fn place(&mut self, id: &Id) -> bool {
         // Work that starts with less time left than half of what it usually takes is mostly done for nothing.
-        let hopeful = |cmd: &&Cmd| self.left(cmd) >= HOPELESS * self.expected(cmd.verb);
-        if self.cmds.get(id).filter(hopeful).is_none() {
+        let Some(cmd) = self.cmds.get(id) else { return false };
+        let hopeless = self.left(cmd) < HOPELESS * self.expected(cmd.verb);
+        if hopeless {
             return false;
         }
         let Some(server) = self.draw(id) else { return false };
@@ -611,8 +606,10 @@
 
     /// Rule 2, for a further relay to a server in this zone and cell.
     fn may_relay(&self, cmd: &Cmd, zone: u32, cell: u32) -> bool {
-        let used_up = cmd.relays.len() as u32 >= self.terms.allowed.relays || cmd.good_until <= self.now;
-        if cmd.finished || cmd.streaming || used_up || (cmd.out() > 0 && !self.terms.allowed.parallel) {
+        if cmd.finished || cmd.streaming || cmd.relays.len() as u32 >= self.terms.allowed.relays {
+            return false;
+        }
+        if cmd.good_until <= self.now || (cmd.out() > 0 && !self.terms.allowed.parallel) {
             return false;
         }
         let memory = self.terms.verbs.get(cmd.verb).map_or(Duration::ZERO, |verb| verb.memory);
@@ -676,7 +673,8 @@
             self.close(id);
         } else if cmd.out() == 0 {
             let repeated = cmd.may_have_run();
-            let hopeful = self.left(cmd) > self.expected(cmd.verb);
+            let left = self.left(cmd);
+            let hopeful = left > self.expected(cmd.verb);
             if hopeful && (!repeated || self.spare_relays >= 1.0) && self.place(id) {
                 self.spare_relays -= if repeated { 1.0 } else { 0.0 };
             } else {
@@ -686,14 +684,16 @@
     }
 
     fn take_report(&mut self, id: &Id, load: Load) {
-        let figure = load.queue.or(load.in_flight);
-        let (Some(server), Some(figure)) = (self.servers.get_mut(id), figure) else { return };
-        server.report = Some((figure, self.now));
-        server.sends = 0.0;
+        let Some(server) = self.servers.get_mut(id) else { return };
+        if let Some(figure) = load.queue.or(load.in_flight) {
+            server.report = Some((figure, self.now));
+            server.sends = 0.0;
+        }
     }
 
     fn count_answer(&mut self, id: &Id, verb: usize, latency: Duration, in_time: bool) {
-        let (now, sharers, mean_out, room) = (self.now, self.sharers, self.mean_out, self.room());
+        let (now, sharers) = (self.now, self.sharers);
+        let (mean_out, room) = (self.mean_out, self.room());
         let (Some(server), Some(record)) = (self.servers.get_mut(id), self.verbs.get_mut(verb)) else {
             return;
         };
@@ -713,7 +713,6 @@
         if in_time {
             record.answered.add(now, 1.0);
         }
-        (server.run, server.answered) = (0, now);
         if let Some(run) = server.runs.get_mut(verb) {
             *run = 0;
         }
@@ -747,7 +746,7 @@
         }
     }
 
-    /// The run is kept by verb too: what a server answers of one must not hide that it fails another.
+    /// The run is kept by verb: what a server answers of one verb must not hide that it fails another.
     fn lengthen_run(&mut self, id: &Id, verb: usize) {
         let wait = self.wait_marked();
         let Some(server) = self.servers.get_mut(id) else { return };
@@ -757,8 +756,8 @@
             return;
         }
         let Some(run) = server.runs.get_mut(verb) else { return };
-        (*run, server.run) = (*run + 1, server.run + 1);
-        if server.run.max(*run) >= MARK_AFTER {
+        *run += 1;
+        if *run >= MARK_AFTER {
             self.mark(id);
         }
     }
@@ -766,23 +765,20 @@
     /// Relays that stay out far longer than measured count as failures before any time-out says so: a server
     /// that answers nothing would otherwise go on taking its share until then.
     fn watch_relays(&mut self) {
-        let mut overdue: Vec<(Id, usize, Id, u32)> = Vec::new();
+        let mut late: Vec<(Id, usize, Id, u32)> = Vec::new();
         for (id, cmd) in &mut self.cmds {
             let Some(usual) = self.verbs.get(cmd.verb).and_then(|record| record.latency.quantile(0.9)) else {
                 continue;
             };
             for (number, relay) in (0u32..).zip(&mut cmd.relays) {
                 let since = self.now.saturating_sub(relay.sent).as_secs_f64();
-                let silent =
-                    self.servers.get(&relay.server).is_some_and(|server| server.answered < relay.sent);
-                let late = since > usual * if silent { SILENT } else { OVERDUE };
-                if relay.fate == Fate::Out && !relay.overdue && !cmd.streaming && late {
+                if relay.fate == Fate::Out && !relay.overdue && !cmd.streaming && since > OVERDUE * usual {
                     relay.overdue = true;
-                    overdue.push((id.clone(), cmd.verb, relay.server.clone(), number));
+                    late.push((id.clone(), cmd.verb, relay.server.clone(), number));
                 }
             }
         }
-        for (id, verb, server, number) in overdue {
+        for (id, verb, server, number) in late {
             if let Some(server) = self.servers.get_mut(&server) {
                 server.overdue += 1;
             }
@@ -794,7 +790,8 @@
     /// Within the budget, what is overdue at one server is tried at another while the goal can still be met.
     fn second_relay(&mut self, id: &Id, number: u32) {
         let Some(cmd) = self.cmds.get(id) else { return };
-        if cmd.finished || self.spare_relays < 1.0 || self.left(cmd) < 1.5 * self.expected(cmd.verb) {
+        let left = self.left(cmd);
+        if cmd.finished || self.spare_relays < 1.0 || left < 1.5 * self.expected(cmd.verb) {
             return;
         }
         if self.terms.allowed.parallel {
@@ -819,7 +816,8 @@
         if marked + 1.0 > ready * MARKED_AT_MOST {
             return;
         }
-        let (wait, Some(server)) = (self.wait_marked(), self.servers.get_mut(id)) else { return };
+        let wait = self.wait_marked();
+        let Some(server) = self.servers.get_mut(id) else { return };
         server.mark = Some(Mark { passes: 0, next: self.now + wait, trying: false });
         self.host.note(&format!("mark {id}"));
     }
@@ -920,7 +918,8 @@
         if self.mean_out >= self.room() {
             return None;
         }
-        let (drawn, cmd) = (self.chance(), self.cmds.get(id)?);
+        let drawn = self.chance();
+        let cmd = self.cmds.get(id)?;
         let all_marked = self.unmarked().next().is_none();
         let report = mean(self.servers.values().filter_map(|server| Some(server.report?.0)));
         let listed = mean(self.ready().map(|server| server.nominal)).max(1e-9);
