Room is made at once from idle callers unless eight silent ones have just come

Checked with a probe of the callers' places: 201 of 216 taken, 199 by callers who asked once and stay, and 100 accepts a second where 150 came. Ruled out: lingering (none), the restart (the same on both copies before and after), servers.

--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -35,6 +35,8 @@
 /// A new connection's first command follows at once where it comes at all. Longer, a crowd of silent ones would
 /// hold up those who come after it.
 const FRESH: Duration = Duration::from_millis(20);
+/// So many new ones at once that say nothing are a crowd.
+const CROWD: usize = 8;
 const NO_ROOM_YET: Duration = Duration::from_millis(5);
 const LEFT_MOST_MS: u64 = 3_600_000;
 const ID_MOST: usize = 128;
@@ -127,10 +129,10 @@
     }
 
     /// Makes room where only spare places are left. In a crowd that has just come it waits for who of them says
-    /// nothing, rather than close callers who spoke well.
+    /// nothing, rather than close callers who spoke well; for a few it must not, or taking stands still.
     async fn no_place_left(&self) -> bool {
         while self.stock.for_callers.only_spare_ones_left() {
-            if !self.close_strangers() && self.fresh.get() == 0 {
+            if !self.close_strangers() && self.fresh.get() < CROWD {
                 return !self.close_longest_idle();
             }
             Timer::after(NO_ROOM_YET).await;
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -499,6 +499,26 @@
     assert_eq!(read(&mut wrong, &mut [0]).ok(), Some(0), "an error is its connection's last word");
 }
 
+#[test]
+fn callers_who_ask_once_and_stay_hold_up_nobody() {
+    let endpoint = Endpoint::start(Does::Answer);
+    let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
+    let mut stay = Vec::new();
+    let mut waited = ms(0);
+    for number in 0..150 {
+        // One that says nothing yet comes before each.
+        stay.push(sidecar.open().expect("a connection"));
+        let mut stream = sidecar.open().expect("a connection");
+        let begun = Instant::now();
+        stream.write_all(cmd("view", &format!("y{number}"), 1900).as_bytes()).expect("it is written");
+        assert_eq!(answer(&mut stream).map(|(status, _, _)| status), Some(200));
+        waited += begun.elapsed();
+        stay.push(stream);
+        thread::sleep(ms(1));
+    }
+    assert!(waited < ms(1200), "150 answers took {waited:?}; most come with all places taken");
+}
+
 #[test]
 fn idle_callers_make_room_for_new_ones_and_past_that_each_still_hears_a_word() {
     let endpoint = Endpoint::start(Does::Wait(900));
