Buffers grow with the memory there is, so that longer answers are carried

Checked by logging why (a debug line that stays) and the heads: 126 answers of 128 to 388 KB, past the 64 KiB of the protocol, given up as TooLarge (http.rs read, BODY_MOST). Ruled out: broken connections (none among them) and the next tier (no reset there).

Buffers keep one size, by memory: 80 KiB at 32 MB, 480 at 192, two hundred of them in half of it.

--- a/crates/sidecar/src/net/buffers.rs
+++ b/crates/sidecar/src/net/buffers.rs
@@ -7,7 +7,9 @@
 
 pub const HEAD_MOST: usize = 16 * 1024;
 pub const BODY_MOST: usize = 64 * 1024;
-const SIZE: usize = HEAD_MOST + BODY_MOST;
+/// Where there is more memory than this many such buffers take, each is larger: answers past what the protocol
+/// allows have been met.
+const BUFFERS: usize = 200;
 /// Descriptors for all that is neither a caller nor an endpoint: standard streams, the reactor's own, the
 /// signal pipe, the listener, discovery.
 const SET_ASIDE: usize = 24;
@@ -20,6 +22,7 @@
     idle: RefCell<Vec<Box<[u8]>>>,
     buffers_out: Cell<usize>,
     buffers_most: usize,
+    size: usize,
     pub for_callers: Rc<Places>,
     pub for_endpoints: Rc<Places>,
 }
@@ -28,11 +31,14 @@
     pub fn new(sockets: usize, memory_mb: usize) -> Rc<Stock> {
         let places = sockets.saturating_sub(SET_ASIDE);
         let all = Rc::new(Cell::new(places));
+        let memory = memory_mb * 1024 * 1024 / 2;
+        let size = (memory / BUFFERS).max(HEAD_MOST + BODY_MOST);
         Rc::new(Stock {
             idle: RefCell::default(),
             buffers_out: Cell::new(0),
             // The other half is for all else.
-            buffers_most: memory_mb * 1024 * 1024 / 2 / SIZE,
+            buffers_most: memory / size,
+            size,
             // Neither side can take the last two fifths from the other, nor leave them unused.
             for_callers: Places::new(places * 3 / 5, &all),
             for_endpoints: Places::new(places * 3 / 5, &all),
@@ -49,7 +55,7 @@
             return None;
         }
         self.buffers_out.set(self.buffers_out.get() + 1);
-        let bytes = self.idle.borrow_mut().pop().unwrap_or_else(|| vec![0; SIZE].into_boxed_slice());
+        let bytes = self.idle.borrow_mut().pop().unwrap_or_else(|| vec![0; self.size].into_boxed_slice());
         Some(Buffer { bytes, filled: 0, stock: self.clone() })
     }
 }
@@ -61,6 +67,10 @@
 }
 
 impl Buffer {
+    pub fn body_most(&self) -> usize {
+        self.bytes.len() - HEAD_MOST
+    }
+
     pub fn filled(&self) -> &[u8] {
         &self.bytes[..self.filled]
     }
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -164,7 +164,10 @@
             let broke = matches!(answer, Err(Bad::Ended | Bad::Broken));
             self.breaks.borrow_mut().add(idle, broke);
         }
-        let answer = answer.map_err(|_| Outcome::Reset)?;
+        let answer = answer.map_err(|wrong| {
+            tracing::debug!("no answer from {}: {wrong:?}", to.server);
+            Outcome::Reset
+        })?;
         if answer.keep {
             self.keep(to, conn);
         }
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 as bytes: heads by httparse, bodies by their framing, whole messages in one buffer (a list may
 //! take more). It owns the framing both ways; it must never know what a command is, keep a connection, or send anything twice.
 
-use super::buffers::{BODY_MOST, Buffer, HEAD_MOST, Stock};
+use super::buffers::{Buffer, HEAD_MOST, Stock};
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::collections::VecDeque;
@@ -191,7 +191,7 @@
     shape_of: fn(&[u8]) -> Result<Option<Shape>, Bad>,
 ) -> Result<Message, Bad> {
     let Shape { head, framing, keep, expects, .. } = read_head(stream, &mut buffer, shape_of).await?;
-    if matches!(framing, Framing::Length(length) if length > BODY_MOST) {
+    if matches!(framing, Framing::Length(length) if length > buffer.body_most()) {
         return Err(Bad::TooLarge);
     }
     let waits = !matches!(framing, Framing::Length(length) if buffer.filled().len() >= head + length);
@@ -201,12 +201,12 @@
     let mut body = Body::new(framing, head);
     while !body.take_in(&mut buffer)? {
         // A body past its most never fits.
-        if body.end - head > BODY_MOST {
+        if body.end - head > buffer.body_most() {
             return Err(Bad::TooLarge);
         }
         body.more(stream, &mut buffer).await?;
     }
-    if body.end - head > BODY_MOST {
+    if body.end - head > buffer.body_most() {
         return Err(Bad::TooLarge);
     }
     let keep = keep && buffer.filled().len() == body.end;
@@ -388,7 +388,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::net::buffers::Stock;
+    use crate::net::buffers::{BODY_MOST, Stock};
     use async_io::block_on;
     use proptest::prelude::*;
     use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
@@ -480,6 +480,21 @@
         }
     }
 
+    #[test]
+    fn with_more_memory_a_longer_answer_is_carried() {
+        let bytes = [&b"HTTP/1.1 200 OK\r\nContent-Length: 390000\r\n\r\n"[..], &[b'x'; 390_000]].concat();
+        for (memory_mb, carried) in [(32, false), (192, true)] {
+            let (near, far) = pair();
+            let bytes = bytes.clone();
+            let writer = std::thread::spawn(move || (&near).write_all(&bytes).is_ok());
+            let buffer = Stock::new(64, memory_mb).buffer().expect("a buffer");
+            let answer = block_on(read_answer(&far, buffer));
+            assert_eq!(answer.is_ok_and(|answer| answer.body().len() == 390_000), carried);
+            drop(far);
+            writer.join().expect("the writer ends");
+        }
+    }
+
     #[test]
     fn interim_answers_are_read_over() {
         let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
