--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -66,10 +66,11 @@
 /// Endpoints may let go of idle ones sooner than they say, and not all say so by closing.
 #[derive(Default)]
 struct Breaks {
-    bins: [(u32, u32); 12],
+    bins: [(u32, u32); Breaks::BINS],
 }
 
 impl Breaks {
+    const BINS: usize = 12;
     const FIRST_MS: u64 = 25;
     const FULL: u32 = 128;
     /// One in so many is too often.
@@ -77,7 +78,7 @@
 
     fn bin(idle: Duration) -> usize {
         let steps = idle.as_millis() as u64 / Self::FIRST_MS;
-        (u64::BITS - steps.leading_zeros()).min(11) as usize
+        ((u64::BITS - steps.leading_zeros()) as usize).min(Self::BINS - 1)
     }
 
     fn add(&mut self, idle: Duration, broke: bool) {
@@ -209,18 +210,26 @@
         Ok((Conn { stream, _place: place }, None))
     }
 
-    /// The one idle for the shortest time that will do.
+    /// The one idle for the shortest time that will do. Only those tried are looked at, as each look is a system
+    /// call in the way of a command; `reap` finds the others.
     fn kept_one(&self, to: &Target, careful: bool) -> Option<Kept> {
         let mut kept = self.kept.borrow_mut();
         let all = kept.get_mut(&to.server)?;
-        all.retain(|kept| kept.address == to.address && self.usable(kept));
-        let breaks = self.breaks.borrow();
-        let fits = |kept: &Kept| {
-            let idle = kept.since.elapsed();
-            idle >= QUIET && !(careful && breaks.often_after(idle))
-        };
-        let at = all.iter().rposition(fits)?;
-        Some(all.remove(at))
+        for at in (0..all.len()).rev() {
+            let idle = all[at].since.elapsed();
+            if idle < QUIET {
+                continue;
+            }
+            // Those before it have been idle for longer still.
+            if careful && self.breaks.borrow().often_after(idle) {
+                return None;
+            }
+            let kept = all.remove(at);
+            if kept.address == to.address && self.usable(&kept) {
+                return Some(kept);
+            }
+        }
+        None
     }
 
     /// A server that is gone needs its connections no more, and its id never comes back.
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -199,16 +199,16 @@
         write(stream, b"HTTP/1.1 100 Continue\r\n\r\n", b"").await?;
     }
     let mut body = Body::new(framing, head);
-    while !body.take_in(&mut buffer)? {
-        // A body past its most never fits.
+    loop {
+        let whole = body.take_in(&mut buffer)?;
         if body.end - head > buffer.body_most() {
             return Err(Bad::TooLarge);
         }
+        if whole {
+            break;
+        }
         body.more(stream, &mut buffer).await?;
     }
-    if body.end - head > buffer.body_most() {
-        return Err(Bad::TooLarge);
-    }
     let keep = keep && buffer.filled().len() == body.end;
     Ok(Message { buffer, head, body: head..body.end, keep })
 }
