The lab's emulated world: servers, copies, lists, clients, faults and a referee in virtual time

Need: later directions must be shown to hold at scale and through failures, and the repository could emulate no fleet. crates/lab plays discrete events in virtual time and hosts the real Policy through Host, one instance a copy, beside five baselines; plans are TOML files, results JSON lines with the build and every setting.

--- /dev/null
+++ b/crates/lab/src/experiment/builtin.rs
@@ -0,0 +1,20 @@
+//! The plans that come with the lab.
+
+const PLANS: [(&str, &str); 8] = [
+    ("suite", include_str!("../../plans/suite.toml")),
+    ("tiers", include_str!("../../plans/tiers.toml")),
+    ("zones", include_str!("../../plans/zones.toml")),
+    ("one-tier", include_str!("../../plans/one-tier.toml")),
+    ("three-tiers", include_str!("../../plans/three-tiers.toml")),
+    ("two-zones", include_str!("../../plans/two-zones.toml")),
+    ("hundred", include_str!("../../plans/hundred.toml")),
+    ("thousands", include_str!("../../plans/thousands.toml")),
+];
+
+pub fn builtins() -> impl Iterator<Item = (&'static str, &'static str)> {
+    PLANS.into_iter()
+}
+
+pub fn builtin(name: &str) -> Option<&'static str> {
+    PLANS.into_iter().find(|(known, _)| *known == name).map(|(_, text)| text)
+}
--- /dev/null
+++ b/crates/lab/src/experiment/compare.rs
@@ -0,0 +1,123 @@
+//! Pickers against each other, seed by seed: the difference of two on the same load and faults, with a bootstrap
+//! interval (Efron and Tibshirani, 1993, chapter 13: percentiles of resampled means).
+
+use super::{Results, Row};
+use crate::pickers::Named;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+const RESAMPLES: usize = 2_000;
+
+/// How much more of the utility `picker` keeps than `base` in one setting.
+#[derive(Clone, Debug)]
+pub struct Difference {
+    pub setting: String,
+    pub picker: Named,
+    pub base: Named,
+    pub seeds: usize,
+    pub mean: f64,
+    /// Nineteen in twenty resamples lie from the first to the second.
+    pub interval: (f64, f64),
+}
+
+type BySeed = BTreeMap<u64, f64>;
+
+fn kept_by_seed<'a>(rows: impl Iterator<Item = &'a Row>) -> BySeed {
+    rows.map(|row| (row.seed, row.totals.kept)).collect()
+}
+
+/// Settings' names in the order of the results.
+fn settings(results: &Results) -> Vec<String> {
+    let mut names: Vec<String> = Vec::new();
+    for row in &results.rows {
+        let name = row.name();
+        if names.last() != Some(&name) {
+            names.push(name);
+        }
+    }
+    names.dedup();
+    names
+}
+
+fn rows_of<'a>(results: &'a Results, setting: &'a str, picker: Named) -> impl Iterator<Item = &'a Row> {
+    results.rows.iter().filter(move |row| row.picker == picker && row.name() == setting)
+}
+
+pub fn compare(results: &Results, picker: Named, base: Named) -> Vec<Difference> {
+    let one = |setting: String| {
+        let ours = kept_by_seed(rows_of(results, &setting, picker));
+        let theirs = kept_by_seed(rows_of(results, &setting, base));
+        let pairs: Vec<f64> = ours.iter().filter_map(|(seed, kept)| Some(kept - theirs.get(seed)?)).collect();
+        let mean = pairs.iter().sum::<f64>() / pairs.len().max(1) as f64;
+        let interval = bootstrap(&pairs);
+        (!pairs.is_empty()).then_some(Difference {
+            setting,
+            picker,
+            base,
+            seeds: pairs.len(),
+            mean,
+            interval,
+        })
+    };
+    settings(results).into_iter().filter_map(one).collect()
+}
+
+/// With a fixed seed: a table made twice is the same.
+fn bootstrap(pairs: &[f64]) -> (f64, f64) {
+    if pairs.is_empty() {
+        return (0.0, 0.0);
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut means: Vec<f64> = (0..RESAMPLES)
+        .map(|_| {
+            let drawn = (0..pairs.len()).map(|_| pairs[rng.random_range(0..pairs.len())]);
+            drawn.sum::<f64>() / pairs.len() as f64
+        })
+        .collect();
+    means.sort_by(f64::total_cmp);
+    let at = |share: f64| means[((RESAMPLES - 1) as f64 * share).round() as usize];
+    (at(0.025), at(0.975))
+}
+
+/// How often each rule was broken, where any was: `[r4 x3]`.
+fn broken<'a>(rows: impl Iterator<Item = &'a Row>) -> String {
+    let mut counts = [0; 4];
+    for row in rows {
+        counts.iter_mut().zip(&row.broken).for_each(|(count, more)| *count += more);
+    }
+    let told = (1..).zip(counts).filter(|(_, count)| *count > 0);
+    let told: Vec<String> = told.map(|(rule, count)| format!("r{rule} x{count}")).collect();
+    if told.is_empty() { String::new() } else { format!(" [{}]", told.join(", ")) }
+}
+
+/// Mean kept utility of each picker in each setting; behind each base, `picker`'s difference and its interval.
+pub fn table(results: &Results, picker: Named) -> String {
+    let pickers = &results.header.experiment.pickers;
+    let mut text = String::from("| case |");
+    pickers.iter().for_each(|named| text += &format!(" {} |", named.name()));
+    text += "\n| --- |";
+    pickers.iter().for_each(|_| text += " --- |");
+    let differences: BTreeMap<(String, Named), Difference> = pickers
+        .iter()
+        .filter(|base| **base != picker)
+        .flat_map(|base| compare(results, picker, *base))
+        .map(|difference| ((difference.setting.clone(), difference.base), difference))
+        .collect();
+    for setting in settings(results) {
+        let _ = write!(text, "\n| {setting} |");
+        for named in pickers {
+            let kept = kept_by_seed(rows_of(results, &setting, *named));
+            let mean = kept.values().sum::<f64>() / kept.len().max(1) as f64;
+            let _ = write!(text, " {mean:.3}");
+            if let Some(difference) = differences.get(&(setting.clone(), *named)) {
+                let (low, high) = difference.interval;
+                let _ = write!(text, " ({:+.3}: {low:+.3} to {high:+.3})", difference.mean);
+            }
+            text += &broken(rows_of(results, &setting, *named));
+            text += " |";
+        }
+    }
+    text + "\n"
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,9 @@
+//! The lab: an emulated world that hosts the real decisions, its load and faults, a referee of the four rules,
+//! baselines, experiments over seeds and axes, and reports. Nothing depends on it but tests.
+
+pub mod experiment;
+pub mod pickers;
+pub mod plan;
+pub mod referee;
+pub mod tally;
+pub mod world;
--- /dev/null
+++ b/crates/lab/src/pickers/plain.rs
@@ -0,0 +1,201 @@
+//! Baselines: one rule for the pick, and the least that the four rules ask beside it. They relay at once, go on to
+//! another server after a failure while that is harmless, mark nothing, hold nothing and know no cold start.
+
+use super::Picker;
+use super::rules::{Sent, may_decline, may_go};
+use crate::world::Hand;
+use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Outcome, State};
+use landingspread_decisions::terms::Terms;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    Random,
+    RoundRobin,
+    /// Fewest of this copy's own relays out.
+    LeastOutstanding,
+    /// The better by that of two drawn evenly (Mitzenmacher 2001).
+    TwoChoices,
+    /// The shortest wait by the servers' true state, which no copy can know, and a decline where no server would
+    /// answer within the goal: a bound.
+    TrueState,
+}
+
+struct Known {
+    id: Id,
+    zone: u32,
+    cell: u32,
+    ready: bool,
+    out: u32,
+}
+
+struct Open {
+    verb: usize,
+    due: Duration,
+    good_until: Duration,
+    sent: Vec<Sent>,
+}
+
+pub struct Plain {
+    hand: Hand,
+    terms: Terms,
+    way: Way,
+    rng: ChaCha8Rng,
+    servers: Vec<Known>,
+    places: BTreeMap<Id, usize>,
+    open: BTreeMap<Id, Open>,
+    turn: usize,
+    failures: u32,
+}
+
+impl Plain {
+    pub fn new(hand: Hand, terms: Terms, seed: u64, way: Way) -> Plain {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        Plain {
+            hand,
+            terms,
+            way,
+            rng,
+            servers: Vec::new(),
+            places: BTreeMap::new(),
+            open: BTreeMap::new(),
+            turn: 0,
+            failures: 0,
+        }
+    }
+
+    fn take(&mut self, entries: &[Listed]) {
+        for entry in entries {
+            let count = self.servers.len();
+            let place = *self.places.entry(entry.server.clone()).or_insert(count);
+            if place == count {
+                let (id, zone, cell) = (entry.server.clone(), entry.zone, entry.cell);
+                self.servers.push(Known { id, zone, cell, ready: false, out: 0 });
+            }
+            self.servers[place].ready = entry.state == State::Ready;
+        }
+    }
+
+    fn pick(&mut self, open: &Open, now: Duration) -> Option<usize> {
+        let fits = |place: &usize| {
+            let server = &self.servers[*place];
+            server.ready
+                && !open.sent.iter().any(|sent| sent.server == *place)
+                && may_go(&self.terms, open.verb, &open.sent, server.zone, server.cell, now)
+        };
+        let fitting: Vec<usize> = (0..self.servers.len()).filter(fits).collect();
+        if fitting.is_empty() {
+            return None;
+        }
+        // Seconds in which an answer still earns something.
+        let left = open.good_until.saturating_sub(now).as_secs_f64();
+        let one = fitting[self.rng.random_range(0..fitting.len())];
+        let other = fitting[self.rng.random_range(0..fitting.len())];
+        let fewest = |place: &usize| self.servers[*place].out;
+        match self.way {
+            Way::Random => Some(one),
+            Way::RoundRobin => {
+                self.turn += 1;
+                Some(fitting[self.turn % fitting.len()])
+            }
+            Way::TwoChoices => [one, other].into_iter().min_by_key(fewest),
+            // From a place of its own: the first of equals would be the same one at every copy.
+            Way::LeastOutstanding => {
+                let start = fitting.iter().position(|place| *place == one).unwrap_or(0);
+                fitting[start..].iter().chain(&fitting[..start]).copied().min_by_key(fewest)
+            }
+            Way::TrueState => {
+                let wait = |place: &usize| {
+                    let wait = self.hand.true_wait(&self.servers[*place].id, open.verb)?;
+                    (wait <= left).then_some((wait, *place))
+                };
+                let best = fitting.iter().filter_map(wait).min_by(|a, b| a.0.total_cmp(&b.0));
+                best.map(|(_, place)| place)
+            }
+        }
+    }
+
+    fn go(&mut self, id: &Id, now: Duration) {
+        let Some(mut open) = self.open.remove(id) else { return };
+        let may = open.due > now && (open.sent.len() as u32) < self.terms.allowed.relays;
+        let place = if may { self.pick(&open, now) } else { None };
+        let Some(place) = place else {
+            if may_decline(&self.terms, open.verb, &open.sent) {
+                self.hand.decline(id, self.terms.allowed.come_back);
+            } else {
+                self.hand.terminate(id);
+            }
+            return;
+        };
+        let server = &mut self.servers[place];
+        server.out += 1;
+        let (zone, cell, due) = (server.zone, server.cell, open.due);
+        open.sent.push(Sent { server: place, zone, cell, at: now, outcome: None });
+        let to = server.id.clone();
+        self.open.insert(id.clone(), open);
+        self.hand.relay(id, &to, due);
+    }
+}
+
+impl Picker for Plain {
+    fn list_cached(&mut self, _now: Duration, entries: &[Listed]) {
+        self.servers.iter_mut().for_each(|server| server.ready = false);
+        self.take(entries);
+    }
+
+    fn list_told(&mut self, now: Duration, entries: &[Listed]) {
+        self.failures = 0;
+        self.list_cached(now, entries);
+    }
+
+    fn list_changed(&mut self, _now: Duration, entries: &[Listed]) {
+        self.failures = 0;
+        self.take(entries);
+    }
+
+    fn list_call_failed(&mut self, _now: Duration) {
+        self.failures += 1;
+        self.hand.wake_in(Duration::from_secs(1));
+    }
+
+    fn cmd_came(&mut self, now: Duration, arrival: Arrival) {
+        let Arrival { verb, due, .. } = arrival;
+        let goal = self.terms.verbs.get(verb).map_or(due, |verb| now + verb.goal);
+        let open = Open { verb, due, good_until: goal.min(due), sent: Vec::new() };
+        self.open.insert(arrival.id.clone(), open);
+        self.go(&arrival.id, now);
+    }
+
+    fn client_left(&mut self, _now: Duration, cmd: &Id) {
+        let Some(open) = self.open.remove(cmd) else { return };
+        for (number, sent) in (0u32..).zip(&open.sent) {
+            if sent.outcome.is_none() {
+                self.servers[sent.server].out -= 1;
+                self.hand.cancel(cmd, number);
+            }
+        }
+    }
+
+    fn relay_ended(&mut self, now: Duration, ended: Ended) {
+        let Some(open) = self.open.get_mut(&ended.cmd) else { return };
+        let Some(sent) = open.sent.get_mut(ended.relay as usize) else { return };
+        sent.outcome = Some(ended.outcome);
+        self.servers[sent.server].out -= 1;
+        if ended.closed {
+            self.open.remove(&ended.cmd);
+        } else {
+            self.go(&ended.cmd, now);
+        }
+    }
+
+    fn check_ended(&mut self, _now: Duration, _outcome: Outcome, _server: &Id) {}
+
+    fn woken(&mut self, _now: Duration) {
+        if self.failures > 0 {
+            self.hand.subscribe();
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/tally.rs
@@ -0,0 +1,200 @@
+//! What a run is measured by: final answers, utility, latencies, marks and loads, second by second.
+
+use crate::referee::Final;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Servers whose load is kept one by one; the rest is in the mean.
+const SERVERS_MOST: usize = 48;
+const MARKS_MOST: usize = 2_000;
+
+/// One second of a run. Utility is counted when a command first comes, what it earns when it is answered.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq)]
+pub struct Second {
+    pub offered: f64,
+    pub earned: f64,
+    pub came: u32,
+    pub answered: u32,
+    pub declined: u32,
+    pub terminated: u32,
+    pub left: u32,
+    pub lost: u32,
+    /// Milliseconds; half and 99 of 100 were answered as quickly.
+    pub p50: f64,
+    pub p99: f64,
+    /// Mean commands in a server for each of its cores.
+    pub load: f64,
+    /// The same for single servers, in order of their numbers.
+    pub loads: Vec<f64>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct Marked {
+    pub at: f64,
+    pub copy: usize,
+    /// The copy's own words: `mark s3`, `return s3`.
+    pub note: String,
+}
+
+/// What a run came to, without the settling time at its start.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq)]
+pub struct Totals {
+    /// Earned utility as a share of the offered.
+    pub kept: f64,
+    pub came: u64,
+    pub answered: u64,
+    pub in_goal: u64,
+    pub declined: u64,
+    pub terminated: u64,
+    pub left: u64,
+    pub lost: u64,
+    pub relays: u64,
+    /// Relays for each command.
+    pub relays_each: f64,
+    /// Milliseconds from a command's coming to its answer.
+    pub p50: f64,
+    pub p90: f64,
+    pub p99: f64,
+    pub p999: f64,
+    /// Commands that clients had no copy for, or the world no room.
+    pub unheard: u64,
+    pub tenants: Vec<f64>,
+}
+
+fn histogram() -> Histogram<u64> {
+    // Microseconds up to an hour; two digits are what a plot shows.
+    Histogram::new_with_bounds(1, 3_600_000_000, 2).expect("bounds and digits are within what it takes")
+}
+
+pub struct Tally {
+    settle: Duration,
+    seconds: Vec<Second>,
+    within: Histogram<u64>,
+    all: Histogram<u64>,
+    totals: Totals,
+    offered: f64,
+    earned: f64,
+    by_tenant: Vec<(f64, f64)>,
+    marks: Vec<Marked>,
+    filled: usize,
+}
+
+fn ms(histogram: &Histogram<u64>, share: f64) -> f64 {
+    histogram.value_at_quantile(share) as f64 / 1000.0
+}
+
+impl Tally {
+    pub fn new(settle: Duration, tenants: usize) -> Tally {
+        Tally {
+            settle,
+            seconds: Vec::new(),
+            within: histogram(),
+            all: histogram(),
+            totals: Totals::default(),
+            offered: 0.0,
+            earned: 0.0,
+            by_tenant: vec![(0.0, 0.0); tenants],
+            marks: Vec::new(),
+            filled: 0,
+        }
+    }
+
+    fn second(&mut self, now: Duration) -> &mut Second {
+        let at = now.as_secs() as usize;
+        if self.seconds.len() <= at {
+            self.seconds.resize(at + 1, Second::default());
+        }
+        &mut self.seconds[at]
+    }
+
+    /// `counted` is whether its first coming lies past the settling time.
+    pub fn offered(&mut self, now: Duration, utility: f64, tenant: usize) {
+        let second = self.second(now);
+        second.offered += utility;
+        second.came += 1;
+        if now >= self.settle {
+            self.totals.came += 1;
+            self.offered += utility;
+            self.by_tenant[tenant].0 += utility;
+        }
+    }
+
+    pub fn earned(&mut self, now: Duration, since: Duration, utility: f64, tenant: usize) {
+        self.second(now).earned += utility;
+        if since >= self.settle {
+            self.earned += utility;
+            self.totals.in_goal += u64::from(utility > 0.0);
+            self.by_tenant[tenant].1 += utility;
+        }
+    }
+
+    pub fn final_word(&mut self, now: Duration, since: Duration, word: Final) {
+        let counted = u64::from(since >= self.settle);
+        let second = self.second(now);
+        let of_second = match word {
+            Final::Answered => &mut second.answered,
+            Final::Declined => &mut second.declined,
+            Final::Terminated => &mut second.terminated,
+            Final::Left => &mut second.left,
+            Final::Lost => &mut second.lost,
+        };
+        *of_second += 1;
+        let of_all = match word {
+            Final::Answered => &mut self.totals.answered,
+            Final::Declined => &mut self.totals.declined,
+            Final::Terminated => &mut self.totals.terminated,
+            Final::Left => &mut self.totals.left,
+            Final::Lost => &mut self.totals.lost,
+        };
+        *of_all += counted;
+        if word == Final::Answered {
+            let took = now.saturating_sub(since).as_micros() as u64;
+            self.within.saturating_record(took.max(1));
+            if counted > 0 {
+                self.all.saturating_record(took.max(1));
+            }
+        }
+    }
+
+    pub fn relayed(&mut self, now: Duration) {
+        self.totals.relays += u64::from(now >= self.settle);
+    }
+
+    pub fn unheard(&mut self, now: Duration) {
+        self.totals.unheard += u64::from(now >= self.settle);
+    }
+
+    pub fn noted(&mut self, now: Duration, copy: usize, note: &str) {
+        if self.marks.len() < MARKS_MOST && (note.starts_with("mark") || note.starts_with("return")) {
+            self.marks.push(Marked { at: now.as_secs_f64(), copy, note: note.into() });
+        }
+    }
+
+    /// Ends a second. `loads` are the servers' commands for each core.
+    pub fn sample(&mut self, now: Duration, loads: &[f64]) {
+        let (p50, p99) = (ms(&self.within, 0.5), ms(&self.within, 0.99));
+        self.within.reset();
+        let at = self.filled;
+        self.filled += 1;
+        self.second(now);
+        let second = &mut self.seconds[at];
+        (second.p50, second.p99) = (p50, p99);
+        second.load = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
+        second.loads = loads.iter().take(SERVERS_MOST).copied().collect();
+    }
+
+    pub fn close(mut self) -> (Totals, Vec<Second>, Vec<Marked>) {
+        let part = |(offered, earned): &(f64, f64)| if *offered > 0.0 { earned / offered } else { 1.0 };
+        let whole = (self.offered, self.earned);
+        self.totals.kept = part(&whole);
+        self.totals.tenants = self.by_tenant.iter().map(part).collect();
+        self.totals.relays_each = self.totals.relays as f64 / self.totals.came.max(1) as f64;
+        self.totals.p50 = ms(&self.all, 0.5);
+        self.totals.p90 = ms(&self.all, 0.9);
+        self.totals.p99 = ms(&self.all, 0.99);
+        self.totals.p999 = ms(&self.all, 0.999);
+        self.seconds.truncate(self.filled);
+        (self.totals, self.seconds, self.marks)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/clients.rs
@@ -0,0 +1,257 @@
+//! Clients: they send at a rate that nothing slows down, go away, and try again. It owns what a final word means
+//! to whoever asked, a client or a server of the tier before.
+
+use super::dice::{deal, exponential, size};
+use super::ground::{CMDS_MOST, Cmd, Ground, Origin};
+use super::happening::{Happening, Leg};
+use crate::plan::{Kind, Repeats, span};
+use crate::referee::Final;
+use landingspread_decisions::host::Outcome;
+use rand::Rng;
+use std::time::Duration;
+
+impl Ground {
+    /// Commands a second that clients send now.
+    fn rate(&self) -> f64 {
+        let surges = self.faults().filter(|fault| fault.kind == Kind::Surge).filter_map(|fault| fault.factor);
+        self.plan.load.rate * surges.product::<f64>()
+    }
+
+    /// The next client sends: Poisson arrivals, thinned from the highest rate there will be, so that a surge
+    /// changes nothing of what came before it.
+    pub fn arrival(&mut self) {
+        let most = self.rate_most();
+        if most <= 0.0 || self.now >= span(self.plan.seconds) {
+            return;
+        }
+        let gap = span(exponential(&mut self.dice.arrivals) / most);
+        self.put_in(gap, Happening::Arrival);
+        let dice = &mut self.dice.arrivals;
+        let (kept, zone, tenant, verb) = (dice.random(), dice.random(), dice.random(), dice.random());
+        if self.now.is_zero() || self.rate() / most <= kept {
+            return;
+        }
+        let plan = self.plan.clone();
+        let zones = &plan.front.zone_shares;
+        let zone = match zones.is_empty() {
+            true => deal(plan.zones.iter().map(|_| 1.0), zone),
+            false => deal(zones.iter().copied(), zone),
+        };
+        let tenant = deal(plan.tenants.iter().map(|tenant| tenant.share), tenant);
+        let verb = deal(plan.verbs.iter().map(|verb| verb.share), verb);
+        let size = size(plan.verbs[verb].spread, &mut self.dice.arrivals);
+        let beyond = self.beyond_quota(tenant);
+        let origin =
+            Origin { verb, tenant, zone: zone as u32, size, tries: 0, beyond, ran: Vec::new(), live: 1 };
+        let utility = self.utility(&origin, plan.verbs[verb].utility);
+        self.tally.offered(self.now, utility, tenant);
+        let origin = self.origins.add(origin);
+        self.send(origin);
+    }
+
+    fn rate_most(&self) -> f64 {
+        let surge = |fault: &&crate::plan::Fault| fault.kind == Kind::Surge;
+        let factors = self.plan.faults.iter().filter(surge).filter_map(|fault| fault.factor);
+        self.plan.load.rate * factors.map(|factor| factor.max(1.0)).product::<f64>()
+    }
+
+    /// Whether a tenant has sent more than its quota within this second.
+    fn beyond_quota(&mut self, tenant: usize) -> bool {
+        let Some(quota) = self.plan.tenants[tenant].quota else { return false };
+        let (second, count) = &mut self.tenants[tenant];
+        if *second != self.now.as_secs() {
+            (*second, *count) = (self.now.as_secs(), 0.0);
+        }
+        *count += 1.0;
+        *count > quota
+    }
+
+    fn utility(&self, origin: &Origin, full: f64) -> f64 {
+        full * if origin.beyond { self.plan.rules.beyond_quota } else { 1.0 }
+    }
+
+    /// A client sends what it wants, once more or for the first time.
+    pub fn send(&mut self, number: u64) {
+        let Some(origin) = self.origins.get(number) else { return };
+        let (verb, tenant, zone) = (origin.verb, origin.tenant, origin.zone);
+        let copy = self.pick_copy(zone).filter(|_| self.cmds.live() < CMDS_MOST);
+        let Some(copy) = copy else {
+            self.tally.unheard(self.now);
+            self.try_again(number, true, None);
+            self.origin_lets_go(number);
+            return;
+        };
+        let limit = span(self.plan.verbs[verb].limit);
+        let cmd = Cmd {
+            id: "".into(),
+            copy: self.as_alive(copy),
+            verb,
+            tenant,
+            came: self.now,
+            due: self.now + limit,
+            origin: number,
+            finished: None,
+            relays: Vec::new(),
+            jobs: 0,
+            parent: None,
+        };
+        let cmd = self.cmds.add(cmd);
+        self.put_in(Duration::ZERO, Happening::Come(cmd));
+        if self.plan.load.quits > 0.0 && self.dice.clients.random::<f64>() < self.plan.load.quits {
+            let after = limit.mul_f64(self.dice.clients.random::<f64>());
+            self.put_in(after, Happening::Quit(cmd));
+        }
+    }
+
+    /// One of the zone's copies that are up, else any that is.
+    fn pick_copy(&mut self, zone: u32) -> Option<usize> {
+        let point: f64 = self.dice.clients.random();
+        let count = self.plan.front.copies;
+        let pick = |here: &dyn Fn(usize) -> bool| {
+            let fitting = (0..count).filter(|copy| self.copies[*copy].up && here(*copy)).count();
+            let place = (point * fitting as f64) as usize;
+            (0..count).filter(|copy| self.copies[*copy].up && here(*copy)).nth(place)
+        };
+        pick(&|copy| self.copies[copy].zone == zone).or_else(|| pick(&|_| true))
+    }
+
+    /// Gives a command its id at its copy, or none where the copy is no longer there.
+    pub fn come(&mut self, number: u64) -> bool {
+        let Some(cmd) = self.cmds.get(number) else { return false };
+        let (copy, due) = (cmd.copy, cmd.due);
+        let slack = span(self.plan.rules.slack);
+        self.put(due + slack + Duration::from_nanos(1), Happening::Due(number));
+        if !self.alive(copy) {
+            self.finish(number, Final::Lost, None);
+            return false;
+        }
+        if let Some(cmd) = self.cmds.get_mut(number) {
+            cmd.id = format!("c{number}").into();
+        }
+        true
+    }
+
+    /// A command's final word: to the referee, to the books, and to whoever asked.
+    pub fn finish(&mut self, number: u64, word: Final, come_back: Option<Duration>) {
+        let now = self.now;
+        self.judge(number, |referee, facts| referee.final_word(now, facts, word));
+        let Some(cmd) = self.cmds.get_mut(number) else { return };
+        if cmd.finished.is_some() {
+            return;
+        }
+        cmd.finished = Some(word);
+        let (origin, parent, came, verb) = (cmd.origin, cmd.parent, cmd.came, cmd.verb);
+        if let Some(key) = parent {
+            self.put_in(Duration::ZERO, Happening::CallEnded(key, word == Final::Answered));
+            return;
+        }
+        self.tally.final_word(now, came, word);
+        match word {
+            Final::Answered => self.earn(origin, came),
+            Final::Declined => self.try_again(origin, true, come_back),
+            Final::Lost | Final::Terminated => {
+                self.try_again(origin, self.repeats(verb) == Repeats::Pure, None);
+            }
+            Final::Left => {}
+        }
+    }
+
+    fn earn(&mut self, number: u64, came: Duration) {
+        let Some(origin) = self.origins.get(number) else { return };
+        let verb = &self.plan.verbs[origin.verb];
+        let took = self.now.saturating_sub(came).as_secs_f64();
+        let full = if took <= verb.goal { verb.utility } else { verb.overdue_utility };
+        let (utility, tenant) = (self.utility(origin, full), origin.tenant);
+        self.tally.earned(self.now, came, utility, tenant);
+    }
+
+    fn try_again(&mut self, number: u64, harmless: bool, come_back: Option<Duration>) {
+        let Some(origin) = self.origins.get_mut(number) else { return };
+        let over = self.now >= span(self.plan.seconds);
+        if !harmless || over || origin.tries >= self.plan.load.retries {
+            return;
+        }
+        origin.tries += 1;
+        origin.live += 1;
+        let wait = match come_back.filter(|_| self.plan.rules.come_back > 0.0) {
+            Some(told) => told.mul_f64(1.0 + 0.2 * self.dice.clients.random::<f64>()),
+            None => span(self.plan.load.backoff * exponential(&mut self.dice.clients)),
+        };
+        self.put_in(wait, Happening::Again(number));
+    }
+
+    /// The time limit is over: nothing may be open; what nothing holds any more is forgotten.
+    pub fn due(&mut self, number: u64) {
+        let now = self.now;
+        self.judge(number, |referee, facts| referee.due(now, facts));
+        if self.cmds.get(number).is_some_and(|cmd| cmd.finished.is_none()) {
+            self.tally_unfinished(number);
+        }
+        self.forget(number);
+    }
+
+    /// A command without a final word counts as lost; the referee has told the breach.
+    fn tally_unfinished(&mut self, number: u64) {
+        let now = self.now;
+        let Some(cmd) = self.cmds.get_mut(number) else { return };
+        cmd.finished = Some(Final::Lost);
+        let (parent, came) = (cmd.parent, cmd.came);
+        match parent {
+            Some(key) => self.put_in(Duration::ZERO, Happening::CallEnded(key, false)),
+            None => self.tally.final_word(now, came, Final::Lost),
+        }
+    }
+
+    /// Kept while a relay is out or a server holds a job of it; looked at again a little later.
+    fn forget(&mut self, number: u64) {
+        const LATER: Duration = Duration::from_millis(500);
+        let Some(cmd) = self.cmds.get(number) else { return };
+        let out = self.alive(cmd.copy) && cmd.relays.iter().any(|relay| relay.outcome.is_none());
+        let (origin, jobs) = (cmd.origin, cmd.jobs);
+        if out || jobs > 0 {
+            self.put_in(LATER, Happening::Due(number));
+            return;
+        }
+        self.cmds.remove(number);
+        self.origin_lets_go(origin);
+    }
+
+    pub fn origin_lets_go(&mut self, number: u64) {
+        let Some(origin) = self.origins.get_mut(number) else { return };
+        origin.live -= 1;
+        if origin.live == 0 {
+            self.origins.remove(number);
+        }
+    }
+
+    /// A process of a copy ends: what it had taken is lost, and its relays' connections close.
+    pub fn copy_dies(&mut self, number: usize) {
+        let gone = self.as_alive(number);
+        let copy = &mut self.copies[number];
+        if !copy.up {
+            return;
+        }
+        (copy.up, copy.life) = (false, copy.life + 1);
+        copy.kept.clear();
+        let mine: Vec<u64> =
+            self.cmds.iter().filter(|(_, cmd)| cmd.copy == gone).map(|(number, _)| number).collect();
+        for cmd in mine {
+            self.close_relays(cmd);
+            if self.cmds.get(cmd).is_some_and(|cmd| cmd.finished.is_none()) {
+                self.finish(cmd, Final::Lost, None);
+            }
+        }
+    }
+
+    fn close_relays(&mut self, number: u64) {
+        let Some(cmd) = self.cmds.get_mut(number) else { return };
+        let mut closed = Vec::new();
+        for (at, relay) in (0u32..).zip(&mut cmd.relays) {
+            if relay.outcome.is_none() {
+                relay.outcome = Some(Outcome::Cancelled);
+                closed.push((Leg { cmd: number, relay: at }, relay.delay));
+            }
+        }
+        closed.into_iter().for_each(|(leg, delay)| self.put_in(delay, Happening::CalledOff(leg)));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/mod.rs
@@ -0,0 +1,332 @@
+//! An emulated world in virtual time: what happens next, one thing after another, and the pickers that hear of it.
+//! It owns the loop and is the only place that calls a picker. There is no clock, no socket and no thread in it:
+//! the same plan, seed and picker give the same result, byte for byte.
+
+mod agenda;
+mod clients;
+mod dice;
+mod faults;
+mod ground;
+mod hand;
+mod happening;
+mod serving;
+mod source;
+mod window;
+
+pub use hand::Hand;
+
+use crate::pickers::Picker;
+use crate::plan::{Repeats, Scenario, span};
+use crate::referee::Breach;
+use crate::tally::{Marked, Second, Totals};
+use ground::Ground;
+use happening::{Alive, Happening, Leg};
+use landingspread_decisions::host::{Arrival, Ended, Load, Outcome};
+use landingspread_decisions::terms::{self, Allowed, ColdRule, GoalWeights, Group, Prices, Terms};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Makes a copy's picker: from its hand, its terms, a seed, and the time.
+pub type Make<'a> = dyn Fn(Hand, Terms, u64, Duration) -> Box<dyn Picker> + 'a;
+
+/// What a run came to.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub totals: Totals,
+    pub seconds: Vec<Second>,
+    pub marks: Vec<Marked>,
+    /// Told one by one up to a bound; `breach_counts` has them all, by rule.
+    pub breaches: Vec<Breach>,
+    pub breach_counts: [u64; 4],
+    /// Things that happened.
+    pub steps: u64,
+    /// The most that was ever in the agenda: the world's size.
+    pub agenda_most: usize,
+}
+
+/// Plays a plan with one seed. After the clients stop, what is open is let end.
+pub fn play(plan: &Rc<Scenario>, seed: u64, make: &Make) -> Run {
+    let mut world = World::new(plan.clone(), seed, make);
+    let end = span(plan.seconds) + world.longest_limit() + Duration::from_secs(1);
+    let mut most = 0;
+    loop {
+        let next = world.ground.borrow_mut().agenda.next();
+        let Some((at, what)) = next.filter(|(at, _)| *at <= end) else { break };
+        {
+            let ground = &mut *world.ground.borrow_mut();
+            debug_assert!(at >= ground.now, "time goes forward");
+            (ground.now, ground.steps) = (at, ground.steps + 1);
+            most = most.max(ground.agenda.len());
+        }
+        world.happen(at, what);
+    }
+    world.close(most)
+}
+
+struct World<'a> {
+    ground: Rc<RefCell<Ground>>,
+    pickers: Vec<Option<Box<dyn Picker>>>,
+    make: &'a Make<'a>,
+    seed: u64,
+}
+
+impl<'a> World<'a> {
+    fn new(plan: Rc<Scenario>, seed: u64, make: &'a Make<'a>) -> World<'a> {
+        let ground = Rc::new(RefCell::new(Ground::new(plan, seed)));
+        let mut world = World { ground, pickers: Vec::new(), make, seed };
+        let copies = world.ground.borrow().copies.len();
+        for copy in 0..copies {
+            world.copy_up(copy);
+        }
+        let mut ground = world.ground.borrow_mut();
+        ground.put_faults();
+        ground.put(Duration::ZERO, Happening::Arrival);
+        ground.put(Duration::from_secs(1), Happening::Sample);
+        drop(ground);
+        world
+    }
+
+    fn longest_limit(&self) -> Duration {
+        let plan = &self.ground.borrow().plan;
+        span(plan.verbs.iter().map(|verb| verb.limit).fold(0.0, f64::max))
+    }
+
+    /// A copy's process starts: with nothing learned, and the list as the source has it. The books are free again
+    /// before the picker is made, as that asks for things at once.
+    fn copy_up(&mut self, copy: usize) {
+        let (alive, terms, list, now) = {
+            let ground = &mut *self.ground.borrow_mut();
+            let here = &mut ground.copies[copy];
+            (here.up, here.watching) = (true, true);
+            let alive = ground.as_alive(copy);
+            let list = ground.list_of(ground.copies[copy].tier);
+            ground.note_told(alive, true, &list);
+            (alive, terms_of(ground, copy), list, ground.now)
+        };
+        let own = (copy as u64) << 20 | u64::from(alive.life);
+        let seed = self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ own;
+        let hand = Hand { ground: self.ground.clone(), alive };
+        let mut picker = (self.make)(hand, terms, seed, now);
+        picker.list_cached(now, &list);
+        if self.pickers.len() <= copy {
+            self.pickers.resize_with(copy + 1, || None);
+        }
+        self.pickers[copy] = Some(picker);
+        if alive.life > 0 {
+            // What it knows may be old: it asks for the list anew.
+            self.ground.borrow_mut().put(now, Happening::ListCall(alive));
+        }
+    }
+
+    fn picker(&mut self, copy: usize) -> Option<&mut Box<dyn Picker>> {
+        self.pickers.get_mut(copy)?.as_mut()
+    }
+
+    /// The picker of a copy that is still in this life.
+    fn living(&mut self, alive: Alive) -> Option<&mut Box<dyn Picker>> {
+        if self.ground.borrow().alive(alive) { self.picker(alive.copy) } else { None }
+    }
+
+    fn happen(&mut self, now: Duration, what: Happening) {
+        let ground = self.ground.clone();
+        let books = || ground.borrow_mut();
+        match what {
+            Happening::Arrival => books().arrival(),
+            Happening::Again(origin) => books().send(origin),
+            Happening::Come(cmd) => self.come(now, cmd),
+            Happening::Quit(cmd) => self.quit(now, cmd),
+            Happening::Due(cmd) => books().due(cmd),
+            Happening::Reach(leg) => books().reach(leg),
+            Happening::Worked(job) => books().worked(job),
+            Happening::CallEnded(job, well) => books().go_on(job, well),
+            Happening::Ended(leg, outcome, load) => self.ended(now, leg, outcome, load),
+            Happening::OutOfTime(leg) => self.ended(now, leg, Outcome::Timeout, Load::default()),
+            Happening::CalledOff(leg) => books().called_off(leg),
+            Happening::Checked(alive, server, outcome) => {
+                let id = books().servers[server].id.clone();
+                if let Some(picker) = self.living(alive) {
+                    picker.check_ended(now, outcome, &id);
+                }
+            }
+            Happening::Wake(alive) => {
+                if let Some(picker) = self.living(alive) {
+                    picker.woken(now);
+                }
+            }
+            Happening::Told(alive, whole, entries) => self.told(now, alive, whole, &entries),
+            Happening::ListCallFailed(alive) => {
+                if let Some(picker) = self.living(alive) {
+                    picker.list_call_failed(now);
+                }
+            }
+            Happening::ListCall(alive) => books().list_call(alive),
+            Happening::ListHears(server) => books().list_hears(server),
+            Happening::FaultBegins(fault) => books().fault_begins(fault),
+            Happening::FaultStep(fault, step) => books().fault_step(fault, step),
+            Happening::FaultEnds(fault) => books().fault_ends(fault),
+            Happening::ServerUp(server, life) => books().server_up(server, life),
+            Happening::ServerLeaves(server) => books().server_leaves(server),
+            Happening::GoesOn(server) => books().start_jobs(server),
+            Happening::CopyUp(copy) => {
+                let away = !books().copies[copy].up;
+                if away {
+                    self.copy_up(copy);
+                }
+            }
+            Happening::Sample => self.sample(now),
+        }
+    }
+
+    fn come(&mut self, now: Duration, number: u64) {
+        let arrival = {
+            let ground = &mut *self.ground.borrow_mut();
+            if !ground.come(number) {
+                return;
+            }
+            let Some(cmd) = ground.cmds.get(number) else { return };
+            let arrival = Arrival { id: cmd.id.clone(), verb: cmd.verb, due: cmd.due, tenant: cmd.tenant };
+            (cmd.copy.copy, arrival)
+        };
+        if let Some(picker) = self.picker(arrival.0) {
+            picker.cmd_came(now, arrival.1);
+        }
+    }
+
+    fn quit(&mut self, now: Duration, number: u64) {
+        let left = {
+            let ground = &mut *self.ground.borrow_mut();
+            let Some(cmd) = ground.cmds.get(number).filter(|cmd| cmd.finished.is_none()) else { return };
+            let left = (cmd.copy, cmd.id.clone());
+            ground.finish(number, crate::referee::Final::Left, None);
+            left
+        };
+        if let Some(picker) = self.living(left.0) {
+            picker.client_left(now, &left.1);
+        }
+    }
+
+    fn ended(&mut self, now: Duration, leg: Leg, outcome: Outcome, load: Load) {
+        let told = {
+            let ground = &mut *self.ground.borrow_mut();
+            if !ground.end_relay(leg, outcome) {
+                return;
+            }
+            let Some(cmd) = ground.cmds.get(leg.cmd) else { return };
+            let relay = &cmd.relays[leg.relay as usize];
+            let ended = Ended {
+                cmd: cmd.id.clone(),
+                closed: cmd.finished.is_some(),
+                outcome,
+                relay: leg.relay,
+                latency: now.saturating_sub(relay.sent),
+                server: ground.servers[relay.server].id.clone(),
+                load,
+            };
+            (cmd.copy, ended)
+        };
+        if let Some(picker) = self.living(told.0) {
+            picker.relay_ended(now, told.1);
+        }
+    }
+
+    fn told(
+        &mut self,
+        now: Duration,
+        alive: Alive,
+        whole: bool,
+        entries: &[landingspread_decisions::host::Listed],
+    ) {
+        if !self.ground.borrow().alive(alive) {
+            return;
+        }
+        self.ground.borrow_mut().note_told(alive, whole, entries);
+        let Some(picker) = self.living(alive) else { return };
+        if whole {
+            picker.list_told(now, entries);
+        } else {
+            picker.list_changed(now, entries);
+        }
+    }
+
+    fn sample(&mut self, now: Duration) {
+        let ground = &mut *self.ground.borrow_mut();
+        let loads = ground.loads();
+        ground.tally.sample(now.saturating_sub(Duration::from_nanos(1)), &loads);
+        if now < span(ground.plan.seconds) {
+            ground.put_in(Duration::from_secs(1), Happening::Sample);
+        }
+    }
+
+    fn close(self, agenda_most: usize) -> Run {
+        drop(self.pickers);
+        let Ok(ground) = Rc::try_unwrap(self.ground) else {
+            unreachable!("only the pickers held the books besides the loop")
+        };
+        let ground = ground.into_inner();
+        let (steps, referee) = (ground.steps, ground.referee);
+        let (totals, seconds, marks) = ground.tally.close();
+        Run {
+            totals,
+            seconds,
+            marks,
+            breaches: referee.breaches,
+            breach_counts: referee.counts,
+            steps,
+            agenda_most,
+        }
+    }
+}
+
+/// What a copy is told at its start.
+fn terms_of(ground: &Ground, number: usize) -> Terms {
+    let (plan, copy) = (&ground.plan, &ground.copies[number]);
+    let (tier, rules) = (&plan.tiers[copy.tier], &plan.rules);
+    let balancers = ground.copies.iter().filter(|other| other.tier == copy.tier).count();
+    let quota = |tenant: &crate::plan::Tenant| tenant.quota.unwrap_or(f64::MAX);
+    Terms {
+        balancers: balancers as f64,
+        ordinal: copy.ordinal,
+        tier: copy.tier as u32,
+        zone: copy.zone,
+        must_ask: false,
+        ask_every: Duration::MAX,
+        resolution: Duration::ZERO,
+        utility_by_work: false,
+        beyond_quota: rules.beyond_quota,
+        quotas: plan.tenants.iter().map(quota).collect(),
+        verbs: plan.verbs.iter().map(verb_terms).collect(),
+        allowed: Allowed {
+            checks: tier.checks,
+            cancel: rules.cancel,
+            parallel: rules.parallel,
+            relays: rules.relays,
+            come_back: Some(span(rules.come_back)).filter(|most| !most.is_zero()),
+        },
+        cold: ColdRule {
+            share: tier.cold.share,
+            warm_after: span(tier.cold.warm_after),
+            multiple: tier.cold.multiple,
+            window: span(tier.cold.window),
+        },
+        prices: Prices { crossing: rules.crossing },
+        goal: GoalWeights { worst_verb: 0.0 },
+    }
+}
+
+fn verb_terms(verb: &crate::plan::Verb) -> terms::Verb {
+    terms::Verb {
+        repeats: match verb.repeats {
+            Repeats::Pure => terms::Repeats::Pure,
+            Repeats::ReceiptedAll => terms::Repeats::Receipted(Group::All),
+            Repeats::ReceiptedZone => terms::Repeats::Receipted(Group::Zone),
+            Repeats::ReceiptedCell => terms::Repeats::Receipted(Group::Cell),
+            Repeats::Effectful => terms::Repeats::Effectful,
+        },
+        memory: span(verb.memory),
+        goal: span(verb.goal),
+        limit: span(verb.limit),
+        utility: verb.utility,
+        overdue_utility: verb.overdue_utility,
+    }
+}
