--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod pickers;
 pub mod plan;
 pub mod referee;
+pub mod report;
 pub mod tally;
 pub mod world;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,9 +4,12 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use landingspread_lab::experiment::{self, Ready, Results};
 use landingspread_lab::pickers::Named;
+use landingspread_lab::plan::Scenario;
+use landingspread_lab::report::{self, Line, Story};
+use landingspread_lab::world::Run as Played;
 use std::fs::File;
 use std::io::{BufReader, BufWriter};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// landingspread's lab: an emulated world for the decisions, with faults, a referee and reports
@@ -56,6 +59,12 @@
     /// the seed
     #[argh(option, default = "1")]
     seed: u64,
+    /// a further picker to play beside it, for the report; may be given several times
+    #[argh(option)]
+    against: Vec<Named>,
+    /// where a page with plots goes
+    #[argh(option)]
+    report: Option<PathBuf>,
 }
 
 /// make all runs of an experiment, on all cores
@@ -118,6 +127,9 @@
     let began = std::time::Instant::now();
     let played = experiment::play_one(&setting.scenario, run.picker, run.seed);
     let took = began.elapsed().as_secs_f64();
+    if let Some(path) = &run.report {
+        report(run, &setting.case, &setting.scenario, &played, path)?;
+    }
     let totals = serde_json::to_string_pretty(&played.totals).map_err(|wrong| wrong.to_string())?;
     println!("{totals}");
     println!("rules broken {:?}", played.breach_counts);
@@ -126,6 +138,23 @@
     Ok(())
 }
 
+fn report(run: &Run, case: &str, scenario: &Scenario, played: &Played, path: &Path) -> Result<(), String> {
+    let mut lines = vec![Line::of(run.picker.name(), played.clone())];
+    for picker in &run.against {
+        lines.push(Line::of(picker.name(), experiment::play_one(scenario, *picker, run.seed)));
+    }
+    let title = format!("{}: {case}", run.name);
+    let command = format!(
+        "landingspread-lab run {} --case {case} --picker {} --seed {}",
+        run.name,
+        run.picker.name(),
+        run.seed
+    );
+    let story = Story::new(scenario, &title, command, lines);
+    let page = report::page(&story).map_err(|wrong| wrong.to_string())?;
+    std::fs::write(path, page).map_err(|wrong| format!("{}: {wrong}", path.display()))
+}
+
 fn sweep(sweep: &Sweep) -> Result<(), String> {
     let mut ready = find(&sweep.name)?;
     if let Some(count) = sweep.seeds {
--- /dev/null
+++ b/crates/lab/src/report/page.rs
@@ -0,0 +1,92 @@
+//! The page itself: figures first, then the plots, then what was broken.
+
+use super::{Line, Story, plots};
+use std::fmt::Write;
+
+const STYLE: &str = "body{font:15px/1.5 sans-serif;max-width:1040px;margin:2em auto;padding:0 1em;color:#222}\
+table{border-collapse:collapse;margin:1em 0}td,th{padding:.25em .7em;border-bottom:1px solid #ddd;\
+text-align:right}td:first-child,th:first-child{text-align:left}svg{max-width:100%;height:auto;display:block;\
+margin:1em 0}code{background:#f4f4f4;padding:.1em .3em}.bad{color:#b00020}.meta{color:#666}";
+
+fn escaped(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+/// The whole page. Errors are those of drawing.
+pub fn page(story: &Story) -> Result<String, Box<dyn std::error::Error>> {
+    let mut html = String::new();
+    let (title, about) = (escaped(&story.title), escaped(&story.about));
+    write!(html, "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>{title}</title>")?;
+    write!(html, "<style>{STYLE}</style><h1>{title}</h1><p>{about}</p>")?;
+    let (build, command) = (escaped(&story.build), escaped(&story.command));
+    write!(html, "<p class=\"meta\">build {build}; made by <code>{command}</code></p>")?;
+    figures(&mut html, &story.lines)?;
+    html += &plots::utility(story)?;
+    html += &plots::latency(story)?;
+    if let Some(first) = story.lines.first() {
+        html += &plots::finals(story, first)?;
+        html += &plots::load(story, first)?;
+        if !first.marks.is_empty() {
+            html += &plots::marks(story, first)?;
+        }
+    }
+    faults(&mut html, story)?;
+    breaches(&mut html, &story.lines)?;
+    html += "</html>\n";
+    Ok(html)
+}
+
+fn figures(html: &mut String, lines: &[Line]) -> std::fmt::Result {
+    html.push_str(
+        "<table><tr><th></th><th>utility kept</th><th>commands</th><th>answered</th><th>declined</th>\
+         <th>terminated</th><th>left</th><th>lost</th><th>relays each</th><th>p50 ms</th><th>p99 ms</th>\
+         <th>rules broken</th></tr>",
+    );
+    for Line { name, totals, broken, .. } in lines {
+        let total: u64 = broken.iter().sum();
+        let class = if total > 0 { " class=\"bad\"" } else { "" };
+        write!(
+            html,
+            "<tr><td>{}</td><td>{:.3}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td>\
+             <td>{:.3}</td><td>{:.1}</td><td>{:.1}</td><td{class}>{total}</td></tr>",
+            escaped(name),
+            totals.kept,
+            totals.came,
+            totals.answered,
+            totals.declined,
+            totals.terminated,
+            totals.left,
+            totals.lost,
+            totals.relays_each,
+            totals.p50,
+            totals.p99,
+        )?;
+    }
+    html.push_str("</table>");
+    Ok(())
+}
+
+fn faults(html: &mut String, story: &Story) -> std::fmt::Result {
+    if story.spans.is_empty() {
+        return Ok(());
+    }
+    html.push_str("<h2>Faults</h2><table><tr><th>fault</th><th>from s</th><th>to s</th></tr>");
+    for span in &story.spans {
+        let label = escaped(&span.label);
+        write!(html, "<tr><td>{label}</td><td>{:.1}</td><td>{:.1}</td></tr>", span.from, span.to)?;
+    }
+    html.push_str("</table>");
+    Ok(())
+}
+
+fn breaches(html: &mut String, lines: &[Line]) -> std::fmt::Result {
+    const TOLD: usize = 20;
+    for line in lines.iter().filter(|line| !line.breaches.is_empty()) {
+        write!(html, "<h2 class=\"bad\">Rules broken: {}</h2><ul>", escaped(&line.name))?;
+        for breach in line.breaches.iter().take(TOLD) {
+            write!(html, "<li>{}</li>", escaped(breach))?;
+        }
+        html.push_str("</ul>");
+    }
+    Ok(())
+}
