--- a/crates/lab/src/experiment/builtin.rs
+++ b/crates/lab/src/experiment/builtin.rs
@@ -1,6 +1,7 @@
 //! The plans that come with the lab.
 
-const PLANS: [(&str, &str); 8] = [
+const PLANS: [(&str, &str); 9] = [
+    ("demo", include_str!("../../plans/demo.toml")),
     ("suite", include_str!("../../plans/suite.toml")),
     ("tiers", include_str!("../../plans/tiers.toml")),
     ("zones", include_str!("../../plans/zones.toml")),
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -82,6 +82,7 @@
 #[derive(Clone, Debug)]
 pub struct Setting {
     pub case: String,
+    pub about: String,
     pub point: Vec<(String, String)>,
     pub scenario: Scenario,
 }
@@ -128,7 +129,8 @@
         seeds: Seeds::default(),
         axes: Vec::new(),
     };
-    let settings = vec![Setting { case: "calm".into(), point: Vec::new(), scenario }];
+    let settings =
+        vec![Setting { case: "calm".into(), about: experiment.about.clone(), point: Vec::new(), scenario }];
     Ok(Ready { runs: runs_of(&experiment, &settings), experiment, settings })
 }
 
@@ -185,7 +187,8 @@
                 return Err(Wrong { file: file.into(), line, what });
             }
             let point = point.iter().map(|(key, value)| (key.clone(), value.to_string())).collect();
-            settings.push(Setting { case: case.name.clone(), point, scenario });
+            let about = format!("{}; {}", scenario.about, case.about);
+            settings.push(Setting { case: case.name.clone(), about, point, scenario });
         }
     }
     Ok(Ready { runs: runs_of(&experiment, &settings), experiment, settings })
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod plan;
 pub mod referee;
 pub mod report;
+pub mod sockets;
 pub mod tally;
 pub mod world;
--- /dev/null
+++ b/crates/lab/src/live.rs
@@ -0,0 +1,166 @@
+//! The sub-commands that need real sockets. It owns what is shown while they run.
+
+use crate::{Bench, Load, Sockets, case_of, find};
+use landingspread_lab::experiment::Setting;
+use landingspread_lab::report::{self, Line, Story};
+use landingspread_lab::sockets::{self, LoadPlan, Seen, bench as points};
+use std::io::{IsTerminal, Write};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+fn program(given: Option<&PathBuf>) -> Result<PathBuf, String> {
+    given.cloned().map_or_else(sockets::program, Ok)
+}
+
+/// One line a second; a terminal also gets each server, in place.
+struct Table {
+    terminal: bool,
+    lines: usize,
+}
+
+impl Table {
+    fn new() -> Table {
+        Table { terminal: std::io::stdout().is_terminal(), lines: 0 }
+    }
+
+    fn show(&mut self, seen: &Seen) {
+        let second = seen.of;
+        let mut text = format!(
+            "{:3} s  came {:4}  answered {:4}  declined {:3}  terminated {:2}  p50 {:6.1} ms  p99 {:6.1} ms  {}\n",
+            seen.second + 1,
+            second.came,
+            second.answered,
+            second.declined,
+            second.terminated,
+            second.p50,
+            second.p99,
+            seen.faults.join(", "),
+        );
+        if self.terminal {
+            // Up to where the table began, and clear from there.
+            print!("\x1b[{}A\x1b[J", self.lines);
+            for (name, standing, load) in &seen.servers {
+                let bar = "#".repeat(((load * 4.0) as usize).min(40));
+                text += &format!("    {name:6} {standing:7} {load:5.1} {bar}\n");
+            }
+            self.lines = text.lines().count();
+        }
+        print!("{text}");
+        let _ = std::io::stdout().flush();
+    }
+}
+
+fn play(setting: &Setting, seed: u64, program: &Path, name: &str) -> Result<(Line, PathBuf), String> {
+    let dir = sockets::run_dir(name)?;
+    let mut table = Table::new();
+    let line = sockets::play(&setting.scenario, seed, program, &dir, &mut |seen| table.show(seen))?;
+    Ok((line, dir))
+}
+
+fn write_report(
+    setting: &Setting,
+    title: &str,
+    command: String,
+    line: Line,
+    path: &Path,
+) -> Result<(), String> {
+    let story = Story::new(&setting.scenario, title, &setting.about, command, vec![line]);
+    let page = report::page(&story).map_err(|wrong| wrong.to_string())?;
+    std::fs::write(path, page).map_err(|wrong| format!("{}: {wrong}", path.display()))
+}
+
+fn tell(line: &Line) {
+    let totals = &line.totals;
+    println!(
+        "kept {:.3} of the utility; {} came, {} answered, {} declined, {} terminated, {} lost; p50 {:.1} ms, \
+         p99 {:.1} ms; rules broken {:?}",
+        totals.kept,
+        totals.came,
+        totals.answered,
+        totals.declined,
+        totals.terminated,
+        totals.lost,
+        totals.p50,
+        totals.p99,
+        line.broken,
+    );
+    line.breaches.iter().take(10).for_each(|breach| println!("{breach}"));
+}
+
+pub fn sockets(wanted: &Sockets) -> Result<(), String> {
+    let ready = find(&wanted.name)?;
+    let setting = case_of(&ready, wanted.case.as_deref())?;
+    let (line, dir) = play(setting, wanted.seed, &program(wanted.program.as_ref())?, &setting.case)?;
+    tell(&line);
+    println!("logs: {}", dir.display());
+    let Some(path) = &wanted.report else { return Ok(()) };
+    let title = format!("{}: {} on sockets", wanted.name, setting.case);
+    let command =
+        format!("landingspread-lab sockets {} --case {} --seed {}", wanted.name, setting.case, wanted.seed);
+    write_report(setting, &title, command, line, path)
+}
+
+pub fn demo() -> Result<(), String> {
+    let ready = find("demo")?;
+    let setting = case_of(&ready, None)?;
+    println!("{}", setting.about);
+    let (line, dir) = play(setting, 1, &program(None)?, "demo")?;
+    tell(&line);
+    let path = dir.join("report.html");
+    write_report(setting, "demo", "landingspread-lab demo".into(), line, &path)?;
+    println!("report: {}", path.display());
+    Ok(())
+}
+
+pub fn load(wanted: &Load) -> Result<(), String> {
+    if !wanted.to.ip().is_loopback() {
+        return Err(format!("{} is not on loopback: the lab sends nowhere else", wanted.to));
+    }
+    let positive = |figure: f64| figure.is_finite() && figure >= 0.0;
+    if !positive(wanted.seconds) || !positive(wanted.rate) || !(1..=4096).contains(&wanted.connections) {
+        return Err("--seconds and --rate are no less than 0, --connections from 1 to 4096".into());
+    }
+    let figures = sockets::load(&LoadPlan {
+        targets: vec![wanted.to],
+        verb: wanted.verb.clone(),
+        connections: wanted.connections,
+        rate: wanted.rate,
+        limit: Duration::from_secs(2),
+        settle: Duration::from_millis(500),
+        length: Duration::from_secs_f64(wanted.seconds.min(3600.0)),
+        seed: 1,
+    });
+    let text = serde_json::to_string_pretty(&figures).map_err(|wrong| wrong.to_string())?;
+    println!("{text}");
+    Ok(())
+}
+
+pub fn bench(wanted: &Bench) -> Result<(), String> {
+    let program = program(wanted.program.as_ref())?;
+    let dir = sockets::run_dir("bench")?;
+    let length = Duration::from_secs_f64(wanted.seconds.clamp(0.5, 600.0));
+    println!(
+        "| servers | connections | answered a second | p50 ms | p99 ms | declined | lost | cores used |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    let tell = |point: &points::Point| {
+        let points::Point { servers, figures, busy } = point;
+        let servers = if *servers == 0 { "none between".to_string() } else { servers.to_string() };
+        println!(
+            "| {servers} | {} | {:.0} | {:.3} | {:.3} | {} | {} | {busy:.2} |",
+            figures.connections,
+            figures.answered_per_s,
+            figures.p50,
+            figures.p99,
+            figures.declined,
+            figures.lost
+        );
+    };
+    tell(&points::direct(32, length)?);
+    for servers in [8, 200] {
+        for connections in [1, 8, 32, 128] {
+            tell(&points::through(&program, &dir, servers, connections, length)?);
+        }
+    }
+    Ok(())
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,10 +1,11 @@
 //! The lab's command line. It owns the choice between sub-commands and what is printed; all else is the library's.
 
+mod live;
+
 use argh::FromArgs;
 use indicatif::{ProgressBar, ProgressStyle};
-use landingspread_lab::experiment::{self, Ready, Results};
+use landingspread_lab::experiment::{self, Ready, Results, Setting};
 use landingspread_lab::pickers::Named;
-use landingspread_lab::plan::Scenario;
 use landingspread_lab::report::{self, Line, Story};
 use landingspread_lab::world::Run as Played;
 use std::fs::File;
@@ -27,6 +28,10 @@
     Run(Run),
     Sweep(Sweep),
     Compare(Compare),
+    Sockets(Sockets),
+    Demo(Demo),
+    Load(Load),
+    Bench(Bench),
 }
 
 /// list the built-in experiments and worlds
@@ -97,6 +102,65 @@
     picker: Named,
 }
 
+/// play one case on real sockets, round real landingspread processes
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sockets")]
+pub struct Sockets {
+    /// an experiment or a world, built in or a file
+    #[argh(positional)]
+    name: String,
+    /// the case; the first where none is named
+    #[argh(option)]
+    case: Option<String>,
+    /// the seed
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// where a page with plots goes
+    #[argh(option)]
+    report: Option<PathBuf>,
+    /// the landingspread to run; the one beside this program where it is not given
+    #[argh(option)]
+    program: Option<PathBuf>,
+}
+
+/// see it work: two tiers, two sidecars, one server killed and one slowed, in 30 seconds
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+struct Demo {}
+
+/// send commands to an address and print the figures; latencies count from the intended send
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+pub struct Load {
+    /// an address and port on loopback
+    #[argh(positional)]
+    to: std::net::SocketAddr,
+    /// connections
+    #[argh(option, default = "32")]
+    connections: usize,
+    /// commands a second; as fast as they are answered where it is not given
+    #[argh(option, default = "0.0")]
+    rate: f64,
+    /// seconds
+    #[argh(option, default = "5.0")]
+    seconds: f64,
+    /// the verb, sent as GET
+    #[argh(option, default = "String::from(\"view\")")]
+    verb: String,
+}
+
+/// how much one sidecar carries, by connections and servers, before stand-ins that answer at once
+#[derive(FromArgs)]
+#[argh(subcommand, name = "bench")]
+pub struct Bench {
+    /// seconds for each figure
+    #[argh(option, default = "5.0")]
+    seconds: f64,
+    /// the landingspread to run; the one beside this program where it is not given
+    #[argh(option)]
+    program: Option<PathBuf>,
+}
+
 fn list() {
     for (name, text) in experiment::builtins() {
         let about = text.lines().find_map(|line| line.strip_prefix("about = "));
@@ -114,21 +178,25 @@
     experiment::find(name).map_err(|wrong| wrong.to_string())
 }
 
-fn run(run: &Run) -> Result<(), String> {
-    let ready = find(&run.name)?;
-    let setting = match &run.case {
+fn case_of<'a>(ready: &'a Ready, case: Option<&str>) -> Result<&'a Setting, String> {
+    let setting = match case {
         None => ready.settings.first(),
-        Some(case) => ready.settings.iter().find(|setting| setting.case == *case),
+        Some(case) => ready.settings.iter().find(|setting| setting.case == case),
     };
-    let setting = setting.ok_or_else(|| {
+    setting.ok_or_else(|| {
         let cases: Vec<&str> = ready.settings.iter().map(|setting| setting.case.as_str()).collect();
         format!("there is no such case; there are {}", cases.join(", "))
-    })?;
+    })
+}
+
+fn run(run: &Run) -> Result<(), String> {
+    let ready = find(&run.name)?;
+    let setting = case_of(&ready, run.case.as_deref())?;
     let began = std::time::Instant::now();
     let played = experiment::play_one(&setting.scenario, run.picker, run.seed);
     let took = began.elapsed().as_secs_f64();
     if let Some(path) = &run.report {
-        report(run, &setting.case, &setting.scenario, &played, path)?;
+        report(run, setting, &played, path)?;
     }
     let totals = serde_json::to_string_pretty(&played.totals).map_err(|wrong| wrong.to_string())?;
     println!("{totals}");
@@ -138,7 +206,8 @@
     Ok(())
 }
 
-fn report(run: &Run, case: &str, scenario: &Scenario, played: &Played, path: &Path) -> Result<(), String> {
+fn report(run: &Run, setting: &Setting, played: &Played, path: &Path) -> Result<(), String> {
+    let (case, scenario) = (&setting.case, &setting.scenario);
     let mut lines = vec![Line::of(run.picker.name(), played.clone())];
     for picker in &run.against {
         lines.push(Line::of(picker.name(), experiment::play_one(scenario, *picker, run.seed)));
@@ -150,7 +219,7 @@
         run.picker.name(),
         run.seed
     );
-    let story = Story::new(scenario, &title, command, lines);
+    let story = Story::new(scenario, &title, &setting.about, command, lines);
     let page = report::page(&story).map_err(|wrong| wrong.to_string())?;
     std::fs::write(path, page).map_err(|wrong| format!("{}: {wrong}", path.display()))
 }
@@ -198,6 +267,10 @@
         Wanted::Run(wanted) => run(wanted),
         Wanted::Sweep(wanted) => sweep(wanted),
         Wanted::Compare(wanted) => compare(wanted),
+        Wanted::Sockets(wanted) => live::sockets(wanted),
+        Wanted::Demo(Demo {}) => live::demo(),
+        Wanted::Load(wanted) => live::load(wanted),
+        Wanted::Bench(wanted) => live::bench(wanted),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/lab/src/report/mod.rs
+++ b/crates/lab/src/report/mod.rs
@@ -57,7 +57,7 @@
 }
 
 impl Story {
-    pub fn new(scenario: &Scenario, title: &str, command: String, lines: Vec<Line>) -> Story {
+    pub fn new(scenario: &Scenario, title: &str, about: &str, command: String, lines: Vec<Line>) -> Story {
         let span = |fault: &crate::plan::Fault| Span {
             label: fault.label(),
             from: fault.at,
@@ -65,7 +65,7 @@
         };
         Story {
             title: title.into(),
-            about: scenario.about.clone(),
+            about: about.into(),
             build: build(),
             command,
             lines,
--- a/crates/lab/src/report/plots.rs
+++ b/crates/lab/src/report/plots.rs
@@ -7,6 +7,8 @@
 use plotters::prelude::*;
 
 const SIZE: (u32, u32) = (1000, 260);
+/// The labels of the lines stand to the right of them.
+const ROOM_FOR_LABELS: f64 = 1.25;
 const GREY: RGBColor = RGBColor(120, 120, 120);
 const FAULT: RGBColor = RGBColor(214, 69, 65);
 /// Distinct also for most who see few colours (Okabe and Ito).
@@ -57,7 +59,7 @@
         what(&mut chart)?;
         chart
             .configure_series_labels()
-            .position(SeriesLabelPosition::UpperLeft)
+            .position(SeriesLabelPosition::UpperRight)
             .background_style(WHITE.mix(0.8))
             .border_style(GREY.mix(0.3))
             .label_font(("sans-serif", 12))
@@ -79,7 +81,7 @@
         .margin(8)
         .x_label_area_size(28)
         .y_label_area_size(52)
-        .build_cartesian_2d(0.0..length, 0.0..top)?;
+        .build_cartesian_2d(0.0..length * ROOM_FOR_LABELS, 0.0..top)?;
     chart
         .configure_mesh()
         .light_line_style(WHITE)
@@ -193,9 +195,7 @@
 
 /// Which server was marked and returned when, by how many copies at once.
 pub fn marks(story: &Story, told: &Line) -> Result<String, Wrong> {
-    let server = |note: &str| {
-        note.rsplit(' ').next().and_then(|id| id.get(1..)).and_then(|number| number.parse::<f64>().ok())
-    };
+    let server = |note: &str| note.rsplit('s').next().and_then(|number| number.trim().parse::<f64>().ok());
     let read = |kind: &str| -> Vec<(f64, f64)> {
         let of_kind = told.marks.iter().filter(|mark| mark.note.starts_with(kind));
         of_kind.filter_map(|mark| Some((mark.at, server(&mark.note)?))).collect()
--- /dev/null
+++ b/crates/lab/src/sockets/bench.rs
@@ -0,0 +1,129 @@
+//! How much one sidecar carries: stand-ins that answer at once, callers that send again as soon as they are
+//! answered, by connections and servers. First without the sidecar, so that it is known what the lab can do itself.
+
+use super::child::Sidecar;
+use super::discovery::{Discovery, Entry};
+use super::fleet::{Doing, Fleet, Make};
+use super::free;
+use super::ledger::Ledger;
+use super::load::{Figures, LoadPlan, load};
+use super::settings::{Told, config_of};
+use crate::plan::{Repeats, Scenario, Spread};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const PLAN: &str = "name = \"bench\"\nseconds = 10\nload = { rate = 1 }\n\
+    verbs = [{ name = \"view\", goal = 1, limit = 2, work = [0.001] }]\n[[tiers]]\nservers = 1\nreports = \"none\"\n";
+
+/// One figure of the table.
+pub struct Point {
+    /// 0: callers speak to one stand-in with no sidecar between.
+    pub servers: usize,
+    pub figures: Figures,
+    /// Seconds of processor time that the sidecar used for each second.
+    pub busy: f64,
+}
+
+fn at_once() -> Arc<Vec<Doing>> {
+    let (name, spread) = ("view".into(), Spread::Fixed);
+    Arc::new(vec![Doing { name, repeats: Repeats::Pure, work: 0.0, spread, calls: 0 }])
+}
+
+/// Stand-ins that answer at once.
+pub fn fleet(count: usize) -> Result<Fleet, String> {
+    let ledger = Arc::new(Ledger::new(Instant::now()));
+    let mut fleet = Fleet::empty();
+    for place in 0..count {
+        let make = Make {
+            name: format!("t0s{place}"),
+            cores: 256,
+            queue: 10_000,
+            speed: 1.0,
+            cold_share: 1.0,
+            warm_after: Duration::ZERO,
+            grace: Duration::MAX,
+            reports: false,
+            behind: None,
+            seed: 1,
+        };
+        fleet.add(make, at_once(), ledger.clone()).map_err(|wrong| wrong.to_string())?;
+    }
+    Ok(fleet)
+}
+
+fn plan_of(targets: Vec<SocketAddr>, connections: usize, length: Duration) -> LoadPlan {
+    LoadPlan {
+        targets,
+        verb: "view".into(),
+        connections,
+        rate: 0.0,
+        limit: Duration::from_secs(2),
+        settle: Duration::from_secs(3),
+        length,
+        seed: 1,
+    }
+}
+
+pub fn direct(connections: usize, length: Duration) -> Result<Point, String> {
+    let fleet = fleet(1)?;
+    let targets = vec![fleet.servers[0].address];
+    Ok(Point { servers: 0, figures: load(&plan_of(targets, connections, length)), busy: 0.0 })
+}
+
+pub fn through(
+    program: &Path,
+    dir: &Path,
+    servers: usize,
+    connections: usize,
+    length: Duration,
+) -> Result<Point, String> {
+    let fleet = fleet(servers)?;
+    let discovery = Discovery::start().map_err(|wrong| wrong.to_string())?;
+    for server in &fleet.servers {
+        discovery.say(Entry {
+            id: server.make.name.clone(),
+            address: server.address,
+            zone: "a".into(),
+            cell: 0,
+            state: "ready",
+            weight: 1.0,
+            started: None,
+        });
+    }
+    let plan: Scenario = crate::plan::parse("bench", PLAN).map_err(|wrong| wrong.to_string())?;
+    let listen = free().and_then(|listener| listener.local_addr()).map_err(|wrong| wrong.to_string())?;
+    let told = Told {
+        name: "bench",
+        listen,
+        discovery: discovery.address,
+        known: discovery.whole(),
+        tier: 0,
+        copies: 1,
+        ordinal: 0,
+        zone: 0,
+        seed: 1,
+        sockets: 4096,
+        memory_mb: 512,
+    };
+    let mut sidecar = Sidecar::start(program, dir, "bench", &config_of(&plan, &told))?;
+    let before = processor_time(sidecar.pid());
+    let began = Instant::now();
+    let figures = load(&plan_of(vec![listen], connections, length));
+    let busy = (processor_time(sidecar.pid()) - before) / began.elapsed().as_secs_f64();
+    sidecar.must_run()?;
+    discovery.end();
+    Ok(Point { servers, figures, busy })
+}
+
+/// Seconds of processor time that a process has used, by proc(5); 0 where the system tells none.
+fn processor_time(pid: u32) -> f64 {
+    const TICKS_A_SECOND: f64 = 100.0;
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    // The name in brackets may hold spaces; user and system time are the 12th and 13th field after it.
+    let after = stat.rsplit_once(')').map_or("", |(_, rest)| rest);
+    let fields: Vec<&str> = after.split_whitespace().collect();
+    let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
+    (ticks(11) + ticks(12)) / TICKS_A_SECOND
+}
--- /dev/null
+++ b/crates/lab/src/sockets/child.rs
@@ -0,0 +1,158 @@
+//! A real sidecar as a child process. It owns the process, its configuration file and its log: none of them
+//! outlives the lab, and one that dies or is never ready is told with its log's last lines.
+
+use super::message::Peer;
+use serde_json::Value;
+use std::fs::{self, File};
+use std::io::{self, Read, Seek, SeekFrom};
+use std::net::{SocketAddr, TcpStream};
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const READY_WITHIN: Duration = Duration::from_secs(5);
+const LAST_LINES: usize = 12;
+
+pub struct Sidecar {
+    pub name: String,
+    pub address: SocketAddr,
+    program: PathBuf,
+    file: PathBuf,
+    log: PathBuf,
+    child: Child,
+    read: u64,
+    /// A line of the log that has not come whole.
+    half: String,
+}
+
+/// The program beside this one, as a build leaves it.
+pub fn program() -> Result<PathBuf, String> {
+    let own = std::env::current_exe().map_err(|wrong| wrong.to_string())?;
+    // Tests and benches run a folder below.
+    let found =
+        own.ancestors().skip(1).take(2).map(|dir| dir.join("landingspread")).find(|path| path.is_file());
+    found.ok_or_else(|| {
+        format!("there is no landingspread beside {}: build the whole workspace first", own.display())
+    })
+}
+
+fn spawn(program: &Path, file: &Path, log: &Path) -> io::Result<Child> {
+    let log = File::options().create(true).append(true).open(log)?;
+    let mut command = Command::new(program);
+    command.arg("serve").env("NODE_CONFIG", file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+    for variable in ["NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"] {
+        command.env_remove(variable);
+    }
+    let parent = rustix::process::getpid();
+    // SAFETY: between fork and exec only two system calls are made, and nothing is allocated or locked.
+    unsafe {
+        command.pre_exec(move || {
+            // A lab that is killed outright runs no drop: the kernel ends its children.
+            rustix::process::set_parent_process_death_signal(Some(rustix::process::Signal::KILL))?;
+            if rustix::process::getppid() != Some(parent) {
+                return Err(io::ErrorKind::Other.into());
+            }
+            Ok(())
+        });
+    }
+    command.spawn()
+}
+
+impl Sidecar {
+    /// Starts one and waits until it says that it is ready.
+    pub fn start(program: &Path, dir: &Path, name: &str, config: &Value) -> Result<Sidecar, String> {
+        let told = |wrong: io::Error| format!("{name}: {wrong}");
+        let listen = config.get("listen").and_then(Value::as_str).unwrap_or("");
+        let address = listen.parse().map_err(|_| format!("{name}: listen: {listen:?} is no address"))?;
+        let (file, log) = (dir.join(format!("{name}.json")), dir.join(format!("{name}.log")));
+        fs::write(&file, config.to_string()).map_err(told)?;
+        let child = spawn(program, &file, &log).map_err(told)?;
+        let (name, program) = (name.to_string(), program.to_path_buf());
+        let mut sidecar = Sidecar { name, address, program, file, log, child, read: 0, half: String::new() };
+        sidecar.wait_ready()?;
+        Ok(sidecar)
+    }
+
+    fn wait_ready(&mut self) -> Result<(), String> {
+        let began = Instant::now();
+        loop {
+            self.must_run()?;
+            if self.ready() {
+                return Ok(());
+            }
+            if began.elapsed() > READY_WITHIN {
+                return Err(format!(
+                    "{} is not ready within {READY_WITHIN:?}\n{}",
+                    self.name,
+                    self.last_lines()
+                ));
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    pub fn ready(&self) -> bool {
+        let asked = || -> io::Result<bool> {
+            let stream = TcpStream::connect_timeout(&self.address, Duration::from_millis(200))?;
+            let mut peer = Peer::new(stream);
+            peer.patience(Some(Duration::from_millis(500)));
+            peer.write(b"GET /_health HTTP/1.1\r\nHost: lab\r\n\r\n")?;
+            Ok(peer.answer()?.status() == Some(200))
+        };
+        asked().unwrap_or(false)
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// An error with its log's last lines where it has ended by itself.
+    pub fn must_run(&mut self) -> Result<(), String> {
+        match self.child.try_wait() {
+            Ok(None) => Ok(()),
+            Ok(Some(status)) => Err(format!("{} has ended with {status}\n{}", self.name, self.last_lines())),
+            Err(wrong) => Err(format!("{}: {wrong}", self.name)),
+        }
+    }
+
+    pub fn last_lines(&self) -> String {
+        let text = fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        lines[lines.len().saturating_sub(LAST_LINES)..].join("\n")
+    }
+
+    /// What its log has gained since this was last asked, in whole lines.
+    pub fn new_lines(&mut self) -> Vec<String> {
+        let mut text = String::new();
+        let grown = File::open(&self.log).and_then(|mut log| {
+            log.seek(SeekFrom::Start(self.read))?;
+            log.read_to_string(&mut text)
+        });
+        self.read += grown.unwrap_or(0) as u64;
+        self.half += &text;
+        let whole = self.half.rfind('\n').map_or(0, |end| end + 1);
+        let rest = self.half.split_off(whole);
+        let lines = std::mem::replace(&mut self.half, rest);
+        lines.lines().map(str::to_string).collect()
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts it anew under its name, address and configuration.
+    pub fn again(&mut self) -> Result<(), String> {
+        self.child =
+            spawn(&self.program, &self.file, &self.log).map_err(|wrong| format!("{}: {wrong}", self.name))?;
+        self.wait_ready()
+    }
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sockets/fleet.rs
@@ -0,0 +1,380 @@
+//! Stand-in servers: they read the platform's commands, take the time that the plan gives, and fail as told.
+//! A thread to each connection, a count of cores and a bounded queue to each server.
+
+use super::free;
+use super::ledger::Ledger;
+use super::message::{Heard, Peer, answer};
+use crate::plan::{Repeats, Spread};
+use crate::world::size;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A thread that serves a connection needs little; there may be thousands.
+const STACK: usize = 256 << 10;
+/// How often what waits looks whether it still should.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A verb as a server does it.
+#[derive(Clone, Debug)]
+pub struct Doing {
+    pub name: String,
+    pub repeats: Repeats,
+    /// Mean seconds of a core.
+    pub work: f64,
+    pub spread: Spread,
+    /// Calls to the next tier.
+    pub calls: u32,
+}
+
+pub type Verbs = Arc<Vec<Doing>>;
+
+/// By which address servers call the next tier.
+pub type Behind = Option<SocketAddr>;
+
+/// How a server does by now; changed while it runs.
+#[derive(Clone, Debug)]
+pub struct Serving {
+    pub slow: f64,
+    /// The share of commands that fails at once, and of which verb alone.
+    pub errors: f64,
+    pub errors_of: Option<String>,
+    pub heavy: f64,
+    pub heavy_share: f64,
+    pub paused: bool,
+    /// Reads and says nothing.
+    pub silent: bool,
+    /// Its process is down: connections are refused.
+    pub down: bool,
+    /// Connections older than this moment get no answer any more.
+    pub half_open_before: Option<Instant>,
+    pub cold_from: Option<Instant>,
+    pub draining_since: Option<Instant>,
+    pub says: Option<crate::plan::Lie>,
+}
+
+impl Default for Serving {
+    fn default() -> Serving {
+        Serving {
+            slow: 1.0,
+            errors: 0.0,
+            errors_of: None,
+            heavy: 1.0,
+            heavy_share: 0.0,
+            paused: false,
+            silent: false,
+            down: false,
+            half_open_before: None,
+            cold_from: None,
+            draining_since: None,
+            says: None,
+        }
+    }
+}
+
+/// What a server is from its start on.
+#[derive(Clone, Debug)]
+pub struct Make {
+    pub name: String,
+    pub cores: usize,
+    pub queue: usize,
+    pub speed: f64,
+    pub cold_share: f64,
+    pub warm_after: Duration,
+    pub grace: Duration,
+    pub reports: bool,
+    pub behind: Behind,
+    pub seed: u64,
+}
+
+pub struct Server {
+    pub make: Make,
+    pub address: SocketAddr,
+    serving: Mutex<Serving>,
+    /// Free cores.
+    cores: Mutex<usize>,
+    freed: Condvar,
+    waiting: AtomicU32,
+    inside: AtomicU32,
+    pub taken: AtomicU64,
+    verbs: Verbs,
+    ledger: Arc<Ledger>,
+    over: AtomicBool,
+}
+
+/// All servers of a scene.
+pub struct Fleet {
+    pub servers: Vec<Arc<Server>>,
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    // What a panicking thread leaves behind here is still whole.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Fleet {
+    pub fn empty() -> Fleet {
+        Fleet { servers: Vec::new() }
+    }
+
+    pub fn add(&mut self, make: Make, verbs: Verbs, ledger: Arc<Ledger>) -> io::Result<Arc<Server>> {
+        let listener = free()?;
+        let server = Arc::new(Server {
+            address: listener.local_addr()?,
+            cores: Mutex::new(make.cores),
+            make,
+            serving: Mutex::default(),
+            freed: Condvar::new(),
+            waiting: AtomicU32::new(0),
+            inside: AtomicU32::new(0),
+            taken: AtomicU64::new(0),
+            verbs,
+            ledger,
+            over: AtomicBool::new(false),
+        });
+        let own = server.clone();
+        thread::Builder::new().stack_size(STACK).spawn(move || own.listen(listener))?;
+        self.servers.push(server.clone());
+        Ok(server)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.servers.iter().for_each(|server| server.end());
+    }
+}
+
+impl Server {
+    pub fn change(&self, what: impl FnOnce(&mut Serving)) {
+        what(&mut locked(&self.serving));
+        self.freed.notify_all();
+        if locked(&self.serving).down {
+            self.wake_listener();
+        }
+    }
+
+    pub fn serving(&self) -> Serving {
+        locked(&self.serving).clone()
+    }
+
+    /// Commands in it for each core.
+    pub fn load(&self) -> f64 {
+        f64::from(self.inside.load(Ordering::Relaxed)) / self.make.cores as f64
+    }
+
+    fn end(&self) {
+        self.over.store(true, Ordering::Relaxed);
+        self.wake_listener();
+    }
+
+    /// A thread that waits for a connection looks around when one comes.
+    fn wake_listener(&self) {
+        let _ = TcpStream::connect_timeout(&self.address, Duration::from_millis(100));
+    }
+
+    fn listen(self: Arc<Self>, listener: TcpListener) {
+        let mut listening = Some(listener);
+        while !self.over.load(Ordering::Relaxed) {
+            if self.serving().down {
+                // Closed, so that connections are refused.
+                listening = None;
+                thread::sleep(LOOK);
+                continue;
+            }
+            let Some(listener) = listening.take().or_else(|| TcpListener::bind(self.address).ok()) else {
+                thread::sleep(LOOK);
+                continue;
+            };
+            if let Ok((stream, _)) = listener.accept()
+                && !self.serving().down
+                && !self.over.load(Ordering::Relaxed)
+            {
+                let own = self.clone();
+                let _ = thread::Builder::new().stack_size(STACK).spawn(move || own.talk(stream));
+            }
+            listening = Some(listener);
+        }
+    }
+
+    fn talk(&self, stream: TcpStream) {
+        let opened = Instant::now();
+        let mut peer = Peer::new(stream);
+        let mut rng = ChaCha8Rng::seed_from_u64(self.make.seed ^ u64::from(self.address.port()));
+        let mut next: Option<Peer> = None;
+        // A connection must not outlive the scene for ever.
+        peer.patience(Some(Duration::from_secs(300)));
+        while let Ok(Some(heard)) = peer.command() {
+            let forgotten = self.serving().half_open_before.is_some_and(|before| opened < before);
+            if forgotten || self.serving().silent {
+                self.stay_silent(&peer, forgotten);
+                return;
+            }
+            let Some(bytes) = self.answer_to(&heard, &mut rng, &mut next) else { return };
+            if self.serving().down || peer.write(&bytes).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Open and silent until the other side closes or the silence is over.
+    fn stay_silent(&self, peer: &Peer, for_good: bool) {
+        peer.patience(Some(Duration::from_millis(100)));
+        while !self.over.load(Ordering::Relaxed) && (for_good || self.serving().silent) {
+            match peer.stream.peek(&mut [0]) {
+                Ok(0) => return,
+                Ok(_) => thread::sleep(LOOK),
+                Err(wrong) if wrong.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// None where its process dies meanwhile: the connection breaks.
+    fn answer_to(&self, heard: &Heard, rng: &mut ChaCha8Rng, next: &mut Option<Peer>) -> Option<Vec<u8>> {
+        match heard.path() {
+            "/ping" => return Some(answer(200, "", b"")),
+            "/_load" => return Some(answer(200, "", self.report().as_bytes())),
+            _ => {}
+        }
+        let Some(doing) = self.verbs.iter().find(|doing| doing.name == heard.verb()) else {
+            return Some(answer(404, "", b"no such verb"));
+        };
+        self.taken.fetch_add(1, Ordering::Relaxed);
+        let cmd = heard.header("x-trace-id").unwrap_or("");
+        let serving = self.serving();
+        if let Some(late) =
+            serving.draining_since.map(|since| since.elapsed()).filter(|late| *late > self.make.grace)
+        {
+            self.ledger.after_grace(cmd, &self.make.name, late);
+        }
+        if self.inside.load(Ordering::Relaxed) as usize >= self.make.queue + self.make.cores {
+            return Some(self.said(503, "X-Never-Ran: 1\r\n", b"full"));
+        }
+        self.inside.fetch_add(1, Ordering::Relaxed);
+        let done = self.work_on(heard, doing, cmd, rng, next);
+        self.inside.fetch_sub(1, Ordering::Relaxed);
+        done
+    }
+
+    fn work_on(
+        &self,
+        heard: &Heard,
+        doing: &Doing,
+        cmd: &str,
+        rng: &mut ChaCha8Rng,
+        next: &mut Option<Peer>,
+    ) -> Option<Vec<u8>> {
+        if !self.take_core() {
+            return None;
+        }
+        self.ledger.began(cmd, &self.make.name, doing.repeats);
+        let serving = self.serving();
+        let hit = serving.errors_of.as_ref().is_none_or(|verb| *verb == doing.name);
+        let fails = hit && serving.errors > 0.0 && rng.random::<f64>() < serving.errors;
+        if !fails && doing.work > 0.0 {
+            let heavy = serving.heavy_share > 0.0 && rng.random::<f64>() < serving.heavy_share;
+            let work = doing.work * size(doing.spread, rng) * if heavy { serving.heavy } else { 1.0 };
+            thread::sleep(Duration::from_secs_f64(work * serving.slow / self.speed(&serving)));
+        }
+        self.give_core();
+        if self.serving().down {
+            return None;
+        }
+        let well = !fails && (0..doing.calls).all(|call| self.call(heard, doing, cmd, call, next));
+        Some(if well { self.said(200, "", b"done") } else { self.said(500, "", b"failed") })
+    }
+
+    fn speed(&self, serving: &Serving) -> f64 {
+        let Make { speed, cold_share, warm_after, .. } = &self.make;
+        let Some(from) = serving.cold_from else { return *speed };
+        let done = from.elapsed().as_secs_f64() / warm_after.as_secs_f64().max(1e-3);
+        speed * (cold_share + (1.0 - cold_share) * done).min(1.0)
+    }
+
+    /// Waits for a core; false where the process dies meanwhile.
+    fn take_core(&self) -> bool {
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        let mut free = locked(&self.cores);
+        let taken = loop {
+            if self.over.load(Ordering::Relaxed) || self.serving().down {
+                break false;
+            }
+            if *free > 0 && !self.serving().paused {
+                *free -= 1;
+                break true;
+            }
+            free = self.freed.wait_timeout(free, LOOK).unwrap_or_else(PoisonError::into_inner).0;
+        };
+        drop(free);
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
+        taken
+    }
+
+    fn give_core(&self) {
+        *locked(&self.cores) += 1;
+        self.freed.notify_one();
+    }
+
+    /// A call to the next tier, with an id of its own and what is left of the time.
+    fn call(&self, heard: &Heard, doing: &Doing, cmd: &str, call: u32, next: &mut Option<Peer>) -> bool {
+        let Some(behind) = self.make.behind else { return true };
+        let left: u64 = heard.header("x-expires-in-ms").and_then(|text| text.parse().ok()).unwrap_or(1000);
+        let method = heard.method();
+        let key = match doing.repeats {
+            Repeats::Pure | Repeats::Effectful => String::new(),
+            _ => format!("Idempotency-Key: {cmd}.{call}\r\n"),
+        };
+        let length = if method == "GET" { "" } else { "Content-Length: 0\r\n" };
+        let bytes = format!(
+            "{method} /{} HTTP/1.1\r\nHost: lab\r\nX-Trace-Id: {cmd}.{}.{call}\r\nX-Customer: lab\r\n\
+             X-Expires-In-Ms: {left}\r\n{key}{length}\r\n",
+            doing.name, self.make.name
+        );
+        for _ in 0..2 {
+            let kept = next.is_some();
+            let peer = match next.take() {
+                Some(peer) => Some(peer),
+                None => TcpStream::connect_timeout(&behind, Duration::from_millis(200)).ok().map(Peer::new),
+            };
+            let Some(mut peer) = peer else { return false };
+            peer.patience(Some(Duration::from_millis(left + 100)));
+            let heard = peer.write(bytes.as_bytes()).and_then(|()| peer.answer());
+            match heard {
+                Ok(heard) => {
+                    let ends =
+                        heard.header("connection").is_some_and(|text| text.eq_ignore_ascii_case("close"));
+                    *next = (!ends).then_some(peer);
+                    return heard.status() == Some(200);
+                }
+                // A kept connection may have been closed meanwhile, and what crosses that was not read.
+                Err(wrong) if kept && wrong.kind() != io::ErrorKind::WouldBlock => {}
+                Err(_) => return false,
+            }
+        }
+        false
+    }
+
+    fn report(&self) -> String {
+        use crate::plan::Lie;
+        let (queue, inside) = match self.serving().says {
+            Some(Lie::Idle | Lie::Frozen) => (0, 0),
+            Some(Lie::Busy) => (self.make.queue as u32, self.make.queue as u32),
+            None => (self.waiting.load(Ordering::Relaxed), self.inside.load(Ordering::Relaxed)),
+        };
+        format!("TEXT inflight={inside}, queue={queue}")
+    }
+
+    fn said(&self, status: u16, more: &str, body: &[u8]) -> Vec<u8> {
+        if self.make.reports {
+            answer(status, &format!("{more}Endpoint-Load-Metrics: {}\r\n", self.report()), body)
+        } else {
+            answer(status, more, body)
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sockets/ledger.rs
@@ -0,0 +1,103 @@
+//! What the stand-ins saw, put together: which command began where and when, and how it ended. On sockets it is
+//! the referee of the rules that can be seen from outside.
+
+use crate::plan::Repeats;
+use crate::referee::Breach;
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+const TOLD_MOST: usize = 100;
+/// Commands remembered; the oldest give way.
+const REMEMBERED_MOST: usize = 500_000;
+
+#[derive(Default)]
+struct Books {
+    /// By command: the servers that began it.
+    ran: BTreeMap<String, Vec<String>>,
+    declined: BTreeMap<String, Repeats>,
+    breaches: Vec<Breach>,
+    counts: [u64; 4],
+}
+
+pub struct Ledger {
+    began: Instant,
+    books: Mutex<Books>,
+}
+
+impl Ledger {
+    pub fn new(began: Instant) -> Ledger {
+        Ledger { began, books: Mutex::default() }
+    }
+
+    pub fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    fn with<T>(&self, what: impl FnOnce(&mut Books, f64) -> T) -> T {
+        let at = self.began.elapsed().as_secs_f64();
+        // A thread that panicked has left whole entries behind.
+        let mut books = self.books.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        what(&mut books, at)
+    }
+
+    /// A server begins a command: a second effect is a breach of rule 2, and so is one after a decline.
+    pub fn began(&self, cmd: &str, server: &str, repeats: Repeats) {
+        if cmd.is_empty() || repeats == Repeats::Pure {
+            return;
+        }
+        self.with(|books, at| {
+            if books.ran.len() >= REMEMBERED_MOST {
+                books.ran.pop_first();
+            }
+            let ran = books.ran.entry(cmd.to_string()).or_default();
+            ran.push(server.to_string());
+            let twice = repeats == Repeats::Effectful && ran.len() > 1;
+            let declined = repeats == Repeats::Effectful && books.declined.contains_key(cmd);
+            if twice || declined {
+                let what = if twice { "a second effect" } else { "an effect of what was declined" };
+                books.breach(2, at, cmd, Some(server), what);
+            }
+        });
+    }
+
+    pub fn declined(&self, cmd: &str, repeats: Repeats) {
+        self.with(|books, at| {
+            if repeats == Repeats::Effectful && books.ran.contains_key(cmd) {
+                books.breach(2, at, cmd, None, "a decline of what has run");
+            }
+            if repeats == Repeats::Effectful {
+                if books.declined.len() >= REMEMBERED_MOST {
+                    books.declined.pop_first();
+                }
+                books.declined.insert(cmd.to_string(), repeats);
+            }
+        });
+    }
+
+    /// No final answer within the time limit and its slack.
+    pub fn unanswered(&self, cmd: &str, what: &str) {
+        self.with(|books, at| books.breach(1, at, cmd, None, what));
+    }
+
+    /// A server that drains got a new command after the grace.
+    pub fn after_grace(&self, cmd: &str, server: &str, late: Duration) {
+        let what = format!("a relay {:.3} s after the list was told", late.as_secs_f64());
+        self.with(|books, at| books.breach(3, at, cmd, Some(server), &what));
+    }
+
+    pub fn close(&self) -> (Vec<Breach>, [u64; 4]) {
+        self.with(|books, _| (books.breaches.clone(), books.counts))
+    }
+}
+
+impl Books {
+    fn breach(&mut self, rule: u8, at: f64, cmd: &str, server: Option<&str>, what: &str) {
+        self.counts[usize::from(rule) - 1] += 1;
+        if self.breaches.len() < TOLD_MOST {
+            let server = server.map(str::to_string);
+            let what = format!("{what} ({cmd})");
+            self.breaches.push(Breach { rule, at, cmd: None, server, copy: None, what });
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sockets/scene.rs
@@ -0,0 +1,613 @@
+//! A scenario on real sockets: its tiers as stand-in servers, its copies as `landingspread` processes, its clients
+//! as callers, its faults at their times. What the emulated world knows of every queue can't be seen here: the
+//! rules are checked as far as stand-ins see them.
+
+use super::callers::{Asking, CallPlan, Done, Pace, run};
+use super::child::Sidecar;
+use super::discovery::{Discovery, Entry, Trouble};
+use super::fleet::{Doing, Fleet, Make, Server, Verbs};
+use super::free;
+use super::ledger::Ledger;
+use super::settings::{Told, config_of};
+use crate::plan::{Fault, Kind, Scenario, span};
+use crate::referee::Final;
+use crate::report::Line;
+use crate::tally::Tally;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime};
+
+const TICK: Duration = Duration::from_millis(50);
+const CONNECTIONS_MOST: f64 = 512.0;
+
+/// One second of a running scene, for whoever shows it.
+pub struct Seen<'a> {
+    pub second: usize,
+    /// This second's figures.
+    pub of: &'a crate::tally::Second,
+    pub servers: Vec<(String, &'static str, f64)>,
+    pub faults: Vec<String>,
+}
+
+struct Tier {
+    fleet: Fleet,
+    discovery: Arc<Discovery>,
+    sidecars: Vec<Sidecar>,
+    verbs: Verbs,
+}
+
+pub struct Scene {
+    plan: Scenario,
+    tiers: Vec<Tier>,
+    ledger: Arc<Ledger>,
+    began: Instant,
+    /// Words of the list source that are still to come: when, of which tier, what.
+    words: Vec<(Duration, usize, Entry)>,
+    active: Vec<usize>,
+    ended: Vec<usize>,
+    /// Copies that are away, and when they start again.
+    away: Vec<(Duration, usize)>,
+    steps: Vec<(Duration, usize, u32)>,
+    leaving: Vec<(Duration, usize, usize)>,
+    seed: u64,
+}
+
+/// Plays a scenario with real processes. `show` hears of each second.
+pub fn play(
+    plan: &Scenario,
+    seed: u64,
+    program: &Path,
+    dir: &Path,
+    show: &mut dyn FnMut(&Seen),
+) -> Result<Line, String> {
+    for fault in &plan.faults {
+        if fault.kind == Kind::ZoneCut {
+            return Err("zone_cut can be played in virtual time only".into());
+        }
+    }
+    let mut scene = Scene::build(plan, seed, program, dir)?;
+    let line = scene.run(show)?;
+    scene.end();
+    Ok(line)
+}
+
+fn doing(plan: &Scenario, tier: usize) -> Verbs {
+    let last = tier + 1 >= plan.tiers.len();
+    let one = |verb: &crate::plan::Verb| Doing {
+        name: verb.name.clone(),
+        repeats: verb.repeats,
+        work: verb.mean_work(tier),
+        spread: verb.spread,
+        calls: if last { 0 } else { verb.calls },
+    };
+    Arc::new(plan.verbs.iter().map(one).collect())
+}
+
+fn io_told(wrong: std::io::Error) -> String {
+    wrong.to_string()
+}
+
+impl Scene {
+    fn build(plan: &Scenario, seed: u64, program: &Path, dir: &Path) -> Result<Scene, String> {
+        let began = Instant::now();
+        let mut scene = Scene {
+            plan: plan.clone(),
+            tiers: Vec::new(),
+            ledger: Arc::new(Ledger::new(began)),
+            began,
+            words: Vec::new(),
+            active: Vec::new(),
+            ended: Vec::new(),
+            away: Vec::new(),
+            steps: Vec::new(),
+            leaving: Vec::new(),
+            seed,
+        };
+        // The last tier first: those before it call it by its sidecars.
+        let mut behind: Vec<Sidecar> = Vec::new();
+        for tier in (0..plan.tiers.len()).rev() {
+            let discovery = Discovery::start().map_err(io_told)?;
+            let mut built =
+                Tier { fleet: Fleet::empty(), discovery, sidecars: Vec::new(), verbs: doing(plan, tier) };
+            for place in 0..plan.tiers[tier].servers {
+                let address = (!behind.is_empty()).then(|| behind[place % behind.len()].address);
+                scene.add_server(&mut built, tier, place, address)?;
+            }
+            if let Some(next) = scene.tiers.first_mut() {
+                next.sidecars = std::mem::take(&mut behind);
+            }
+            behind = scene.start_copies(&built, tier, program, dir)?;
+            scene.tiers.insert(0, built);
+        }
+        if let Some(first) = scene.tiers.first_mut() {
+            first.sidecars = behind;
+        }
+        Ok(scene)
+    }
+
+    fn add_server(
+        &self,
+        tier: &mut Tier,
+        number: usize,
+        place: usize,
+        behind: super::fleet::Behind,
+    ) -> Result<Arc<Server>, String> {
+        let plan = &self.plan.tiers[number];
+        let make = Make {
+            name: format!("t{number}s{place}"),
+            cores: plan.cores,
+            queue: plan.queue,
+            speed: plan.speeds[place % plan.speeds.len()],
+            cold_share: plan.cold.share,
+            warm_after: span(plan.cold.warm_after),
+            grace: span(self.plan.rules.grace) + span(self.plan.lists.lag) + Duration::from_millis(100),
+            reports: plan.reports != crate::plan::Reports::None,
+            behind,
+            seed: self.seed,
+        };
+        let server = tier.fleet.add(make, tier.verbs.clone(), self.ledger.clone()).map_err(io_told)?;
+        tier.discovery.say(self.entry(number, place, &server, "ready", None));
+        Ok(server)
+    }
+
+    fn entry(
+        &self,
+        tier: usize,
+        place: usize,
+        server: &Server,
+        state: &'static str,
+        started: Option<SystemTime>,
+    ) -> Entry {
+        let zones = self.plan.zones.len();
+        Entry {
+            id: server.make.name.clone(),
+            address: server.address,
+            zone: self.plan.zones[place % zones].clone(),
+            cell: (place / zones) as u32 % self.plan.tiers[tier].cells,
+            state,
+            weight: if self.plan.tiers[tier].weights_told { server.make.speed } else { 1.0 },
+            started,
+        }
+    }
+
+    fn start_copies(
+        &self,
+        tier: &Tier,
+        number: usize,
+        program: &Path,
+        dir: &Path,
+    ) -> Result<Vec<Sidecar>, String> {
+        let copies = self.plan.front.copies;
+        let one = |ordinal: usize| {
+            let name = format!("t{number}n{ordinal}");
+            let listen = free().and_then(|listener| listener.local_addr()).map_err(io_told)?;
+            let told = Told {
+                name: &name,
+                listen,
+                discovery: tier.discovery.address,
+                known: tier.discovery.whole(),
+                tier: number,
+                copies,
+                ordinal,
+                zone: ordinal % self.plan.zones.len(),
+                seed: self.seed + ordinal as u64,
+                sockets: 1024,
+                memory_mb: 192,
+            };
+            Sidecar::start(program, dir, &name, &config_of(&self.plan, &told))
+        };
+        (0..copies).map(one).collect()
+    }
+
+    fn call_plan(&self) -> CallPlan {
+        let limit = self.plan.verbs.iter().map(|verb| verb.limit).fold(0.0, f64::max);
+        let asking = |verb: &crate::plan::Verb| Asking {
+            name: verb.name.clone(),
+            repeats: verb.repeats,
+            share: verb.share,
+            limit: span(verb.limit),
+        };
+        CallPlan {
+            targets: self.tiers[0].sidecars.iter().map(|sidecar| sidecar.address).collect(),
+            verbs: self.plan.verbs.iter().map(asking).collect(),
+            tenants: self.plan.tenants.iter().map(|tenant| (tenant.name.clone(), tenant.share)).collect(),
+            connections: (self.plan.load.rate * limit).clamp(8.0, CONNECTIONS_MOST) as usize,
+            length: span(self.plan.seconds),
+            seed: self.seed,
+            prefix: "c".into(),
+        }
+    }
+
+    fn run(&mut self, show: &mut dyn FnMut(&Seen)) -> Result<Line, String> {
+        let calls = self.call_plan();
+        let tally = Mutex::new(Tally::new(span(self.plan.settle), self.plan.tenants.len()));
+        let (pace, stop) = (Pace::new(self.plan.load.rate), AtomicBool::new(false));
+        // Where copies die, what they held is lost: no decision of theirs.
+        let strict =
+            !self.plan.faults.iter().any(|f| matches!(f.kind, Kind::CopiesRestarted | Kind::ZoneLost));
+        let (ledger, plan) = (self.ledger.clone(), self.plan.clone());
+        self.began = Instant::now();
+        let began = self.began;
+        let watch = || -> Box<dyn FnMut(&Done) + '_> {
+            let (tally, ledger, plan) = (&tally, &ledger, &plan);
+            Box::new(move |done: &Done| {
+                let mut tally = tally.lock().unwrap_or_else(PoisonError::into_inner);
+                note(&mut tally, ledger, plan, done, strict);
+            })
+        };
+        let driven = thread::scope(|scope| {
+            let callers = scope.spawn(|| run(&calls, &pace, &stop, began, &watch));
+            let driven = self.drive(&tally, &pace, show);
+            stop.store(true, Ordering::Relaxed);
+            let joined = callers.join().map_err(|_| "a caller's thread has panicked".to_string());
+            driven.and(joined)
+        });
+        driven?;
+        let (breaches, counts) = self.ledger.close();
+        let tally = tally.into_inner().unwrap_or_else(PoisonError::into_inner);
+        let (totals, seconds, marks) = tally.close();
+        Ok(Line {
+            name: "landingspread on sockets".into(),
+            totals,
+            seconds,
+            marks,
+            broken: counts,
+            breaches: breaches.iter().map(ToString::to_string).collect(),
+        })
+    }
+
+    fn drive(
+        &mut self,
+        tally: &Mutex<Tally>,
+        pace: &Pace,
+        show: &mut dyn FnMut(&Seen),
+    ) -> Result<(), String> {
+        let length = span(self.plan.seconds);
+        let mut second = 0;
+        while self.began.elapsed() < length {
+            thread::sleep(TICK);
+            let now = self.began.elapsed();
+            self.faults(now, pace)?;
+            self.say_words(now);
+            self.restart_copies(now)?;
+            for tier in &mut self.tiers {
+                let copies = tier.sidecars.iter_mut().enumerate();
+                let mut tally = tally.lock().unwrap_or_else(PoisonError::into_inner);
+                for (copy, sidecar) in copies {
+                    for line in sidecar.new_lines() {
+                        note_mark(&mut tally, now, copy, &line);
+                    }
+                }
+            }
+            if now.as_secs() as usize > second {
+                let loads = self.loads();
+                let mut tally = tally.lock().unwrap_or_else(PoisonError::into_inner);
+                tally.sample(now, &loads);
+                if let Some(of) = tally.last() {
+                    show(&Seen { second, of, servers: self.standing(), faults: self.fault_names() });
+                }
+                second += 1;
+                drop(tally);
+                self.must_run()?;
+            }
+        }
+        Ok(())
+    }
+
+    fn must_run(&mut self) -> Result<(), String> {
+        let away: Vec<usize> = self.away.iter().map(|(_, copy)| *copy).collect();
+        for (tier, built) in self.tiers.iter_mut().enumerate() {
+            for (copy, sidecar) in built.sidecars.iter_mut().enumerate() {
+                if tier > 0 || !away.contains(&copy) {
+                    sidecar.must_run()?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn loads(&self) -> Vec<f64> {
+        self.tiers.iter().flat_map(|tier| tier.fleet.servers.iter().map(|server| server.load())).collect()
+    }
+
+    fn standing(&self) -> Vec<(String, &'static str, f64)> {
+        let one = |server: &Arc<Server>| {
+            let serving = server.serving();
+            let standing = match serving {
+                _ if serving.down => "down",
+                _ if serving.silent => "silent",
+                _ if serving.paused => "paused",
+                _ if serving.draining_since.is_some() => "drains",
+                _ if serving.errors > 0.0 => "errors",
+                _ if serving.slow > 1.0 => "slow",
+                _ => "up",
+            };
+            (server.make.name.clone(), standing, server.load())
+        };
+        self.tiers.iter().flat_map(|tier| tier.fleet.servers.iter().map(one)).collect()
+    }
+
+    fn fault_names(&self) -> Vec<String> {
+        self.active.iter().map(|number| self.plan.faults[*number].label()).collect()
+    }
+
+    fn faults(&mut self, now: Duration, pace: &Pace) -> Result<(), String> {
+        for (number, fault) in self.plan.clone().faults.iter().enumerate() {
+            let begun = self.active.contains(&number) || self.ended.contains(&number);
+            if !begun && now >= span(fault.at) {
+                self.active.push(number);
+                self.begin(number, fault, now)?;
+                self.settle();
+            }
+            if self.active.contains(&number) && now >= span(fault.at + fault.lasts) {
+                self.active.retain(|active| *active != number);
+                self.ended.push(number);
+                self.finish(fault, now);
+                self.settle();
+            }
+        }
+        let due: Vec<(usize, u32)> = self
+            .steps
+            .iter()
+            .filter(|(at, _, _)| *at <= now)
+            .map(|(_, number, step)| (*number, *step))
+            .collect();
+        self.steps.retain(|(at, _, _)| *at > now);
+        due.into_iter().for_each(|(number, step)| self.step(number, step, now));
+        let gone: Vec<(usize, usize)> = self
+            .leaving
+            .iter()
+            .filter(|(at, _, _)| *at <= now)
+            .map(|(_, tier, place)| (*tier, *place))
+            .collect();
+        self.leaving.retain(|(at, _, _)| *at > now);
+        for (tier, place) in gone {
+            self.tiers[tier].fleet.servers[place].change(|serving| serving.down = true);
+            self.tell(tier, place, "gone", None, now);
+        }
+        let surges = self.active.iter().map(|number| &self.plan.faults[*number]);
+        let factor: f64 = surges.filter(|f| f.kind == Kind::Surge).filter_map(|f| f.factor).product();
+        pace.set(self.plan.load.rate * factor);
+        Ok(())
+    }
+
+    fn struck(&self, fault: &Fault) -> Vec<Arc<Server>> {
+        let servers = &self.tiers[fault.tier].fleet.servers;
+        fault.servers.iter().filter_map(|place| servers.get(*place).cloned()).collect()
+    }
+
+    /// Queues what the list says of a server, for when the source tells it.
+    fn tell(
+        &mut self,
+        tier: usize,
+        place: usize,
+        state: &'static str,
+        started: Option<SystemTime>,
+        now: Duration,
+    ) {
+        let late = self.active.iter().map(|number| &self.plan.faults[*number]);
+        let late: f64 = late
+            .filter(|fault| fault.kind == Kind::ListLate && fault.tier == tier)
+            .filter_map(|fault| fault.seconds)
+            .sum();
+        let server = self.tiers[tier].fleet.servers[place].clone();
+        let mut entry = self.entry(tier, place, &server, state, started);
+        if started.is_none()
+            && let Some(known) = self.tiers[tier].discovery.entry(&entry.id)
+        {
+            entry.started = known.started;
+        }
+        self.words.push((now + span(self.plan.lists.lag + late), tier, entry));
+    }
+
+    fn say_words(&mut self, now: Duration) {
+        let (due, later): (Vec<_>, Vec<_>) = self.words.drain(..).partition(|(at, _, _)| *at <= now);
+        self.words = later;
+        for (_, tier, entry) in due {
+            self.tiers[tier].discovery.say(entry);
+        }
+    }
+
+    /// Makes each server do what the active faults say: those overlap, so it is reckoned anew.
+    fn settle(&mut self) {
+        let faults: Vec<Fault> = self.active.iter().map(|number| self.plan.faults[*number].clone()).collect();
+        for (tier, built) in self.tiers.iter().enumerate() {
+            for (place, server) in built.fleet.servers.iter().enumerate() {
+                let mine = |fault: &&Fault| fault.tier == tier && fault.servers.contains(&place);
+                let of = |kind: Kind| faults.iter().filter(mine).find(move |fault| fault.kind == kind);
+                let all =
+                    |kind: Kind| faults.iter().find(move |fault| fault.kind == kind && fault.tier == tier);
+                let slow = of(Kind::Slow).and_then(|fault| fault.factor).unwrap_or(1.0);
+                let shared = all(Kind::SharedSlowness).and_then(|fault| fault.factor).unwrap_or(1.0);
+                server.change(|serving| {
+                    serving.slow = slow * shared;
+                    serving.errors = of(Kind::Errors).and_then(|fault| fault.share).unwrap_or(0.0);
+                    serving.errors_of = of(Kind::Errors).and_then(|fault| fault.verb.clone());
+                    serving.heavy = all(Kind::Heavy).and_then(|fault| fault.factor).unwrap_or(1.0);
+                    serving.heavy_share = all(Kind::Heavy).map_or(0.0, |fault| fault.share.unwrap_or(1.0));
+                    serving.paused = of(Kind::Pause).is_some();
+                    serving.says = of(Kind::ReportsLie).and_then(|fault| fault.says);
+                });
+            }
+        }
+        for (tier, built) in self.tiers.iter().enumerate() {
+            let has = |kind: Kind| faults.iter().any(|fault| fault.kind == kind && fault.tier == tier);
+            let trouble = match () {
+                () if has(Kind::ListDown) => Trouble::Down,
+                () if has(Kind::ListEmpty) => Trouble::Empty,
+                () if has(Kind::ListStale) => Trouble::Stale,
+                () => Trouble::None,
+            };
+            built.discovery.set_trouble_if_new(trouble);
+        }
+    }
+
+    fn begin(&mut self, number: usize, fault: &Fault, now: Duration) -> Result<(), String> {
+        let notice = span(self.plan.lists.notice);
+        match fault.kind {
+            Kind::Crash | Kind::Vanish => {
+                for (server, place) in self.struck(fault).into_iter().zip(&fault.servers) {
+                    server.change(|serving| match fault.kind {
+                        Kind::Crash => serving.down = true,
+                        _ => serving.silent = true,
+                    });
+                    // A short absence is over before the list notices it.
+                    if fault.lasts > self.plan.lists.notice {
+                        self.tell(fault.tier, *place, "gone", None, now + notice);
+                    }
+                }
+            }
+            Kind::HalfOpen => {
+                let forget =
+                    |serving: &mut super::fleet::Serving| serving.half_open_before = Some(Instant::now());
+                self.struck(fault).iter().for_each(|server| server.change(forget));
+            }
+            Kind::Grow => self.grow(fault, now)?,
+            Kind::Shrink => {
+                for (server, place) in self.struck(fault).into_iter().zip(&fault.servers) {
+                    self.tell(fault.tier, *place, "draining", None, now);
+                    server.change(|serving| serving.draining_since = Some(Instant::now()));
+                    self.leaving.push((now + span(self.plan.lists.drain), fault.tier, *place));
+                }
+            }
+            Kind::ListFlapping | Kind::CopiesRestarted => self.steps.push((now, number, 0)),
+            Kind::ZoneLost => self.lose_zone(fault, now),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn finish(&mut self, fault: &Fault, now: Duration) {
+        match fault.kind {
+            Kind::Crash | Kind::Vanish => {
+                fault.servers.iter().for_each(|place| self.start_server(fault.tier, *place, now));
+            }
+            Kind::ListFlapping => {
+                fault.servers.iter().for_each(|place| self.tell(fault.tier, *place, "ready", None, now))
+            }
+            Kind::ZoneLost => {
+                for tier in 0..self.tiers.len() {
+                    for place in self.places_in(tier, fault) {
+                        self.start_server(tier, place, now);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// It comes back cold, as a process that has just started.
+    fn start_server(&mut self, tier: usize, place: usize, now: Duration) {
+        let server = self.tiers[tier].fleet.servers[place].clone();
+        server.change(|serving| {
+            (serving.down, serving.silent, serving.cold_from) = (false, false, Some(Instant::now()));
+        });
+        // What it said of its end is overtaken.
+        let name = server.make.name.clone();
+        self.words.retain(|(_, _, entry)| entry.id != name);
+        self.tell(tier, place, "ready", Some(SystemTime::now()), now);
+    }
+
+    fn grow(&mut self, fault: &Fault, now: Duration) -> Result<(), String> {
+        for _ in 0..fault.count.unwrap_or(0) {
+            let place = self.tiers[fault.tier].fleet.servers.len();
+            let behind = self.tiers.get(fault.tier + 1).and_then(|next| {
+                (!next.sidecars.is_empty()).then(|| next.sidecars[place % next.sidecars.len()].address)
+            });
+            let mut tier = self.tiers.remove(fault.tier);
+            let added = self.add_server(&mut tier, fault.tier, place, behind);
+            self.tiers.insert(fault.tier, tier);
+            added?.change(|serving| serving.cold_from = Some(Instant::now()));
+            self.tell(fault.tier, place, "ready", Some(SystemTime::now()), now);
+        }
+        Ok(())
+    }
+
+    fn places_in(&self, tier: usize, fault: &Fault) -> Vec<usize> {
+        let zone = self.plan.zones.iter().position(|zone| Some(zone) == fault.zone.as_ref());
+        let count = self.tiers[tier].fleet.servers.len();
+        (0..count).filter(|place| Some(place % self.plan.zones.len()) == zone).collect()
+    }
+
+    fn lose_zone(&mut self, fault: &Fault, now: Duration) {
+        for tier in 0..self.tiers.len() {
+            for place in self.places_in(tier, fault) {
+                self.tiers[tier].fleet.servers[place].change(|serving| serving.silent = true);
+                self.tell(tier, place, "gone", None, now + span(self.plan.lists.notice));
+            }
+        }
+        let zone = self.plan.zones.iter().position(|zone| Some(zone) == fault.zone.as_ref());
+        for copy in 0..self.tiers[0].sidecars.len() {
+            if Some(copy % self.plan.zones.len()) == zone {
+                self.tiers[0].sidecars[copy].kill();
+                self.away.push((span(fault.at + fault.lasts), copy));
+            }
+        }
+    }
+
+    fn step(&mut self, number: usize, step: u32, now: Duration) {
+        let fault = self.plan.faults[number].clone();
+        let every = span(fault.seconds.unwrap_or(1.0));
+        match fault.kind {
+            Kind::ListFlapping if self.active.contains(&number) => {
+                let state = if step.is_multiple_of(2) { "draining" } else { "ready" };
+                fault.servers.iter().for_each(|place| self.tell(fault.tier, *place, state, None, now));
+            }
+            Kind::CopiesRestarted if (step as usize) < fault.count.unwrap_or(0) => {
+                self.tiers[0].sidecars[step as usize].kill();
+                self.away.push((now + Duration::from_secs(1), step as usize));
+            }
+            _ => return,
+        }
+        self.steps.push((now + every, number, step + 1));
+    }
+
+    fn restart_copies(&mut self, now: Duration) -> Result<(), String> {
+        let due: Vec<usize> = self.away.iter().filter(|(at, _)| *at <= now).map(|(_, copy)| *copy).collect();
+        self.away.retain(|(at, _)| *at > now);
+        due.into_iter().try_for_each(|copy| self.tiers[0].sidecars[copy].again())
+    }
+
+    fn end(&mut self) {
+        self.tiers.iter_mut().for_each(|tier| {
+            tier.sidecars.clear();
+            tier.discovery.end();
+        });
+    }
+}
+
+fn note(tally: &mut Tally, ledger: &Ledger, plan: &Scenario, done: &Done, strict: bool) {
+    let verb = &plan.verbs[done.verb];
+    tally.offered(done.intended, verb.utility, done.tenant);
+    tally.final_word(done.ended, done.intended, done.word);
+    let took = done.ended.saturating_sub(done.intended).as_secs_f64();
+    if done.word == Final::Answered {
+        let earned = if took <= verb.goal { verb.utility } else { verb.overdue_utility };
+        tally.earned(done.ended, done.intended, earned, done.tenant);
+    }
+    if done.word == Final::Declined {
+        ledger.declined(done.cmd, verb.repeats);
+    }
+    if let Some(why) = done.lost.filter(|_| strict) {
+        ledger.unanswered(done.cmd, why);
+    }
+}
+
+/// Marks and returns are told in the sidecars' logs.
+fn note_mark(tally: &mut Tally, now: Duration, copy: usize, line: &str) {
+    for word in ["mark ", "return "] {
+        let of_server = |rest: &str| rest.chars().next().is_some_and(|first| first == 't');
+        if let Some((_, rest)) = line.split_once(word).filter(|(_, rest)| of_server(rest)) {
+            tally.noted(now, copy, &format!("{word}{rest}"));
+        }
+    }
+}
+
+/// A folder for a run's files, made anew.
+pub fn run_dir(name: &str) -> Result<PathBuf, String> {
+    let dir = std::env::temp_dir().join(format!("landingspread-lab-{name}-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).map_err(|wrong| format!("{}: {wrong}", dir.display()))?;
+    Ok(dir)
+}
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -184,6 +184,11 @@
         second.loads = loads.iter().take(SERVERS_MOST).copied().collect();
     }
 
+    /// The second that was ended last.
+    pub fn last(&self) -> Option<&Second> {
+        self.seconds.get(self.filled.checked_sub(1)?)
+    }
+
     pub fn close(mut self) -> (Totals, Vec<Second>, Vec<Marked>) {
         let part = |(offered, earned): &(f64, f64)| if *offered > 0.0 { earned / offered } else { 1.0 };
         let whole = (self.offered, self.earned);
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -13,6 +13,7 @@
 mod source;
 mod window;
 
+pub use dice::{deal, exponential, size};
 pub use hand::Hand;
 
 use crate::pickers::Picker;
