--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -12,7 +12,8 @@
 pub use sweep::{Progress, sweep};
 
 use crate::pickers::Named;
-use crate::plan::{self, Fault, Scenario, Wrong, wrong_in};
+use crate::plan::{self, Fault, Scenario};
+use landingspread_files::{Wrong, from_toml};
 use serde::{Deserialize, Serialize};
 use std::path::Path;
 use std::rc::Rc;
@@ -115,7 +116,7 @@
     let (file, text) = text_of(name, None)?;
     let is_experiment = text.lines().any(|line| line.trim_start().starts_with("world"));
     if is_experiment {
-        let experiment: Experiment = wrong_in(&file, &text)?;
+        let experiment: Experiment = from_toml(&file, &text)?;
         return ready(&file, &text, experiment);
     }
     let scenario = plan::parse(&file, &text)?;
@@ -159,7 +160,7 @@
     let (world_file, world) = text_of(&experiment.world, Path::new(file).parent())?;
     // The world is checked as it stands, so that its faults are told by its own lines.
     plan::parse(&world_file, &world)?;
-    let bare: toml::Value = wrong_in(&world_file, &world)?;
+    let bare: toml::Value = from_toml(&world_file, &world)?;
     if experiment.cases.is_empty() || experiment.pickers.is_empty() {
         return Err(wrong("cases", "at least one case and one picker are wanted".into()));
     }
--- a/crates/lab/src/plan/mod.rs
+++ b/crates/lab/src/plan/mod.rs
@@ -9,7 +9,7 @@
 
 pub use check::fault_of as check_fault;
 pub use faults::{Fault, Kind, Lie};
-pub use read::{Wrong, parse, read, wrong_in};
+pub use read::{parse, read};
 
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
--- /dev/null
+++ b/crates/sidecar/src/launch/file.rs
@@ -0,0 +1,460 @@
+//! The operators' form: one TOML file, `landingspread.toml`. It owns this form's names, every default and every
+//! check of them; a fault names the file, the line and the key.
+
+use super::{
+    CONN_IDLE, DIAL_TIMEOUT, Fault, Launch, MAX_OPEN, MEMORY_MB, MEMORY_MB_LEAST, SOCKETS, SOCKETS_LEAST,
+};
+use crate::catalog::{Catalog, Entry};
+use crate::clock::Clock;
+use landingspread_decisions::host::{Listed, State};
+use landingspread_decisions::terms::{
+    self, Allowed, ColdRule, GoalWeights, Group, Prices, Repeats as Repeated, Terms,
+};
+use landingspread_files::{Wrong, from_toml, text_of};
+use serde::Deserialize;
+use std::hash::{BuildHasher, RandomState};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// What `landingspread init` prints.
+pub const EXAMPLE: &str = include_str!("example.toml");
+
+const LIMIT_MOST: Duration = Duration::from_secs(600);
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    name: String,
+    listen: SocketAddr,
+    seed: Option<u64>,
+    #[serde(default = "one_zone")]
+    zones: Vec<String>,
+    zone: Option<String>,
+    #[serde(default)]
+    tier: u32,
+    #[serde(default = "one")]
+    copies: u32,
+    #[serde(default)]
+    ordinal: u32,
+    discovery: Option<Discovered>,
+    #[serde(default)]
+    servers: Vec<Server>,
+    verbs: Vec<Verb>,
+    #[serde(default)]
+    tenants: Vec<Tenant>,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    rules: Rules,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Discovered {
+    address: SocketAddr,
+    #[serde(default)]
+    begins: Begins,
+}
+
+#[derive(Deserialize, Default, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Begins {
+    #[default]
+    Automatic,
+    Subscribe,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Server {
+    id: String,
+    address: SocketAddr,
+    zone: Option<String>,
+    #[serde(default)]
+    cell: u32,
+    #[serde(default = "full")]
+    weight: f64,
+}
+
+#[derive(Clone, Copy, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum Repeats {
+    Pure,
+    Receipted,
+    Effectful,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Among {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Verb {
+    name: String,
+    repeats: Repeats,
+    group: Option<Among>,
+    #[serde(default, with = "humantime_serde")]
+    memory: Option<Duration>,
+    #[serde(with = "humantime_serde")]
+    goal: Duration,
+    #[serde(with = "humantime_serde")]
+    limit: Duration,
+    #[serde(default = "full")]
+    utility: f64,
+    #[serde(default)]
+    overdue_utility: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Tenant {
+    name: String,
+    quota: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Limits {
+    sockets: u64,
+    memory_mb: u64,
+    max_open: u64,
+    #[serde(with = "humantime_serde")]
+    conn_idle: Duration,
+    #[serde(with = "humantime_serde")]
+    dial: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        let (conn_idle, dial) = (CONN_IDLE, DIAL_TIMEOUT);
+        Limits { sockets: SOCKETS, memory_mb: MEMORY_MB, max_open: MAX_OPEN, conn_idle, dial }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Rules {
+    relays: u32,
+    checks: bool,
+    cancel: bool,
+    parallel: bool,
+    #[serde(with = "humantime_serde")]
+    come_back: Duration,
+    cold_share: f64,
+    #[serde(with = "humantime_serde")]
+    warm_after: Duration,
+    crossing: f64,
+    beyond_quota: f64,
+}
+
+impl Default for Rules {
+    fn default() -> Rules {
+        Rules {
+            relays: 3,
+            checks: true,
+            cancel: true,
+            parallel: false,
+            come_back: Duration::from_secs(1),
+            cold_share: 0.3,
+            warm_after: Duration::from_secs(8),
+            crossing: 0.0,
+            beyond_quota: 1.0,
+        }
+    }
+}
+
+fn one_zone() -> Vec<String> {
+    vec!["a".into()]
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn full() -> f64 {
+    1.0
+}
+
+impl From<Wrong> for Fault {
+    fn from(wrong: Wrong) -> Fault {
+        Fault(wrong.to_string())
+    }
+}
+
+pub fn read(path: &Path, told: &dyn Fn(&str) -> Option<String>) -> Result<Launch, Fault> {
+    let (name, text) = text_of(path)?;
+    take(&name, &text, told)
+}
+
+fn take(name: &str, text: &str, told: &dyn Fn(&str) -> Option<String>) -> Result<Launch, Fault> {
+    let mut file: File = from_toml(name, text)?;
+    for (variable, into) in [("NODE_LISTEN", &mut file.listen)] {
+        if let Some(address) = told(variable) {
+            *into = parsed(variable, &address)?;
+        }
+    }
+    if let Some(address) = told("NODE_DISCOVERY") {
+        let begins = file.discovery.take().map_or(Begins::Automatic, |discovery| discovery.begins);
+        file.discovery = Some(Discovered { address: parsed("NODE_DISCOVERY", &address)?, begins });
+    }
+    file.name = told("NODE_NAME").unwrap_or(file.name);
+    if let Some((key, what)) = first_fault(&file) {
+        return Err(Wrong::at_key(name, text, &key, what).into());
+    }
+    Ok(launch(file))
+}
+
+fn parsed(variable: &str, text: &str) -> Result<SocketAddr, Fault> {
+    text.parse().map_err(|_| super::fault(variable, format_args!("{text:?} is no address with a port")))
+}
+
+type Found = Option<(String, String)>;
+
+/// The first key whose value can't be gone by.
+fn first_fault(file: &File) -> Found {
+    whole(file)
+        .or_else(|| file.verbs.iter().enumerate().find_map(|(at, verb)| of_verb(file, at, verb)))
+        .or_else(|| file.servers.iter().enumerate().find_map(|(at, server)| of_server(file, at, server)))
+        .or_else(|| file.tenants.iter().enumerate().find_map(|(at, tenant)| of_tenant(file, at, tenant)))
+}
+
+fn found(key: &str, what: impl Into<String>) -> Found {
+    Some((key.into(), what.into()))
+}
+
+fn share(key: &str, figure: f64, most: f64) -> Found {
+    let within = figure.is_finite() && (0.0..=most).contains(&figure);
+    if within { None } else { found(key, format!("{figure} does not lie from 0 to {most}")) }
+}
+
+fn least(key: &str, figure: u64, least: u64) -> Found {
+    if figure >= least { None } else { found(key, format!("{figure} is under {least}")) }
+}
+
+fn whole(file: &File) -> Found {
+    let Limits { sockets, memory_mb, max_open, .. } = file.limits;
+    if let Some(zone) = file.zone.as_ref().filter(|zone| !file.zones.contains(zone)) {
+        return found("zone", format!("{zone:?} is none of the zones"));
+    }
+    if file.zones.is_empty() {
+        return found("zones", "at least one is wanted");
+    }
+    if file.verbs.is_empty() {
+        return found("verbs", "at least one is wanted");
+    }
+    if file.discovery.is_none() && file.servers.is_empty() {
+        return found("servers", "without a discovery at least one is wanted");
+    }
+    least("limits.sockets", sockets, SOCKETS_LEAST)
+        .or_else(|| least("limits.memory_mb", memory_mb, MEMORY_MB_LEAST))
+        .or_else(|| least("limits.max_open", max_open, 1))
+        .or_else(|| least("copies", u64::from(file.copies), 1))
+        .or_else(|| least("rules.relays", u64::from(file.rules.relays), 1))
+        .or_else(|| share("rules.cold_share", file.rules.cold_share, 1.0))
+        .or_else(|| share("rules.crossing", file.rules.crossing, 1.0))
+        .or_else(|| share("rules.beyond_quota", file.rules.beyond_quota, 1.0))
+}
+
+fn of_verb(file: &File, at: usize, verb: &Verb) -> Found {
+    let key = |leaf: &str| format!("verbs.{at}.{leaf}");
+    let receipted = verb.repeats == Repeats::Receipted;
+    let plain = !verb.name.is_empty() && !verb.name.contains(['/', '?', ' ']);
+    if !plain || file.verbs[..at].iter().any(|other| other.name == verb.name) {
+        return found(&key("name"), format!("{:?} is no part of a path, or stands here twice", verb.name));
+    }
+    if verb.limit.is_zero() || verb.limit > LIMIT_MOST {
+        return found(&key("limit"), format!("{:?} does not lie within {LIMIT_MOST:?}", verb.limit));
+    }
+    if verb.goal.is_zero() || verb.goal > verb.limit {
+        return found(&key("goal"), "it is nothing, or longer than the limit");
+    }
+    if receipted && (verb.group.is_none() || verb.memory.is_none()) {
+        let missing = if verb.group.is_none() { "group" } else { "memory" };
+        return found(&key(missing), "a receipted verb needs it");
+    }
+    if !receipted && (verb.group.is_some() || verb.memory.is_some()) {
+        let odd = if verb.group.is_some() { "group" } else { "memory" };
+        return found(&key(odd), "it belongs to receipted verbs alone");
+    }
+    share(&key("utility"), verb.utility, 1e9)
+        .or_else(|| share(&key("overdue_utility"), verb.overdue_utility, verb.utility))
+}
+
+fn of_server(file: &File, at: usize, server: &Server) -> Found {
+    let key = |leaf: &str| format!("servers.{at}.{leaf}");
+    if server.id.is_empty() || file.servers[..at].iter().any(|other| other.id == server.id) {
+        return found(&key("id"), format!("{:?} is empty or stands here twice", server.id));
+    }
+    if let Some(zone) = server.zone.as_ref().filter(|zone| !file.zones.contains(zone)) {
+        return found(&key("zone"), format!("{zone:?} is none of the zones"));
+    }
+    share(&key("weight"), server.weight, 1e6)
+}
+
+fn of_tenant(file: &File, at: usize, tenant: &Tenant) -> Found {
+    if file.tenants[..at].iter().any(|other| other.name == tenant.name) {
+        return found(&format!("tenants.{at}.name"), format!("{:?} stands here twice", tenant.name));
+    }
+    tenant.quota.and_then(|quota| share(&format!("tenants.{at}.quota"), quota, 1e9))
+}
+
+fn launch(file: File) -> Launch {
+    let zone = |name: &Option<String>| {
+        let place = name.as_ref().and_then(|name| file.zones.iter().position(|zone| zone == name));
+        place.unwrap_or(0) as u32
+    };
+    let entry = |server: &Server| Entry {
+        listed: Listed {
+            server: server.id.as_str().into(),
+            zone: zone(&server.zone),
+            cell: server.cell,
+            state: State::Ready,
+            nominal: server.weight,
+            up_since: None,
+        },
+        address: server.address,
+    };
+    let terms = terms_of(&file, zone(&file.zone));
+    let known = Catalog { generation: 0, whole: true, entries: file.servers.iter().map(entry).collect() };
+    Launch {
+        listen: file.listen,
+        discovery: file.discovery.as_ref().map(|discovery| discovery.address),
+        // No two sidecars that start together may draw alike.
+        seed: file.seed.unwrap_or_else(|| RandomState::new().hash_one(std::process::id())),
+        sockets: file.limits.sockets as usize,
+        memory_mb: file.limits.memory_mb as usize,
+        clock: Clock::start(),
+        known,
+        verbs: file.verbs.iter().map(front_verb).collect(),
+        tenants: file.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
+        conn_idle: file.limits.conn_idle,
+        dial_timeout: file.limits.dial,
+        max_open: file.limits.max_open as usize,
+        terms,
+        name: file.name,
+        zones: file.zones,
+    }
+}
+
+fn front_verb(verb: &Verb) -> super::Verb {
+    super::Verb {
+        name: verb.name.clone(),
+        method: if verb.repeats == Repeats::Pure { "GET" } else { "POST" },
+        receipted: verb.repeats == Repeats::Receipted,
+        limit: verb.limit,
+    }
+}
+
+fn terms_of(file: &File, zone: u32) -> Terms {
+    let rules = &file.rules;
+    Terms {
+        balancers: f64::from(file.copies),
+        ordinal: file.ordinal,
+        tier: file.tier,
+        zone,
+        must_ask: file.discovery.as_ref().is_some_and(|discovery| discovery.begins == Begins::Subscribe),
+        ask_every: Duration::MAX,
+        resolution: Duration::ZERO,
+        utility_by_work: false,
+        beyond_quota: rules.beyond_quota,
+        quotas: file.tenants.iter().map(|tenant| tenant.quota.unwrap_or(f64::MAX)).collect(),
+        verbs: file.verbs.iter().map(verb_terms).collect(),
+        allowed: Allowed {
+            checks: rules.checks,
+            cancel: rules.cancel,
+            parallel: rules.parallel,
+            relays: rules.relays,
+            come_back: Some(rules.come_back).filter(|most| !most.is_zero()),
+        },
+        cold: ColdRule {
+            share: rules.cold_share,
+            warm_after: rules.warm_after,
+            multiple: 3.0,
+            window: Duration::from_secs(2),
+        },
+        prices: Prices { crossing: rules.crossing },
+        goal: GoalWeights { worst_verb: 0.0 },
+    }
+}
+
+fn verb_terms(verb: &Verb) -> terms::Verb {
+    let group = match verb.group {
+        None | Some(Among::All) => Group::All,
+        Some(Among::Zone) => Group::Zone,
+        Some(Among::Cell) => Group::Cell,
+    };
+    terms::Verb {
+        repeats: match verb.repeats {
+            Repeats::Pure => Repeated::Pure,
+            Repeats::Receipted => Repeated::Receipted(group),
+            Repeats::Effectful => Repeated::Effectful,
+        },
+        memory: verb.memory.unwrap_or_default(),
+        goal: verb.goal,
+        limit: verb.limit,
+        utility: verb.utility,
+        overdue_utility: verb.overdue_utility,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn taken(text: &str) -> Result<Launch, String> {
+        take("l.toml", text, &|_| None).map_err(|wrong| wrong.to_string())
+    }
+
+    fn told(from: &str, to: &str) -> String {
+        assert!(EXAMPLE.contains(from), "{from}");
+        taken(&EXAMPLE.replacen(from, to, 1)).err().expect("a fault")
+    }
+
+    #[test]
+    fn the_example_can_be_gone_by_and_shows_the_defaults() {
+        let launch = taken(EXAMPLE).expect("it can be read");
+        assert_eq!((launch.known.entries.len(), launch.verbs.len()), (2, 3));
+        assert_eq!(launch.terms.verbs[1].repeats, Repeated::Receipted(Group::All));
+        // Each key that is commented out, as the default that its comment shows.
+        let opened: Vec<&str> = EXAMPLE
+            .lines()
+            .map(|line| match line.strip_prefix("# ") {
+                Some(rest) if rest.contains(" = ") && !rest.contains(". ") => rest,
+                Some("[discovery]") => "[discovery]",
+                Some("[[tenants]]") => "[[tenants]]",
+                _ => line,
+            })
+            .collect();
+        let shown = taken(&opened.join("\n")).expect("its comments can be read");
+        assert_eq!(shown.terms.allowed.relays, launch.terms.allowed.relays);
+        assert_eq!(format!("{:?}", shown.terms.cold), format!("{:?}", launch.terms.cold));
+        assert_eq!(
+            (shown.sockets, shown.memory_mb, shown.max_open),
+            (launch.sockets, launch.memory_mb, launch.max_open)
+        );
+        assert_eq!((shown.conn_idle, shown.dial_timeout), (launch.conn_idle, launch.dial_timeout));
+        assert!(shown.discovery.is_some() && shown.terms.quotas == [100.0]);
+    }
+
+    #[test]
+    fn faults_name_the_line_and_the_key() {
+        let unknown = told("listen = ", "lisen = ");
+        assert!(unknown.starts_with("l.toml:8: ") && unknown.contains("did you mean `listen`"), "{unknown}");
+        let goal = told("goal = \"300ms\"", "goal = \"3s\"");
+        assert!(goal.contains("verbs.0.goal: it is nothing, or longer"), "{goal}");
+        let span = told("limit = \"1s\"", "limit = \"soon\"");
+        assert!(span.starts_with("l.toml:"), "{span}");
+        assert!(told("group = \"all\"", "").contains("verbs.1.group: a receipted verb needs it"));
+        assert!(
+            told("id = \"s2\"", "id = \"s1\"").contains("servers.1.id: \"s1\" is empty or stands here twice")
+        );
+        assert!(told("# sockets = 1024", "sockets = 3").contains("limits.sockets: 3 is under 40"));
+        assert!(told("# zone = \"a\"", "zone = \"z\"").contains("none of the zones"));
+    }
+}
--- a/crates/sidecar/src/launch.rs
+++ b/crates/sidecar/src/launch/platform.rs
@@ -1,111 +1,25 @@
-//! What the sidecar is told at its start, and again by SIGHUP. It owns the only reading of the environment and
-//! of the configuration file, every default and every check of them; a fault names its key. It must never
-//! change what the sidecar goes by, which is for its caller, nor decide anything about a command.
-
-use crate::net::discovery::{Catalog, Clock};
+//! The platform's form: one JSON file and the NODE_ variables. It owns this form's names, every default and every
+//! check of them.
+
+use super::{
+    CONN_IDLE, DIAL_TIMEOUT, Fault, Launch, MAX_OPEN, MEMORY_MB, MEMORY_MB_LEAST, SOCKETS, SOCKETS_LEAST,
+    Verb, fault,
+};
+use crate::catalog::Catalog;
+use crate::clock::Clock;
 use landingspread_decisions::terms::Terms;
 use serde_json::Value;
-use std::fmt::{self, Write};
-use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::fmt::Write;
+use std::path::Path;
 use std::time::Duration;
 
-const SOCKETS: u64 = 1024;
-const SOCKETS_LEAST: u64 = 40;
-const MEMORY_MB: u64 = 192;
-const MEMORY_MB_LEAST: u64 = 16;
-const CONN_IDLE: Duration = Duration::from_secs(30);
-const DIAL_TIMEOUT: Duration = Duration::from_millis(100);
-const MAX_OPEN: u64 = 20_000;
-
-/// A key and what is wrong with it.
-#[derive(Debug)]
-pub struct Fault(String);
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-fn fault(key: &str, wrong: impl fmt::Display) -> Fault {
-    Fault(format!("{key}: {wrong}"))
-}
-
-/// What a front must know of a verb to read its commands; the rest of it is the module's.
-#[derive(Clone)]
-pub struct Verb {
-    pub name: String,
-    pub method: &'static str,
-    pub receipted: bool,
-    pub limit: Duration,
-}
-
-pub struct Launch {
-    pub name: String,
-    pub listen: SocketAddr,
-    pub discovery: SocketAddr,
-    pub seed: u64,
-    pub sockets: usize,
-    pub memory_mb: usize,
-    pub clock: Clock,
-    pub known: Catalog,
-    pub zones: Vec<String>,
-    pub verbs: Vec<Verb>,
-    pub tenants: Vec<String>,
-    pub conn_idle: Duration,
-    pub dial_timeout: Duration,
-    pub max_open: usize,
-    pub terms: Terms,
-}
-
-impl fmt::Display for Launch {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Launch { name, listen, discovery, sockets, memory_mb, .. } = self;
-        writeln!(f, "{name} listens at {listen} and follows discovery at {discovery}")?;
-        writeln!(
-            f,
-            "at most {sockets} sockets and {memory_mb} MB; {} servers known",
-            self.known.entries.len()
-        )?;
-        write!(f, "sends to tier {}; verbs:", self.terms.tier)?;
-        self.verbs.iter().try_for_each(|verb| write!(f, " {}", verb.name))
-    }
-}
-
-/// A variable of the environment; an empty one says nothing.
-fn told(name: &str) -> Option<String> {
-    std::env::var(name).ok().filter(|text| !text.is_empty())
-}
-
-/// How much is logged: NODE_LOG is error, warn, info, debug or trace.
-pub fn log_level() -> Result<tracing::Level, Fault> {
-    let Some(text) = told("NODE_LOG") else { return Ok(tracing::Level::INFO) };
-    text.parse().map_err(|_| fault("NODE_LOG", format_args!("{text:?} is no level")))
-}
-
-/// Reads the file named, or the one that NODE_CONFIG names. Where the environment and the file both tell a
-/// thing, the environment is nearer to what the platform does now.
-pub fn read(file: Option<PathBuf>) -> Result<Launch, Fault> {
-    take(&root(file)?, told)
-}
-
-/// Reads the file once more. A process keeps the environment that it began with: what the file says of
-/// discovery by now is newer.
-pub fn read_again() -> Result<Launch, Fault> {
-    take(&root(None)?, |name| told(name).filter(|_| name != "NODE_DISCOVERY"))
-}
-
-fn root(file: Option<PathBuf>) -> Result<Value, Fault> {
-    let path = match file {
-        Some(path) => path,
-        None => told("NODE_CONFIG").ok_or_else(|| fault("NODE_CONFIG", "is not set"))?.into(),
-    };
-    let text = std::fs::read_to_string(&path).map_err(|wrong| fault(&path.display().to_string(), wrong))?;
-    serde_json::from_str(&text).map_err(|wrong| fault(&path.display().to_string(), wrong))
+pub fn read(path: &Path, told: &dyn Fn(&str) -> Option<String>) -> Result<Launch, Fault> {
+    let wrong = |wrong: &dyn std::fmt::Display| fault(&path.display().to_string(), wrong);
+    let text = std::fs::read_to_string(path).map_err(|told| wrong(&told))?;
+    take(&serde_json::from_str(&text).map_err(|told| wrong(&told))?, told)
 }
 
-fn take(root: &Value, told: impl Fn(&str) -> Option<String>) -> Result<Launch, Fault> {
+fn take(root: &Value, told: &dyn Fn(&str) -> Option<String>) -> Result<Launch, Fault> {
     let text = |variable: &str, key: &str| match told(variable) {
         Some(text) => Ok(text),
         None => string(root, key).map(str::to_string),
@@ -127,7 +41,7 @@
     Ok(Launch {
         name: text("NODE_NAME", "name")?,
         listen: address("NODE_LISTEN", "listen")?,
-        discovery: address("NODE_DISCOVERY", "discovery")?,
+        discovery: Some(address("NODE_DISCOVERY", "discovery")?),
         seed: seed(root)?,
         sockets: figure(root, "limits.sockets", SOCKETS, SOCKETS_LEAST)? as usize,
         memory_mb: figure(root, "limits.memory_mb", MEMORY_MB, MEMORY_MB_LEAST)? as usize,
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -1,11 +1,14 @@
 //! The command line. It owns the choice between sub-commands, the log's target and the exit code; it must
 //! never read the environment or open a socket itself.
 
+mod catalog;
+mod clock;
+mod holds;
 mod launch;
 mod net;
 
 use argh::FromArgs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// landingspread: a load balancer for services that call services
@@ -20,13 +23,18 @@
 enum Wanted {
     Serve(Serve),
     Check(Check),
+    Init(Init),
     Version(Version),
 }
 
 /// balance until SIGTERM, as the environment's NODE_ variables say
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
-struct Serve {}
+struct Serve {
+    /// the configuration file, in place of the one that NODE_CONFIG names; TOML where its name ends so
+    #[argh(option)]
+    file: Option<PathBuf>,
+}
 
 /// read the configuration as serve would, say what it holds or which key is at fault, and end
 #[derive(FromArgs)]
@@ -37,31 +45,45 @@
     file: Option<PathBuf>,
 }
 
+/// print a commented configuration that starts as it is
+#[derive(FromArgs)]
+#[argh(subcommand, name = "init")]
+struct Init {}
+
 /// print the version
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-fn serve() -> Result<(), String> {
+fn serve(file: Option<&Path>) -> Result<(), String> {
     let level = launch::log_level().map_err(|wrong| wrong.to_string())?;
     let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
-    log.with_max_level(level).init();
-    let launch = launch::read(None).map_err(|wrong| wrong.to_string())?;
+    let log = log.with_max_level(level);
+    if launch::log_as_json().map_err(|wrong| wrong.to_string())? {
+        log.json().flatten_event(true).init();
+    } else {
+        log.init();
+    }
+    let launch = launch::read(file).map_err(|wrong| wrong.to_string())?;
     tracing::info!(name = launch.name, listen = %launch.listen, "starting");
-    net::serve(launch).map_err(|wrong| wrong.to_string())
+    net::serve(launch, file).map_err(|wrong| wrong.to_string())
 }
 
 fn main() -> ExitCode {
     let CommandLine { wanted } = argh::from_env();
     let done = match wanted {
-        Wanted::Serve(Serve {}) => serve(),
-        Wanted::Check(Check { file }) => match launch::read(file) {
+        Wanted::Serve(Serve { file }) => serve(file.as_deref()),
+        Wanted::Check(Check { file }) => match launch::read(file.as_deref()) {
             Ok(launch) => {
                 println!("{launch}");
                 Ok(())
             }
             Err(wrong) => Err(wrong.to_string()),
         },
+        Wanted::Init(Init {}) => {
+            print!("{}", launch::EXAMPLE);
+            Ok(())
+        }
         Wanted::Version(Version {}) => {
             println!("landingspread {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -3,11 +3,11 @@
 //! connection that waits, answer a taken command by its own choice, or reach the module but by the queue.
 
 use super::buffers::{Buffer, Place, Stock};
-use super::discovery::Clock;
 use super::endpoints::Outgoing;
 use super::http::{self, Bad, Message};
 use super::owner::{Came, Final, Queue, Word};
-use super::within;
+use super::within::within;
+use crate::clock::Clock;
 use crate::launch::{Launch, Verb};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
--- a/crates/sidecar/src/net/discovery.rs
+++ b/crates/sidecar/src/net/discovery.rs
@@ -1,25 +1,21 @@
-//! Discovery: its catalog as the module's entries, and the one watch on it. It owns the clock that both sides
-//! of the catalog's times need, the list's generation and the connection to discovery; it must never call
-//! discovery unasked, but for the next call of a watch that stands or has moved, nor change what the module
+//! Discovery: the one watch on it. It owns the list's generation and the connection to discovery; it must never
+//! call discovery unasked, but for the next call of a watch that stands or has moved, nor change what the module
 //! was told.
 
 use super::buffers::Stock;
 use super::http;
 use super::owner::{Queue, Word};
-use super::within;
+use super::within::within;
+use crate::catalog::Catalog;
+use crate::clock::Clock;
 use crate::launch::Launch;
 use async_channel::Receiver;
 use async_io::Async;
-use landingspread_decisions::host::{Listed, State};
-use serde_json::Value;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::Duration;
 
-/// How long before the process the module's time begins. A server's start before that would be lost, and a
-/// cold server taken for a warm one.
-const HEAD_START: Duration = Duration::from_secs(24 * 3600);
 /// A connection that has gone silent shows only when a call's time is over: until then drains are not heard
 /// of. So calls wait briefly, but all copies together make no more of them than so many a second.
 const WATCH_LEAST: Duration = Duration::from_secs(2);
@@ -29,84 +25,6 @@
 /// Discovery works through calls in turn: how much later than it waits an answer may come.
 const IN_TURN: Duration = Duration::from_secs(1);
 
-/// The module's time: spans since a moment well before the process began.
-#[derive(Clone)]
-pub struct Clock {
-    began: Instant,
-    unix: Duration,
-}
-
-impl Clock {
-    pub fn start() -> Clock {
-        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        Clock { began: Instant::now(), unix }
-    }
-
-    pub fn now(&self) -> Duration {
-        HEAD_START + self.began.elapsed()
-    }
-
-    pub fn instant(&self, at: Duration) -> Instant {
-        let after = at.saturating_sub(HEAD_START).min(Duration::from_secs(365 * 24 * 3600));
-        self.began + after
-    }
-
-    fn of_unix_ms(&self, ms: u64) -> Option<Duration> {
-        let begin = self.unix.saturating_sub(HEAD_START);
-        Duration::from_millis(ms).checked_sub(begin).filter(|at| ms > 0 && !at.is_zero())
-    }
-}
-
-pub struct Entry {
-    pub listed: Listed,
-    pub address: SocketAddr,
-}
-
-#[derive(Default)]
-pub struct Catalog {
-    pub generation: u64,
-    pub whole: bool,
-    pub entries: Vec<Entry>,
-}
-
-impl Catalog {
-    /// All of it or nothing: half a list would drain servers that nobody drained.
-    pub fn take(value: &Value, zones: &[String], clock: &Clock) -> Result<Catalog, String> {
-        let generation = value.get("generation").and_then(Value::as_u64).ok_or("generation is missing")?;
-        let whole = value.get("reset").and_then(Value::as_bool).ok_or("reset is missing")?;
-        let items = value.get("instances").and_then(Value::as_array).ok_or("instances is missing")?;
-        let entry = |(number, item): (usize, &Value)| {
-            Entry::take(item, zones, clock).map_err(|wrong| format!("instances.{number}.{wrong}"))
-        };
-        let entries = items.iter().enumerate().map(entry).collect::<Result<_, _>>()?;
-        Ok(Catalog { generation, whole, entries })
-    }
-}
-
-impl Entry {
-    fn take(item: &Value, zones: &[String], clock: &Clock) -> Result<Entry, String> {
-        let text = |key: &str| item.get(key).and_then(Value::as_str).ok_or(format!("{key} is no text"));
-        let zone = item.get("zone").and_then(Value::as_str);
-        let state = match text("lifecycle")? {
-            "ready" => State::Ready,
-            "draining" => State::Draining,
-            "gone" => State::Gone,
-            other => return Err(format!("lifecycle is unknown: {other:?}")),
-        };
-        let listed = Listed {
-            server: text("instanceId")?.into(),
-            zone: zones.iter().position(|name| zone == Some(name)).unwrap_or(zones.len()) as u32,
-            cell: item.get("cell").and_then(Value::as_u64).unwrap_or(0) as u32,
-            state,
-            nominal: item.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
-            up_since: item.get("startedAtMs").and_then(Value::as_u64).and_then(|ms| clock.of_unix_ms(ms)),
-        };
-        let address =
-            text("hostPort")?.parse().map_err(|_| "hostPort is no address with a port".to_string())?;
-        Ok(Entry { listed, address })
-    }
-}
-
 #[derive(Clone)]
 pub struct Discovery {
     address: SocketAddr,
@@ -120,12 +38,14 @@
 }
 
 impl Discovery {
-    pub fn new(launch: &Launch, stock: Rc<Stock>, queue: Queue) -> Discovery {
+    /// None where the configuration names no discovery: the servers it lists are all there are.
+    pub fn new(launch: &Launch, stock: Rc<Stock>, queue: Queue) -> Option<Discovery> {
+        let address = launch.discovery?;
         let (zones, clock) = (launch.zones.clone(), launch.clock.clone());
         let generation = Some(launch.known.generation);
         let share = Duration::from_secs_f64(launch.terms.balancers / CALLS_A_SECOND);
         let wait = share.clamp(WATCH_LEAST, WATCH_MOST);
-        Discovery { address: launch.discovery, generation, wait, zones, clock, stock, queue }
+        Some(Discovery { address, generation, wait, zones, clock, stock, queue })
     }
 
     /// Another discovery may count its generations from elsewhere, and may have heard of drains that the old
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -4,7 +4,7 @@
 
 use super::buffers::{Place, Stock};
 use super::http::{self, Bad, Message};
-use super::within;
+use super::within::within;
 use crate::launch::Launch;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -7,9 +7,11 @@
 pub mod endpoints;
 pub mod http;
 pub mod owner;
+mod within;
 
 use crate::launch::{self, Launch};
-use async_executor::LocalExecutor;
+use async_channel::Receiver;
+use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use buffers::Stock;
@@ -17,12 +19,10 @@
 use discovery::Discovery;
 use endpoints::Endpoints;
 use futures_lite::StreamExt;
-use futures_lite::future::or;
-use std::fmt;
 use std::io;
 use std::net::TcpListener;
+use std::path::Path;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 /// How long after SIGTERM the platform lets commands finish, but for their longest time limit, and how much of
@@ -37,39 +37,23 @@
 /// New connections go on coming for up to 0.4 s.
 const GO_ON_TAKING: Duration = Duration::from_millis(600);
 
-static BROKEN: AtomicU64 = AtomicU64::new(0);
-
-/// What must hold: asserted in debug builds, counted and logged in release builds.
-macro_rules! must_hold {
-    ($holds:expr, $($text:tt)+) => {
-        if !$holds {
-            $crate::net::broken(format_args!($($text)+));
-        }
-    };
-}
-pub(crate) use must_hold;
-
-pub fn broken(what: fmt::Arguments<'_>) {
-    debug_assert!(false, "{what}");
-    let count = BROKEN.fetch_add(1, Ordering::Relaxed) + 1;
-    tracing::error!(count, "does not hold: {what}");
-}
-
-/// What the work brings, or None when it takes longer.
-pub async fn within<T>(span: Duration, work: impl Future<Output = T>) -> Option<T> {
-    let late = async {
-        Timer::after(span).await;
-        None
-    };
-    or(async { Some(work.await) }, late).await
+/// Serves until SIGTERM; `file` is what SIGHUP reads again.
+pub fn serve(launch: Launch, file: Option<&Path>) -> io::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(run(launch, file, executor.clone())))
 }
 
-pub fn serve(launch: Launch) -> io::Result<()> {
-    let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(run(launch, executor.clone())))
+/// The task that follows a discovery, where there is one.
+fn follow(
+    discovery: Option<&Discovery>,
+    executor: &LocalExecutor<'static>,
+    asked: &Receiver<()>,
+) -> Option<Task<()>> {
+    let discovery = discovery?.clone();
+    Some(executor.spawn(discovery.follow(asked.clone())))
 }
 
-async fn run(launch: Launch, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
+async fn run(launch: Launch, file: Option<&Path>, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Hup])?;
     let listener = Async::<TcpListener>::bind(launch.listen)?;
     let stock = Stock::new(launch.sockets, launch.memory_mb);
@@ -83,19 +67,25 @@
         // Where changes come unprompted, the watch is there from the start.
         let _ = ask.try_send(());
     }
-    let mut following = executor.spawn(discovery.clone().follow(asked.clone()));
+    let mut following = follow(discovery.as_ref(), &executor, &asked);
     executor.spawn(endpoints.clone().reap()).detach();
     executor.spawn(owner::own(launch, endpoints, executor.clone(), queue, words, ask.clone())).detach();
     let accepting = executor.spawn(callers.clone().accept(listener));
     while let Some(Ok(Signal::Hup)) = signals.next().await {
-        match launch::read_again() {
+        match launch::read_again(file) {
             Ok(new) => {
-                tracing::info!(discovery = %new.discovery, "SIGHUP: the configuration is read again");
+                let (Some(address), Some(moved)) = (new.discovery, &mut discovery) else {
+                    tracing::info!("SIGHUP: without a discovery before and now there is nothing to move");
+                    continue;
+                };
+                tracing::info!(discovery = %address, "SIGHUP: the configuration is read again");
                 // Cancelled, the watch that waits lets go of its connection.
-                following.cancel().await;
-                discovery.move_to(new.discovery);
+                if let Some(following) = following {
+                    following.cancel().await;
+                }
+                moved.move_to(address);
                 let _ = ask.try_send(());
-                following = executor.spawn(discovery.clone().follow(asked.clone()));
+                following = follow(discovery.as_ref(), &executor, &asked);
             }
             Err(fault) => tracing::error!("SIGHUP: the old configuration holds: {fault}"),
         }
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -3,10 +3,11 @@
 //! watch. It owns which commands are open and how each relay of them stands; it must never decide anything
 //! itself, wait for a socket, or call the module from within one of the module's own calls.
 
-use super::discovery::{Catalog, Clock, Entry};
 use super::endpoints::{End, Endpoints, Outgoing, Stage, Target};
 use super::http::Message;
-use super::must_hold;
+use crate::catalog::{Catalog, Entry};
+use crate::clock::Clock;
+use crate::holds::must_hold;
 use crate::launch::Launch;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
