--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -265,6 +265,14 @@
     runs
 }
 
+/// Whether a setting can be played in virtual time.
+pub fn playable(setting: &Setting) -> Result<(), String> {
+    match setting.scenario.on_sockets_only() {
+        None => Ok(()),
+        Some(fault) => Err(format!("{}: {} can be played on real sockets only", setting.case, fault.label())),
+    }
+}
+
 /// Plays one run.
 pub fn play_one(scenario: &Scenario, picker: Named, seed: u64) -> crate::world::Run {
     let plan = Rc::new(scenario.clone());
--- a/crates/lab/src/experiment/sweep.rs
+++ b/crates/lab/src/experiment/sweep.rs
@@ -1,7 +1,7 @@
 //! Makes all runs of an experiment on all cores. Each run is single-threaded and owns its world; rows come out in
 //! the order of the plan, whatever the threads did.
 
-use super::{Ready, Results, Row, play_one};
+use super::{Ready, Results, Row, play_one, playable};
 use rayon::prelude::*;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -10,6 +10,7 @@
 
 /// `threads` 0 takes as many as there are cores.
 pub fn sweep(ready: &Ready, threads: usize, progress: Progress) -> Result<Results, String> {
+    ready.settings.iter().try_for_each(playable)?;
     let pool = rayon::ThreadPoolBuilder::new().num_threads(threads).build();
     let pool = pool.map_err(|wrong| wrong.to_string())?;
     let done = AtomicUsize::new(0);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -192,6 +192,7 @@
 fn run(run: &Run) -> Result<(), String> {
     let ready = find(&run.name)?;
     let setting = case_of(&ready, run.case.as_deref())?;
+    experiment::playable(setting)?;
     let began = std::time::Instant::now();
     let played = experiment::play_one(&setting.scenario, run.picker, run.seed);
     let took = began.elapsed().as_secs_f64();
--- a/crates/lab/src/plan/check.rs
+++ b/crates/lab/src/plan/check.rs
@@ -169,7 +169,6 @@
             None => found(key("zone"), format!("{kind} needs it")),
         },
         ReportsLie if fault.says.is_none() => found(key("says"), "one of idle, busy, frozen is wanted"),
-        HalfOpen => found(key("kind"), "half open connections can be played on real sockets only"),
         _ => None,
     }
 }
--- a/crates/lab/src/plan/mod.rs
+++ b/crates/lab/src/plan/mod.rs
@@ -306,6 +306,18 @@
     }
 }
 
+impl Scenario {
+    /// The first fault that only real sockets can play.
+    pub fn on_sockets_only(&self) -> Option<&Fault> {
+        self.faults.iter().find(|fault| fault.kind == Kind::HalfOpen)
+    }
+
+    /// The first fault that only virtual time can play: no packet is lost on loopback.
+    pub fn in_virtual_time_only(&self) -> Option<&Fault> {
+        self.faults.iter().find(|fault| fault.kind == Kind::ZoneCut)
+    }
+}
+
 fn one() -> f64 {
     1.0
 }
--- a/crates/lab/src/sockets/discovery.rs
+++ b/crates/lab/src/sockets/discovery.rs
@@ -57,6 +57,8 @@
     /// Watches that began before this generation are told a whole list.
     whole_before: u64,
     trouble: Trouble,
+    /// A list as somebody wrote it, and its generation, in place of all else.
+    written: Option<(u64, String)>,
     calls: u64,
     left: u64,
 }
@@ -90,6 +92,19 @@
         Ok(discovery)
     }
 
+    /// One that tells what `write` gives it, word for word; until then every call waits.
+    pub fn written() -> io::Result<Arc<Discovery>> {
+        let discovery = Discovery::start()?;
+        discovery.write(0, String::new());
+        Ok(discovery)
+    }
+
+    /// The next list, whether or not it can be read; it is told to whoever knows an older generation.
+    pub fn write(&self, generation: u64, list: String) {
+        self.list().written = Some((generation, list));
+        self.news.notify_all();
+    }
+
     fn list(&self) -> MutexGuard<'_, List> {
         self.list.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -145,18 +160,18 @@
     fn talk(&self, stream: TcpStream) {
         let mut peer = Peer::new(stream);
         while let Ok(Some(heard)) = peer.command() {
-            let Some(value) = self.answer_to(&heard, &peer) else {
+            let Some(list) = self.answer_to(&heard, &peer) else {
                 let _ = peer.write(&answer(503, "Connection: close\r\n", b""));
                 return;
             };
-            if peer.write(&answer(200, "", value.to_string().as_bytes())).is_err() {
+            if peer.write(&answer(200, "", list.as_bytes())).is_err() {
                 return;
             }
         }
     }
 
     /// None where the source is down, or the watch was left.
-    fn answer_to(&self, heard: &Heard, peer: &Peer) -> Option<Value> {
+    fn answer_to(&self, heard: &Heard, peer: &Peer) -> Option<String> {
         let query = heard.path().split_once('?').map_or("", |(_, query)| query);
         let figure = |name: &str| {
             let pair = query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name);
@@ -165,16 +180,23 @@
         let until = Instant::now() + Duration::from_millis(figure("wait_ms").unwrap_or(0)).min(WAIT_MOST);
         let mut list = self.list();
         list.calls += 1;
-        let Some(after) = figure("after") else {
-            return (list.trouble != Trouble::Down).then(|| list.whole());
-        };
+        let after = figure("after");
+        if after.is_none() && list.written.is_none() {
+            return (list.trouble != Trouble::Down).then(|| list.whole().to_string());
+        }
+        let after = after.unwrap_or(0);
         let _ = peer.stream.set_nonblocking(true);
         let told = loop {
             if list.trouble == Trouble::Down || self.over.load(Ordering::Relaxed) {
                 break None;
             }
-            if list.generation != after && list.trouble != Trouble::Stale || Instant::now() >= until {
-                break Some(list.changes(after));
+            match &list.written {
+                Some((generation, text)) if *generation > after => break Some(text.clone()),
+                Some(_) => {}
+                None if list.news_after(after) || Instant::now() >= until => {
+                    break Some(list.changes(after).to_string());
+                }
+                None => {}
             }
             // Looks now and then whether anybody still waits.
             list = self
@@ -193,6 +215,10 @@
 }
 
 impl List {
+    fn news_after(&self, after: u64) -> bool {
+        self.generation != after && self.trouble != Trouble::Stale
+    }
+
     fn whole(&self) -> Value {
         let (generation, entries) = match (&self.trouble, &self.stale) {
             (Trouble::Empty, _) => (self.generation, Vec::new()),
--- a/crates/lab/src/sockets/message.rs
+++ b/crates/lab/src/sockets/message.rs
@@ -119,17 +119,9 @@
             }
             self.buffer.resize(self.filled * 2, 0);
         }
-        loop {
-            match self.stream.read(&mut self.buffer[self.filled..]) {
-                Ok(count) => {
-                    self.filled += count;
-                    return Ok(count > 0);
-                }
-                // A signal to the process, such as that of a child's end, breaks a read with a time-out off.
-                Err(wrong) if wrong.kind() == ErrorKind::Interrupted => {}
-                Err(wrong) => return Err(wrong),
-            }
-        }
+        let count = read(&mut self.stream, &mut self.buffer[self.filled..])?;
+        self.filled += count;
+        Ok(count > 0)
     }
 
     fn shape(bytes: &[u8], side: &Side) -> io::Result<Option<Shape>> {
@@ -163,6 +155,16 @@
     }
 }
 
+/// A read with a time-out is broken off by any signal to the process, such as that of a child's end: it goes on.
+pub fn read(stream: &mut TcpStream, into: &mut [u8]) -> io::Result<usize> {
+    loop {
+        match stream.read(into) {
+            Err(wrong) if wrong.kind() == ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+}
+
 /// An answer's bytes.
 pub fn answer(status: u16, more: &str, body: &[u8]) -> Vec<u8> {
     let length = body.len();
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -12,6 +12,7 @@
 mod load;
 mod message;
 mod scene;
+mod scripted;
 mod settings;
 
 pub use child::{Sidecar, program};
@@ -19,8 +20,9 @@
 pub use fleet::{Behind, Doing, Fleet, Make, Server, Serving, Verbs};
 pub use ledger::Ledger;
 pub use load::{Figures, LoadPlan, load};
-pub use message::{Heard, Peer};
+pub use message::{Heard, Peer, read};
 pub use scene::{Scene, Seen, play, run_dir};
+pub use scripted::{Does, Scripted};
 pub use settings::{Told, config_of};
 
 use std::io;
--- a/crates/lab/src/sockets/scene.rs
+++ b/crates/lab/src/sockets/scene.rs
@@ -62,10 +62,8 @@
     dir: &Path,
     show: &mut dyn FnMut(&Seen),
 ) -> Result<Line, String> {
-    for fault in &plan.faults {
-        if fault.kind == Kind::ZoneCut {
-            return Err("zone_cut can be played in virtual time only".into());
-        }
+    if let Some(fault) = plan.in_virtual_time_only() {
+        return Err(format!("{} can be played in virtual time only", fault.label()));
     }
     let mut scene = Scene::build(plan, seed, program, dir)?;
     let line = scene.run(show)?;
--- a/crates/lab/tests/worlds.rs
+++ b/crates/lab/tests/worlds.rs
@@ -119,6 +119,15 @@
         .expect("rules hold");
 }
 
+#[test]
+fn what_only_sockets_can_play_is_refused_in_virtual_time() {
+    let mut ready = experiment::find("one-tier").expect("built in");
+    let fault = plan::parse("p", &format!("{GOOD}[[faults]]\nkind = \"half_open\"\nat = 1\nservers = [1]\n"));
+    ready.settings[0].scenario = fault.expect("it can be read");
+    let told = experiment::sweep(&ready, 1, &|_, _| {}).expect_err("a refusal");
+    assert!(told.contains("half open can be played on real sockets only"), "{told}");
+}
+
 /// What a faulty plan is told as.
 fn told(text: &str) -> String {
     plan::parse("p.toml", text).expect_err("a fault").to_string()
@@ -144,8 +153,6 @@
     assert!(beyond.starts_with("p.toml:11:") && beyond.contains("tier 0 has no server 7"), "{beyond}");
     let needs = told(&fault.replace("[7]", "[1]").replace("factor = 2", ""));
     assert!(needs.starts_with("p.toml:8:") && needs.contains("faults.0.factor: slow needs it"), "{needs}");
-    let half = told(&fault.replace("\"slow\"", "\"half_open\"").replace("[7]", "[1]"));
-    assert!(half.contains("on real sockets only"), "{half}");
     assert!(told("name = ").starts_with("p.toml:1:"));
     assert!(told("").contains("missing field"));
 }
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -1,14 +1,13 @@
-//! Starts the program and speaks to it over sockets, with small stand-ins for endpoints and discovery.
+//! Starts the program and speaks to it over sockets, with the lab's stand-ins for endpoints and discovery.
 
+use landingspread_lab::sockets::{self, Discovery, Does, Heard, Peer, Scripted, read};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
-use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,227 +17,16 @@
     Duration::from_millis(count)
 }
 
-/// A free port on an address of its own: a port that one test lets go must not turn up in another.
 fn free() -> TcpListener {
-    static GIVEN: AtomicU32 = AtomicU32::new(1);
-    let (pid, number) = (std::process::id(), GIVEN.fetch_add(1, Ordering::Relaxed));
-    let address = Ipv4Addr::new(127, 1 + (pid >> 8) as u8 % 250, pid as u8, number as u8);
-    TcpListener::bind((address, 0)).expect("a free port")
-}
-
-/// A read with a time-out is broken off by any signal to the process, such as that of a child's end.
-fn read(stream: &mut TcpStream, into: &mut [u8]) -> std::io::Result<usize> {
-    loop {
-        match stream.read(into) {
-            Err(wrong) if wrong.kind() == std::io::ErrorKind::Interrupted => {}
-            other => return other,
-        }
-    }
-}
-
-/// The head and body of the next message, or None at the connection's end.
-fn message(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
-    let mut bytes = Vec::new();
-    let mut piece = [0; 4096];
-    loop {
-        if let Some(head) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
-            let text = String::from_utf8_lossy(&bytes[..head]).to_string();
-            let length = value(&text, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-            if bytes.len() >= head + 4 + length {
-                return Some((text, bytes[head + 4..head + 4 + length].to_vec()));
-            }
-        }
-        match read(stream, &mut piece) {
-            Ok(count) if count > 0 => bytes.extend_from_slice(&piece[..count]),
-            _ => return None,
-        }
-    }
-}
-
-fn value(head: &str, name: &str) -> Option<String> {
-    let pairs = head.lines().filter_map(|line| line.split_once(':'));
-    pairs
-        .into_iter()
-        .find(|(key, _)| key.eq_ignore_ascii_case(name))
-        .map(|(_, value)| value.trim().to_string())
-}
-
-/// What an endpoint does with a command.
-#[derive(Clone, Copy)]
-enum Does {
-    Answer,
-    AnswerAndClose,
-    Wait(u64),
-    Break,
-    Fail,
-    TurnAway,
-    /// Answers, but lets go without a word of a connection that was idle for so many milliseconds.
-    LetGoAfter(u64),
-    /// Answers, and a little later once more.
-    AnswerTwice,
-    /// One of the others for each command, by chance that goes by the command's head and this.
-    Any(u64),
-}
-
-impl Does {
-    fn with(self, head: &str) -> Does {
-        let Does::Any(seed) = self else { return self };
-        let mut hasher = DefaultHasher::new();
-        (seed, value(head, "x-trace-id")).hash(&mut hasher);
-        match hasher.finish() % 12 {
-            0 => Does::Break,
-            1 => Does::Fail,
-            2 => Does::TurnAway,
-            3 => Does::Wait(2500),
-            4 => Does::Wait(60),
-            5 => Does::AnswerAndClose,
-            _ => Does::Answer,
-        }
-    }
+    sockets::free().expect("a free port")
 }
 
-#[derive(Default)]
-struct Seen {
-    heads: Vec<String>,
-    connections: usize,
-    dropped: usize,
+fn endpoint(does: Does) -> Scripted {
+    Scripted::start(does).expect("a stand-in")
 }
 
-struct Endpoint {
-    address: SocketAddr,
-    seen: Arc<Mutex<Seen>>,
-}
-
-impl Endpoint {
-    fn start(does: Does) -> Endpoint {
-        let listener = free();
-        let address = listener.local_addr().expect("an address");
-        let seen = Arc::<Mutex<Seen>>::default();
-        let shared = seen.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let seen = shared.clone();
-                thread::spawn(move || Self::talk(stream, does, &seen));
-            }
-        });
-        Endpoint { address, seen }
-    }
-
-    fn talk(mut stream: TcpStream, does: Does, seen: &Mutex<Seen>) {
-        seen.lock().expect("no panic").connections += 1;
-        let mut answered = Instant::now();
-        while let Some((head, body)) = message(&mut stream) {
-            if matches!(does, Does::LetGoAfter(idle) if answered.elapsed() > ms(idle)) {
-                return;
-            }
-            let (checked, does) = (head.starts_with("GET /ping"), does.with(&head));
-            if !checked {
-                seen.lock().expect("no panic").heads.push(head.clone());
-            }
-            let (id, length) = (value(&head, "x-trace-id").unwrap_or_default(), body.len() + 3);
-            let ok = format!("HTTP/1.1 200 OK\r\nX-Kept: {id}\r\nContent-Length: {length}\r\n\r\n");
-            let ok = [ok.as_bytes(), b"ok:", &body].concat();
-            let answer = match does {
-                _ if checked => ok,
-                Does::Answer | Does::AnswerAndClose | Does::LetGoAfter(_) | Does::Any(_) => ok,
-                Does::AnswerTwice => {
-                    let _ = stream.write_all(&ok);
-                    thread::sleep(ms(1));
-                    ok
-                }
-                Does::Break => return,
-                Does::Fail => b"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n".to_vec(),
-                Does::TurnAway => {
-                    b"HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n".to_vec()
-                }
-                Does::Wait(span) => {
-                    stream.set_read_timeout(Some(ms(span))).expect("a time-out");
-                    if matches!(read(&mut stream, &mut [0]), Ok(0)) {
-                        seen.lock().expect("no panic").dropped += 1;
-                        return;
-                    }
-                    stream.set_read_timeout(None).expect("no time-out");
-                    ok
-                }
-            };
-            if stream.write_all(&answer).is_err() || matches!(does, Does::AnswerAndClose) {
-                return;
-            }
-            answered = Instant::now();
-        }
-    }
-
-    fn count(&self) -> usize {
-        self.seen.lock().expect("no panic").heads.len()
-    }
-}
-
-#[derive(Default)]
-struct List {
-    generation: u64,
-    body: String,
-    calls: usize,
-    left: usize,
-}
-
-/// Answers watches with its whole list once there is news; what it says can be changed while it runs.
-struct Discovery {
-    address: SocketAddr,
-    list: Arc<(Mutex<List>, Condvar)>,
-}
-
-impl Discovery {
-    fn start() -> Discovery {
-        let listener = free();
-        let address = listener.local_addr().expect("an address");
-        let list = Arc::<(Mutex<List>, Condvar)>::default();
-        let shared = list.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let list = shared.clone();
-                thread::spawn(move || Self::talk(stream, &list));
-            }
-        });
-        Discovery { address, list }
-    }
-
-    fn talk(mut stream: TcpStream, (list, changed): &(Mutex<List>, Condvar)) {
-        while let Some((head, _)) = message(&mut stream) {
-            let after = head.split(['=', '&']).nth(1).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
-            let mut told = list.lock().expect("no panic");
-            told.calls += 1;
-            while told.generation <= after {
-                told = changed.wait_timeout(told, ms(10)).expect("no panic").0;
-                if stream.set_nonblocking(true).is_ok() && matches!(stream.peek(&mut [0]), Ok(0)) {
-                    told.left += 1;
-                    return;
-                }
-            }
-            stream.set_nonblocking(false).expect("a stream that blocks");
-            let answer =
-                format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", told.body.len(), told.body);
-            drop(told);
-            if stream.write_all(answer.as_bytes()).is_err() {
-                return;
-            }
-        }
-    }
-
-    fn say(&self, generation: u64, body: String) {
-        let (list, changed) = &*self.list;
-        let mut list = list.lock().expect("no panic");
-        (list.generation, list.body) = (generation, body);
-        changed.notify_all();
-    }
-
-    /// How many watches were left while they waited.
-    fn left(&self) -> usize {
-        self.list.0.lock().expect("no panic").left
-    }
-
-    fn calls(&self) -> usize {
-        self.list.0.lock().expect("no panic").calls
-    }
+fn list_source() -> Arc<Discovery> {
+    Discovery::written().expect("a stand-in")
 }
 
 fn catalog(generation: u64, entries: &[(&str, SocketAddr, &str)]) -> Value {
@@ -291,9 +79,9 @@
         sidecar
     }
 
-    fn with(servers: &[(&str, SocketAddr)]) -> (Sidecar, Discovery) {
+    fn with(servers: &[(&str, SocketAddr)]) -> (Sidecar, Arc<Discovery>) {
         let ready: Vec<_> = servers.iter().map(|(id, address)| (*id, *address, "ready")).collect();
-        let discovery = Discovery::start();
+        let discovery = list_source();
         (Sidecar::start(&catalog(1, &ready), discovery.address), discovery)
     }
 
@@ -303,7 +91,7 @@
         Some(stream)
     }
 
-    fn ask(&self, text: &str) -> Option<(u16, String, Vec<u8>)> {
+    fn ask(&self, text: &str) -> Option<(u16, Heard, Vec<u8>)> {
         let mut stream = self.open()?;
         // What is turned away early may close before all is written.
         let _ = stream.write_all(text.as_bytes());
@@ -339,10 +127,10 @@
     }
 }
 
-fn answer(stream: &mut TcpStream) -> Option<(u16, String, Vec<u8>)> {
-    let (head, body) = message(stream)?;
-    let status = head.split(' ').nth(1).and_then(|text| text.parse().ok())?;
-    Some((status, head, body))
+fn answer(stream: &mut TcpStream) -> Option<(u16, Heard, Vec<u8>)> {
+    let mut head = Peer::new(stream.try_clone().ok()?).answer().ok()?;
+    let body = std::mem::take(&mut head.body);
+    Some((head.status()?, head, body))
 }
 
 fn cmd(verb: &str, id: &str, left_ms: u64) -> String {
@@ -372,29 +160,28 @@
 
 #[test]
 fn a_command_is_answered_with_what_the_endpoint_said_and_passed_on_with_less_time() {
-    let endpoint = Endpoint::start(Does::Answer);
+    let endpoint = endpoint(Does::Answer);
     let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
     let mut stream = sidecar.open().expect("a connection");
     for id in ["a1", "a2"] {
         stream.write_all(cmd("hold", id, 800).as_bytes()).expect("it is written");
         let (status, head, body) = answer(&mut stream).expect("an answer");
         assert_eq!((status, body.as_slice()), (200, &b"ok:body"[..]));
-        assert_eq!(value(&head, "x-kept").as_deref(), Some(id));
+        assert_eq!(head.header("x-kept"), Some(id));
     }
     assert_eq!(sidecar.cmd("view", "a3", 800), 200);
-    let seen = endpoint.seen.lock().expect("no panic");
-    assert!(seen.heads[0].starts_with("POST /hold HTTP/1.1"));
-    assert!(seen.heads[2].starts_with("GET /view/1?x=2 HTTP/1.1"));
-    assert_eq!(value(&seen.heads[0], "x-trace-id").as_deref(), Some("a1"));
-    assert_eq!(value(&seen.heads[0], "idempotency-key").as_deref(), Some("ka1"));
-    let left: u64 =
-        value(&seen.heads[0], "x-expires-in-ms").and_then(|text| text.parse().ok()).expect("time");
+    let seen = endpoint.seen();
+    assert!(seen.cmds[0].first == "POST /hold");
+    assert!(seen.cmds[2].first == "GET /view/1?x=2");
+    assert_eq!(seen.cmds[0].header("x-trace-id"), Some("a1"));
+    assert_eq!(seen.cmds[0].header("idempotency-key"), Some("ka1"));
+    let left: u64 = seen.cmds[0].header("x-expires-in-ms").and_then(|text| text.parse().ok()).expect("time");
     assert!((700..=800).contains(&left), "{left} ms are left");
 }
 
 #[test]
 fn a_refused_connection_or_a_word_that_it_never_ran_lets_an_effectful_command_go_on() {
-    let (full, good) = (Endpoint::start(Does::TurnAway), Endpoint::start(Does::Answer));
+    let (full, good) = (endpoint(Does::TurnAway), endpoint(Does::Answer));
     let servers = [("s1", nobody()), ("s2", full.address), ("s3", good.address)];
     let (sidecar, _discovery) = Sidecar::with(&servers);
     for number in 0..8 {
@@ -406,7 +193,7 @@
 #[test]
 fn an_effectful_command_whose_connection_broke_ends_without_another_relay_or_a_decline() {
     for does in [Does::Break, Does::Fail] {
-        let endpoints = [Endpoint::start(does), Endpoint::start(does)];
+        let endpoints = [endpoint(does), endpoint(does)];
         let (sidecar, _discovery) =
             Sidecar::with(&[("s1", endpoints[0].address), ("s2", endpoints[1].address)]);
         assert_eq!(sidecar.cmd("confirm", "e1", 1500), 502);
@@ -418,7 +205,7 @@
 
 #[test]
 fn a_kept_connection_that_the_endpoint_has_closed_is_not_written_to() {
-    let endpoint = Endpoint::start(Does::AnswerAndClose);
+    let endpoint = endpoint(Does::AnswerAndClose);
     let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
     for number in 0..5 {
         assert_eq!(sidecar.cmd("confirm", &format!("k{number}"), 1500), 200);
@@ -428,7 +215,7 @@
 
 #[test]
 fn once_idle_connections_were_let_go_in_silence_an_effectful_command_takes_a_new_one() {
-    let endpoint = Endpoint::start(Does::LetGoAfter(80));
+    let endpoint = endpoint(Does::LetGoAfter(80));
     let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
     let mut broken = 0;
     for number in 0..12 {
@@ -444,35 +231,35 @@
 
 #[test]
 fn a_second_copy_of_an_answer_is_never_taken_for_the_next_ones() {
-    let endpoint = Endpoint::start(Does::AnswerTwice);
+    let endpoint = endpoint(Does::AnswerTwice);
     let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
     let mut stream = sidecar.open().expect("a connection");
     for number in 0..30 {
         let id = format!("t{number}");
         stream.write_all(cmd("hold", &id, 800).as_bytes()).expect("it is written");
         let (status, head, _) = answer(&mut stream).expect("an answer");
-        assert_eq!((status, value(&head, "x-kept")), (200, Some(id)));
+        assert_eq!((status, head.header("x-kept")), (200, Some(id.as_str())));
     }
 }
 
 #[test]
 fn a_new_server_at_an_old_ones_address_gets_connections_of_its_own() {
-    let endpoint = Endpoint::start(Does::Answer);
+    let endpoint = endpoint(Does::Answer);
     let (sidecar, discovery) = Sidecar::with(&[("s1", endpoint.address)]);
     for (generation, server) in [(2, "s2"), (3, "s3")] {
         assert_eq!(sidecar.cmd("view", server, 1500), 200);
         thread::sleep(ms(10));
-        let before = discovery.calls();
-        discovery.say(generation, catalog(generation, &[(server, endpoint.address, "ready")]).to_string());
-        within("the list is taken", || discovery.calls() > before);
+        let before = discovery.seen().0;
+        discovery.write(generation, catalog(generation, &[(server, endpoint.address, "ready")]).to_string());
+        within("the list is taken", || discovery.seen().0 > before);
     }
     assert_eq!(sidecar.cmd("view", "last", 1500), 200);
-    assert_eq!(endpoint.seen.lock().expect("no panic").connections, 3);
+    assert_eq!(endpoint.seen().connections, 3);
 }
 
 #[test]
 fn strangers_are_closed_in_time_and_before_callers_who_spoke_well() {
-    let endpoint = Endpoint::start(Does::Answer);
+    let endpoint = endpoint(Does::Answer);
     let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
     let mut known = sidecar.open().expect("a connection");
     let mut ask = |id: &str| {
@@ -501,7 +288,7 @@
 
 #[test]
 fn callers_who_ask_once_and_stay_hold_up_nobody() {
-    let endpoint = Endpoint::start(Does::Answer);
+    let endpoint = endpoint(Does::Answer);
     let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
     let mut stay = Vec::new();
     let mut waited = ms(0);
@@ -521,7 +308,7 @@
 
 #[test]
 fn idle_callers_make_room_for_new_ones_and_past_that_each_still_hears_a_word() {
-    let endpoint = Endpoint::start(Does::Wait(900));
+    let endpoint = endpoint(Does::Wait(900));
     let servers = ["s1", "s2", "s3", "s4", "s5", "s6"].map(|id| (id, endpoint.address));
     let (sidecar, _discovery) = Sidecar::with(&servers);
     let idle: Vec<TcpStream> = (0..100).filter_map(|_| sidecar.open()).collect();
@@ -543,7 +330,7 @@
 
 #[test]
 fn a_new_connection_is_not_closed_for_room_before_its_first_command() {
-    let endpoint = Endpoint::start(Does::Answer);
+    let endpoint = endpoint(Does::Answer);
     let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
     let mut new: Vec<TcpStream> = (0..40).filter_map(|_| sidecar.open()).collect();
     for (number, stream) in new.iter_mut().enumerate() {
@@ -555,13 +342,13 @@
 
 #[test]
 fn nothing_more_goes_to_a_server_that_drains() {
-    let (old, new) = (Endpoint::start(Does::Answer), Endpoint::start(Does::Answer));
+    let (old, new) = (endpoint(Does::Answer), endpoint(Does::Answer));
     let (sidecar, discovery) = Sidecar::with(&[("s1", old.address)]);
     assert_eq!(sidecar.cmd("view", "d0", 1500), 200);
-    within("it watches", || discovery.calls() == 1);
+    within("it watches", || discovery.seen().0 == 1);
     let list = [("s1", old.address, "draining"), ("s2", new.address, "ready")];
-    discovery.say(2, catalog(2, &list).to_string());
-    within("the next call comes at once", || discovery.calls() == 2);
+    discovery.write(2, catalog(2, &list).to_string());
+    within("the next call comes at once", || discovery.seen().0 == 2);
     for number in 1..6 {
         assert_eq!(sidecar.cmd("view", &format!("d{number}"), 1500), 200);
     }
@@ -570,44 +357,44 @@
 
 #[test]
 fn a_watch_whose_connection_stays_silent_is_given_up_and_called_anew() {
-    let (old, new) = (Endpoint::start(Does::Answer), Endpoint::start(Does::Answer));
+    let (old, new) = (endpoint(Does::Answer), endpoint(Does::Answer));
     let (sidecar, discovery) = Sidecar::with(&[("s1", old.address)]);
     // The stand-in says nothing before there is news, whatever the call said that it waits.
-    within("the silent call is let go", || discovery.left() == 1);
-    within("and comes again", || discovery.calls() == 2);
-    discovery.say(2, catalog(2, &[("s2", new.address, "ready")]).to_string());
+    within("the silent call is let go", || discovery.seen().1 == 1);
+    within("and comes again", || discovery.seen().0 == 2);
+    discovery.write(2, catalog(2, &[("s2", new.address, "ready")]).to_string());
     within("its answer is taken", || sidecar.cmd("view", "q1", 1500) == 200 && new.count() > 0);
 }
 
 #[test]
 fn a_slow_endpoint_costs_a_command_no_more_than_its_time_and_hears_that_it_is_over() {
-    let endpoint = Endpoint::start(Does::Wait(3000));
+    let endpoint = endpoint(Does::Wait(3000));
     let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
     let begun = Instant::now();
     let status = sidecar.cmd("confirm", "w1", 300);
     let took = begun.elapsed();
     assert_eq!(status, 502, "it may have run");
     assert!(took > ms(280) && took < ms(370), "the final word came after {took:?}");
-    within("the endpoint is let go", || endpoint.seen.lock().expect("no panic").dropped == 1);
+    within("the endpoint is let go", || endpoint.seen().dropped == 1);
 }
 
 #[test]
 fn a_client_that_leaves_ends_its_relay() {
-    let endpoint = Endpoint::start(Does::Wait(4000));
+    let endpoint = endpoint(Does::Wait(4000));
     let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
     let mut stream = sidecar.open().expect("a connection");
     stream.write_all(cmd("view", "l1", 1900).as_bytes()).expect("it is written");
     within("the relay is out", || endpoint.count() == 1);
     let begun = Instant::now();
     drop(stream);
-    within("the endpoint is let go", || endpoint.seen.lock().expect("no panic").dropped == 1);
+    within("the endpoint is let go", || endpoint.seen().dropped == 1);
     assert!(begun.elapsed() < ms(500));
     assert_eq!(endpoint.count(), 1, "nothing is sent for it after");
 }
 
 #[test]
 fn a_client_that_leaves_behind_bytes_written_ahead_ends_its_relay_and_only_its_own() {
-    let endpoint = Endpoint::start(Does::Wait(600));
+    let endpoint = endpoint(Does::Wait(600));
     let (sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address), ("s2", endpoint.address)]);
     let mut first = sidecar.open().expect("a connection");
     first.write_all(cmd("view", "o1", 1900).as_bytes()).expect("it is written");
@@ -623,14 +410,14 @@
     within("the relay is out", || endpoint.count() == 2);
     let begun = Instant::now();
     drop(ahead);
-    within("the endpoint is let go", || endpoint.seen.lock().expect("no panic").dropped == 1);
+    within("the endpoint is let go", || endpoint.seen().dropped == 1);
     assert!(begun.elapsed() < ms(400));
     assert_eq!(endpoint.count(), 2);
 }
 
 #[test]
 fn a_list_of_thousands_of_servers_is_taken() {
-    let endpoint = Endpoint::start(Does::Answer);
+    let endpoint = endpoint(Does::Answer);
     let (sidecar, discovery) = Sidecar::with(&[]);
     assert_eq!(sidecar.cmd("view", "w1", 900), 503);
     let mut list = catalog(2, &[("s1", endpoint.address, "ready")]);
@@ -640,13 +427,13 @@
         drained["instanceId"] = json!(format!("old-{number}"));
         list["instances"].as_array_mut().expect("a list").push(drained.clone());
     }
-    discovery.say(2, list.to_string());
+    discovery.write(2, list.to_string());
     within("it is taken", || sidecar.cmd("view", "w2", 900) == 200);
 }
 
 #[test]
 fn without_discovery_or_with_a_list_that_cannot_be_read_the_old_list_holds() {
-    let endpoint = Endpoint::start(Does::Answer);
+    let endpoint = endpoint(Does::Answer);
     let known = catalog(1, &[("s1", endpoint.address, "ready")]);
     let alone = Sidecar::start(&known, nobody());
     assert_eq!(alone.cmd("view", "n1", 1500), 200);
@@ -657,8 +444,8 @@
         "[]".to_string(),
     ];
     for (number, list) in lists.into_iter().enumerate() {
-        discovery.say(2, list);
-        within("it asks again", || discovery.calls() > number + 1);
+        discovery.write(2, list);
+        within("it asks again", || discovery.seen().0 > number as u64 + 1);
         assert_eq!(sidecar.cmd("view", &format!("b{number}"), 1500), 200);
     }
     assert!(sidecar.running());
@@ -669,18 +456,18 @@
 #[test]
 fn the_rules_hold_whatever_endpoints_do() {
     for seed in 0..3 {
-        let endpoints: Vec<Endpoint> = (0..4).map(|at| Endpoint::start(Does::Any(seed * 10 + at))).collect();
+        let endpoints: Vec<Scripted> = (0..4).map(|at| endpoint(Does::Any(seed * 10 + at))).collect();
         let ids = ["s1", "s2", "s3", "s4"];
         let mut servers: Vec<_> = ids.into_iter().zip(endpoints.iter().map(|one| one.address)).collect();
         servers.push(("s5", nobody()));
         let (mut sidecar, _discovery) = Sidecar::with(&servers);
         let ran = |id: &str| {
-            let ran_at = |(at, one): (usize, &Endpoint)| {
-                let seen = one.seen.lock().expect("no panic");
-                let mine = |head: &&String| value(head, "x-trace-id").as_deref() == Some(id);
+            let ran_at = |(at, one): (usize, &Scripted)| {
+                let seen = one.seen();
+                let mine = |head: &&Heard| head.header("x-trace-id") == Some(id);
                 let turned =
-                    |head: &String| matches!(Does::Any(seed * 10 + at as u64).with(head), Does::TurnAway);
-                seen.heads.iter().filter(mine).filter(|head| !turned(head)).count()
+                    |head: &Heard| matches!(Does::Any(seed * 10 + at as u64).with(head), Does::TurnAway);
+                seen.cmds.iter().filter(mine).filter(|head| !turned(head)).count()
             };
             endpoints.iter().enumerate().map(ran_at).sum::<usize>()
         };
@@ -711,7 +498,7 @@
 
 #[test]
 fn bad_input_is_turned_away_in_words_and_reaches_no_endpoint() {
-    let endpoint = Endpoint::start(Does::Answer);
+    let endpoint = endpoint(Does::Answer);
     let (mut sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
     let head = "X-Trace-Id: x\r\nX-Customer: acme\r\n";
     let cases = [
@@ -748,23 +535,23 @@
 
 #[test]
 fn sighup_moves_the_watch_to_the_discovery_that_the_file_names_and_keeps_it_if_the_file_is_faulty() {
-    let endpoints = [(); 3].map(|()| Endpoint::start(Does::Answer));
+    let endpoints = [(); 3].map(|()| endpoint(Does::Answer));
     let (mut sidecar, old) = Sidecar::with(&[("s1", endpoints[0].address)]);
-    within("it watches", || old.calls() == 1);
+    within("it watches", || old.seen().0 == 1);
     let known = catalog(1, &[("s1", endpoints[0].address, "ready")]);
     let mut faulty = told(&known, sidecar.address, nobody());
     faulty["settings"]["Verbs"][0]["Effect"] = json!(7);
     sidecar.hang_up(&faulty.to_string());
     sidecar.hang_up("{");
     assert_eq!(sidecar.cmd("view", "h1", 1500), 200);
-    old.say(7, catalog(7, &[("s2", endpoints[1].address, "ready")]).to_string());
-    within("the old watch goes on", || old.calls() == 2);
+    old.write(7, catalog(7, &[("s2", endpoints[1].address, "ready")]).to_string());
+    within("the old watch goes on", || old.seen().0 == 2);
     within("its list is taken", || sidecar.cmd("view", "h2", 1500) == 200 && endpoints[1].count() > 0);
-    let new = Discovery::start();
-    new.say(3, catalog(3, &[("s3", endpoints[2].address, "ready")]).to_string());
+    let new = list_source();
+    new.write(3, catalog(3, &[("s3", endpoints[2].address, "ready")]).to_string());
     sidecar.hang_up(&told(&known, sidecar.address, new.address).to_string());
-    within("the whole list is taken, then watched, also where it is counted lower", || new.calls() == 2);
-    within("the watch at the old one is let go", || old.left() == 1);
+    within("the whole list is taken, then watched, also where it is counted lower", || new.seen().0 == 2);
+    within("the watch at the old one is let go", || old.seen().1 == 1);
     let before = endpoints[1].count();
     for number in 0..4 {
         assert_eq!(sidecar.cmd("view", &format!("h3{number}"), 1500), 200);
@@ -775,7 +562,7 @@
 
 #[test]
 fn after_sigterm_it_goes_on_taking_for_a_while_finishes_and_exits() {
-    let endpoint = Endpoint::start(Does::Wait(400));
+    let endpoint = endpoint(Does::Wait(400));
     let (mut sidecar, _discovery) = Sidecar::with(&[("s1", endpoint.address)]);
     let mut idle = sidecar.open().expect("a connection");
     let mut early = sidecar.open().expect("a connection");
@@ -790,7 +577,7 @@
     // Longest limit 2 s: killed after 2.7 s at the soonest, of which the last 1.5 s are for finishing.
     let word = |early: &mut TcpStream| {
         let (status, head, _) = answer(early).expect("what was taken is finished");
-        (status, value(&head, "connection"))
+        (status, head.header("connection").map(str::to_string))
     };
     assert_eq!(word(&mut early), (200, None), "a caller may keep its connection while there is time");
     thread::sleep(ms(600).saturating_sub(begun.elapsed()));
