Files with one job: plain types below the modules that pass them on, no import circles

Need: launch, plan, experiment, report and pickers had files that import their parent, which imports them; world and pickers imported each other. Types moved into files of their own below both; the picker trait lies below world and pickers; the lab's command line is split into words, cases and what runs live.

--- /dev/null
+++ b/crates/lab/src/args.rs
@@ -0,0 +1,153 @@
+//! The command line's words.
+
+use argh::FromArgs;
+use landingspread_lab::pickers::Named;
+use std::path::PathBuf;
+
+/// landingspread's lab: an emulated world for the decisions, with faults, a referee and reports
+#[derive(FromArgs)]
+pub struct CommandLine {
+    #[argh(subcommand)]
+    pub wanted: Wanted,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum Wanted {
+    List(List),
+    Show(Show),
+    Run(Run),
+    Sweep(Sweep),
+    Compare(Compare),
+    Sockets(Sockets),
+    Demo(Demo),
+    Load(Load),
+    Bench(Bench),
+}
+
+/// list the built-in experiments and worlds
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct List {}
+
+/// print a built-in experiment or world as a file to start from
+#[derive(FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct Show {
+    /// its name
+    #[argh(positional)]
+    pub name: String,
+}
+
+/// play one case with one seed and say what came of it
+#[derive(FromArgs)]
+#[argh(subcommand, name = "run")]
+pub struct Run {
+    /// an experiment or a world, built in or a file
+    #[argh(positional)]
+    pub name: String,
+    /// the case; the first where none is named
+    #[argh(option)]
+    pub case: Option<String>,
+    /// the picker
+    #[argh(option, default = "Named::Landingspread")]
+    pub picker: Named,
+    /// the seed
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// a further picker to play beside it, for the report; may be given several times
+    #[argh(option)]
+    pub against: Vec<Named>,
+    /// where a page with plots goes
+    #[argh(option)]
+    pub report: Option<PathBuf>,
+}
+
+/// make all runs of an experiment, on all cores
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sweep")]
+pub struct Sweep {
+    /// an experiment or a world, built in or a file
+    #[argh(positional)]
+    pub name: String,
+    /// where the results go, as JSON lines
+    #[argh(option)]
+    pub out: Option<PathBuf>,
+    /// threads; as many as cores where it is not given
+    #[argh(option, default = "0")]
+    pub threads: usize,
+    /// seeds, in place of the file's count
+    #[argh(option)]
+    pub seeds: Option<u64>,
+}
+
+/// hold one picker against the others, seed by seed, in results of a sweep
+#[derive(FromArgs)]
+#[argh(subcommand, name = "compare")]
+pub struct Compare {
+    /// the file that sweep wrote
+    #[argh(positional)]
+    pub results: PathBuf,
+    /// the picker that the others are held against
+    #[argh(option, default = "Named::Landingspread")]
+    pub picker: Named,
+}
+
+/// play one case on real sockets, round real landingspread processes
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sockets")]
+pub struct Sockets {
+    /// an experiment or a world, built in or a file
+    #[argh(positional)]
+    pub name: String,
+    /// the case; the first where none is named
+    #[argh(option)]
+    pub case: Option<String>,
+    /// the seed
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// where a page with plots goes
+    #[argh(option)]
+    pub report: Option<PathBuf>,
+    /// the landingspread to run; the one beside this program where it is not given
+    #[argh(option)]
+    pub program: Option<PathBuf>,
+}
+
+/// see it work: two tiers, two sidecars, one server killed and one slowed, in 30 seconds
+#[derive(FromArgs)]
+#[argh(subcommand, name = "demo")]
+pub struct Demo {}
+
+/// send commands to an address and print the figures; latencies count from the intended send
+#[derive(FromArgs)]
+#[argh(subcommand, name = "load")]
+pub struct Load {
+    /// an address and port on loopback
+    #[argh(positional)]
+    pub to: std::net::SocketAddr,
+    /// connections
+    #[argh(option, default = "32")]
+    pub connections: usize,
+    /// commands a second; as fast as they are answered where it is not given
+    #[argh(option, default = "0.0")]
+    pub rate: f64,
+    /// seconds
+    #[argh(option, default = "5.0")]
+    pub seconds: f64,
+    /// the verb, sent as GET
+    #[argh(option, default = "String::from(\"view\")")]
+    pub verb: String,
+}
+
+/// how much one sidecar carries, by connections and servers, before stand-ins that answer at once
+#[derive(FromArgs)]
+#[argh(subcommand, name = "bench")]
+pub struct Bench {
+    /// seconds for each figure
+    #[argh(option, default = "5.0")]
+    pub seconds: f64,
+    /// the landingspread to run; the one beside this program where it is not given
+    #[argh(option)]
+    pub program: Option<PathBuf>,
+}
--- a/crates/lab/src/experiment/compare.rs
+++ b/crates/lab/src/experiment/compare.rs
@@ -1,7 +1,7 @@
 //! Pickers against each other, seed by seed: the difference of two on the same load and faults, with a bootstrap
 //! interval (Efron and Tibshirani, 1993, chapter 13: percentiles of resampled means).
 
-use super::{Results, Row};
+use super::results::{Results, Row};
 use crate::pickers::Named;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/crates/lab/src/experiment/results.rs
+++ b/crates/lab/src/experiment/results.rs
@@ -1,7 +1,7 @@
 //! Results as JSON lines: a header with the experiment, every setting and the build, then one line for each run.
 //! They hold nothing of the machine or the moment: the same build, file and seeds write the same bytes.
 
-use super::{Experiment, Ready};
+use super::ready::{Experiment, Ready, Setting};
 use crate::pickers::Named;
 use crate::plan::Scenario;
 use crate::referee::Breach;
@@ -78,7 +78,7 @@
 
 impl Results {
     pub fn header_of(ready: &Ready) -> Header {
-        let told = |setting: &super::Setting| Told {
+        let told = |setting: &Setting| Told {
             case: setting.case.clone(),
             point: setting.point.clone(),
             scenario: setting.scenario.clone(),
--- a/crates/lab/src/experiment/sweep.rs
+++ b/crates/lab/src/experiment/sweep.rs
@@ -1,7 +1,8 @@
 //! Makes all runs of an experiment on all cores. Each run is single-threaded and owns its world; rows come out in
 //! the order of the plan, whatever the threads did.
 
-use super::{Ready, Results, Row, play_one, playable};
+use super::ready::{Ready, play_one, playable};
+use super::results::{Results, Row};
 use rayon::prelude::*;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
--- a/crates/lab/src/live.rs
+++ b/crates/lab/src/live.rs
@@ -1,6 +1,7 @@
 //! The sub-commands that need real sockets. It owns what is shown while they run.
 
-use crate::{Bench, Load, Sockets, case_of, find};
+use crate::args::{Bench, Load, Sockets};
+use crate::cases::{case_of, find};
 use landingspread_lab::experiment::Setting;
 use landingspread_lab::report::{self, Line, Story};
 use landingspread_lab::sockets::{self, LoadPlan, Seen, bench as points};
--- /dev/null
+++ b/crates/lab/src/picker.rs
@@ -0,0 +1,56 @@
+//! Who picks, as the world calls it.
+
+use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Outcome};
+use landingspread_decisions::policy::Policy;
+use std::time::Duration;
+
+/// What can happen to a copy, one method for each: the decision module's own.
+pub trait Picker {
+    fn list_cached(&mut self, now: Duration, entries: &[Listed]);
+    fn list_told(&mut self, now: Duration, entries: &[Listed]);
+    fn list_changed(&mut self, now: Duration, entries: &[Listed]);
+    fn list_call_failed(&mut self, now: Duration);
+    fn cmd_came(&mut self, now: Duration, arrival: Arrival);
+    fn client_left(&mut self, now: Duration, cmd: &Id);
+    fn relay_ended(&mut self, now: Duration, ended: Ended);
+    fn check_ended(&mut self, now: Duration, outcome: Outcome, server: &Id);
+    fn woken(&mut self, now: Duration);
+}
+
+impl<H: Host> Picker for Policy<H> {
+    fn list_cached(&mut self, now: Duration, entries: &[Listed]) {
+        Policy::list_cached(self, now, entries);
+    }
+
+    fn list_told(&mut self, now: Duration, entries: &[Listed]) {
+        Policy::list_told(self, now, entries);
+    }
+
+    fn list_changed(&mut self, now: Duration, entries: &[Listed]) {
+        Policy::list_changed(self, now, entries);
+    }
+
+    fn list_call_failed(&mut self, now: Duration) {
+        Policy::list_call_failed(self, now);
+    }
+
+    fn cmd_came(&mut self, now: Duration, arrival: Arrival) {
+        Policy::cmd_came(self, now, arrival);
+    }
+
+    fn client_left(&mut self, now: Duration, cmd: &Id) {
+        Policy::client_left(self, now, cmd);
+    }
+
+    fn relay_ended(&mut self, now: Duration, ended: Ended) {
+        Policy::relay_ended(self, now, ended);
+    }
+
+    fn check_ended(&mut self, now: Duration, outcome: Outcome, server: &Id) {
+        Policy::check_ended(self, now, outcome, server);
+    }
+
+    fn woken(&mut self, now: Duration) {
+        Policy::woken(self, now);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/pickers/named.rs
@@ -0,0 +1,67 @@
+//! Pickers by name.
+
+use super::plain::{Plain, Way};
+use crate::picker::Picker;
+use crate::world::Hand;
+use landingspread_decisions::policy::Policy;
+use landingspread_decisions::terms::Terms;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// A picker by the name that files and the command line give it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Named {
+    Landingspread,
+    Random,
+    RoundRobin,
+    LeastOutstanding,
+    TwoChoices,
+    TrueState,
+}
+
+impl Named {
+    pub const ALL: [Named; 6] = [
+        Named::Landingspread,
+        Named::Random,
+        Named::RoundRobin,
+        Named::LeastOutstanding,
+        Named::TwoChoices,
+        Named::TrueState,
+    ];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Named::Landingspread => "landingspread",
+            Named::Random => "random",
+            Named::RoundRobin => "round_robin",
+            Named::LeastOutstanding => "least_outstanding",
+            Named::TwoChoices => "two_choices",
+            Named::TrueState => "true_state",
+        }
+    }
+
+    pub fn make(self, hand: Hand, terms: Terms, seed: u64, now: Duration) -> Box<dyn Picker> {
+        let way = match self {
+            Named::Landingspread => return Box::new(Policy::start(hand, terms, seed, now)),
+            Named::Random => Way::Random,
+            Named::RoundRobin => Way::RoundRobin,
+            Named::LeastOutstanding => Way::LeastOutstanding,
+            Named::TwoChoices => Way::TwoChoices,
+            Named::TrueState => Way::TrueState,
+        };
+        Box::new(Plain::new(hand, terms, seed, way))
+    }
+}
+
+impl std::str::FromStr for Named {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Named, String> {
+        let named = Named::ALL.into_iter().find(|named| named.name() == text);
+        named.ok_or_else(|| {
+            let all: Vec<&str> = Named::ALL.iter().map(|named| named.name()).collect();
+            format!("{text:?} is no picker; there are {}", all.join(", "))
+        })
+    }
+}
--- a/crates/lab/src/pickers/plain.rs
+++ b/crates/lab/src/pickers/plain.rs
@@ -1,8 +1,8 @@
 //! Baselines: one rule for the pick, and the least that the four rules ask beside it. They relay at once, go on to
 //! another server after a failure while that is harmless, mark nothing, hold nothing and know no cold start.
 
-use super::Picker;
 use super::rules::{Sent, may_decline, may_go};
+use crate::picker::Picker;
 use crate::world::Hand;
 use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Outcome, State};
 use landingspread_decisions::terms::Terms;
--- a/crates/lab/src/plan/check.rs
+++ b/crates/lab/src/plan/check.rs
@@ -1,7 +1,8 @@
 //! Whether a scenario that could be read can be played. It owns every bound of the world's size: past them a run
 //! could grow without end.
 
-use super::{Fault, Kind, Scenario};
+use super::faults::{Fault, Kind};
+use super::scenario::Scenario;
 
 const SERVERS_MOST: usize = 20_000;
 const COPIES_MOST: usize = 10_000;
--- a/crates/lab/src/plan/read.rs
+++ b/crates/lab/src/plan/read.rs
@@ -1,6 +1,7 @@
 //! Files into scenarios that can be played.
 
-use super::{Scenario, check};
+use super::check;
+use super::scenario::Scenario;
 use landingspread_files::{Wrong, from_toml, text_of};
 use std::path::Path;
 
--- a/crates/lab/src/report/page.rs
+++ b/crates/lab/src/report/page.rs
@@ -1,6 +1,7 @@
 //! The page itself: figures first, then the plots, then what was broken.
 
-use super::{Line, Story, plots};
+use super::plots;
+use super::story::{Line, Story};
 use std::fmt::Write;
 
 const STYLE: &str = "body{font:15px/1.5 sans-serif;max-width:1040px;margin:2em auto;padding:0 1em;color:#222}\
--- a/crates/lab/src/report/plots.rs
+++ b/crates/lab/src/report/plots.rs
@@ -1,6 +1,6 @@
 //! The plots of a page, each one SVG text.
 
-use super::{Line, Span, Story};
+use super::story::{Line, Span, Story};
 use crate::tally::Second;
 use plotters::coord::Shift;
 use plotters::coord::types::RangedCoordf64;
@@ -8,7 +8,7 @@
 
 const SIZE: (u32, u32) = (1000, 260);
 /// The labels of the lines stand to the right of them.
-const ROOM_FOR_LABELS: f64 = 1.25;
+const ROOM_FOR_LABELS: f64 = 1.4;
 const GREY: RGBColor = RGBColor(120, 120, 120);
 const FAULT: RGBColor = RGBColor(214, 69, 65);
 /// Distinct also for most who see few colours (Okabe and Ito).
--- a/crates/lab/src/sockets/bench.rs
+++ b/crates/lab/src/sockets/bench.rs
@@ -4,9 +4,9 @@
 use super::child::Sidecar;
 use super::discovery::{Discovery, Entry};
 use super::fleet::{Doing, Fleet, Make};
-use super::free;
 use super::ledger::Ledger;
 use super::load::{Figures, LoadPlan, load};
+use super::ports::free;
 use super::settings::{Told, config_of};
 use crate::plan::{Repeats, Scenario, Spread};
 use std::net::SocketAddr;
--- a/crates/lab/src/sockets/discovery.rs
+++ b/crates/lab/src/sockets/discovery.rs
@@ -1,7 +1,7 @@
 //! The stand-in list source: whole lists and watches by the platform's protocol, for one tier, with its troubles.
 
-use super::free;
 use super::message::{Heard, Peer, answer};
+use super::ports::free;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io;
--- a/crates/lab/src/sockets/fleet.rs
+++ b/crates/lab/src/sockets/fleet.rs
@@ -1,9 +1,9 @@
 //! Stand-in servers: they read the platform's commands, take the time that the plan gives, and fail as told.
 //! A thread to each connection, a count of cores and a bounded queue to each server.
 
-use super::free;
 use super::ledger::Ledger;
 use super::message::{Heard, Peer, answer};
+use super::ports::free;
 use crate::plan::{Repeats, Spread};
 use crate::world::size;
 use rand::{Rng, SeedableRng};
--- a/crates/lab/src/sockets/scene.rs
+++ b/crates/lab/src/sockets/scene.rs
@@ -6,8 +6,8 @@
 use super::child::Sidecar;
 use super::discovery::{Discovery, Entry, Trouble};
 use super::fleet::{Doing, Fleet, Make, Server, Verbs};
-use super::free;
 use super::ledger::Ledger;
+use super::ports::free;
 use super::settings::{Told, config_of};
 use crate::plan::{Fault, Kind, Scenario, span};
 use crate::referee::Final;
@@ -245,7 +245,12 @@
         driven?;
         let (breaches, counts) = self.ledger.close();
         let tally = tally.into_inner().unwrap_or_else(PoisonError::into_inner);
-        let (totals, seconds, marks) = tally.close();
+        let (mut totals, seconds, marks) = tally.close();
+        // Stand-ins count what came to them over the whole run, the settling time included.
+        let taken = |server: &Arc<Server>| server.taken.load(Ordering::Relaxed);
+        totals.relays = self.tiers[0].fleet.servers.iter().map(taken).sum();
+        let came: u64 = seconds.iter().map(|second| u64::from(second.came)).sum();
+        totals.relays_each = totals.relays as f64 / came.max(1) as f64;
         Ok(Line {
             name: "landingspread on sockets".into(),
             totals,
--- a/crates/lab/src/sockets/scripted.rs
+++ b/crates/lab/src/sockets/scripted.rs
@@ -1,8 +1,8 @@
 //! A stand-in server that does one thing to each command, by script: for tests that cause a single fault and look at
 //! what comes of it. `fleet.rs` has the servers that behave as ones do.
 
-use super::free;
 use super::message::{Heard, Peer, answer};
+use super::ports::free;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -16,7 +16,7 @@
 pub use dice::{deal, exponential, size};
 pub use hand::Hand;
 
-use crate::pickers::Picker;
+use crate::picker::Picker;
 use crate::plan::{Repeats, Scenario, span};
 use crate::referee::Breach;
 use crate::tally::{Marked, Second, Totals};
--- /dev/null
+++ b/crates/sidecar/src/launch/checked.rs
@@ -0,0 +1,76 @@
+//! What both forms of the configuration come to, and the defaults that they share.
+
+use crate::catalog::Catalog;
+use crate::clock::Clock;
+use landingspread_decisions::terms::Terms;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub const SOCKETS: u64 = 1024;
+pub const SOCKETS_LEAST: u64 = 40;
+pub const MEMORY_MB: u64 = 192;
+pub const MEMORY_MB_LEAST: u64 = 16;
+pub const CONN_IDLE: Duration = Duration::from_secs(30);
+pub const DIAL_TIMEOUT: Duration = Duration::from_millis(100);
+pub const MAX_OPEN: u64 = 20_000;
+
+/// A key and what is wrong with it.
+#[derive(Debug)]
+pub struct Fault(pub String);
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+pub fn fault(key: &str, wrong: impl fmt::Display) -> Fault {
+    Fault(format!("{key}: {wrong}"))
+}
+
+/// What a front must know of a verb to read its commands; the rest of it is the module's.
+#[derive(Clone)]
+pub struct Verb {
+    pub name: String,
+    pub method: &'static str,
+    pub receipted: bool,
+    pub limit: Duration,
+}
+
+pub struct Launch {
+    pub name: String,
+    pub listen: SocketAddr,
+    /// Where the list of servers is watched; none where the configuration lists them itself.
+    pub discovery: Option<SocketAddr>,
+    pub seed: u64,
+    pub sockets: usize,
+    pub memory_mb: usize,
+    pub clock: Clock,
+    pub known: Catalog,
+    pub zones: Vec<String>,
+    pub verbs: Vec<Verb>,
+    pub tenants: Vec<String>,
+    pub conn_idle: Duration,
+    pub dial_timeout: Duration,
+    pub max_open: usize,
+    pub terms: Terms,
+}
+
+impl fmt::Display for Launch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Launch { name, listen, sockets, memory_mb, .. } = self;
+        write!(f, "{name} listens at {listen} and ")?;
+        match self.discovery {
+            Some(discovery) => writeln!(f, "follows discovery at {discovery}")?,
+            None => writeln!(f, "goes by the servers that its configuration lists")?,
+        }
+        writeln!(
+            f,
+            "at most {sockets} sockets and {memory_mb} MB; {} servers known",
+            self.known.entries.len()
+        )?;
+        write!(f, "sends to tier {}; verbs:", self.terms.tier)?;
+        self.verbs.iter().try_for_each(|verb| write!(f, " {}", verb.name))
+    }
+}
--- a/crates/sidecar/src/launch/file.rs
+++ b/crates/sidecar/src/launch/file.rs
@@ -1,7 +1,7 @@
 //! The operators' form: one TOML file, `landingspread.toml`. It owns this form's names, every default and every
 //! check of them; a fault names the file, the line and the key.
 
-use super::{
+use super::checked::{
     CONN_IDLE, DIAL_TIMEOUT, Fault, Launch, MAX_OPEN, MEMORY_MB, MEMORY_MB_LEAST, SOCKETS, SOCKETS_LEAST,
 };
 use crate::catalog::{Catalog, Entry};
@@ -211,7 +211,8 @@
 }
 
 fn parsed(variable: &str, text: &str) -> Result<SocketAddr, Fault> {
-    text.parse().map_err(|_| super::fault(variable, format_args!("{text:?} is no address with a port")))
+    text.parse()
+        .map_err(|_| super::checked::fault(variable, format_args!("{text:?} is no address with a port")))
 }
 
 type Found = Option<(String, String)>;
@@ -342,8 +343,8 @@
     }
 }
 
-fn front_verb(verb: &Verb) -> super::Verb {
-    super::Verb {
+fn front_verb(verb: &Verb) -> super::checked::Verb {
+    super::checked::Verb {
         name: verb.name.clone(),
         method: if verb.repeats == Repeats::Pure { "GET" } else { "POST" },
         receipted: verb.repeats == Repeats::Receipted,
--- a/crates/sidecar/src/launch/platform.rs
+++ b/crates/sidecar/src/launch/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's form: one JSON file and the NODE_ variables. It owns this form's names, every default and every
 //! check of them.
 
-use super::{
+use super::checked::{
     CONN_IDLE, DIAL_TIMEOUT, Fault, Launch, MAX_OPEN, MEMORY_MB, MEMORY_MB_LEAST, SOCKETS, SOCKETS_LEAST,
     Verb, fault,
 };
