--- /dev/null
+++ b/crates/decisions/src/fleet.rs
@@ -0,0 +1,425 @@
+//! The servers as one copy knows them. What a command's draw needs of all of them is kept as it changes, so that its
+//! cost goes by the window and not by the fleet. It owns the numbers of servers, the rings and the sums; it decides
+//! nothing: what a server is told to be, and what it counts, is `policy.rs`'s.
+
+use crate::host::{Id, Listed};
+use crate::stats::Histogram;
+use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+pub fn hash(of: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    of.hash(&mut hasher);
+    hasher.finish()
+}
+
+#[derive(Debug)]
+pub struct Mark {
+    pub passes: u32,
+    pub next: Duration,
+    pub trying: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct Server {
+    pub id: Id,
+    /// Its place on the ring.
+    place: u64,
+    /// Among the listed, and in which list it was last.
+    listing: u64,
+    added: Duration,
+    pub zone: u32,
+    pub cell: u32,
+    ready: bool,
+    /// Among the servers that this copy works with.
+    chosen: bool,
+    nominal: f64,
+    pub up_since: Option<Duration>,
+    pub runs: Vec<u32>,
+    mark: Option<Mark>,
+    ramp_from: Option<Duration>,
+    /// By chance, so that copies told of a start at one moment do not all send to it at one moment.
+    pub first_credit: f64,
+    pub cold_credit: f64,
+    pub credited: Duration,
+    report: Option<(f64, Duration)>,
+    pub sends: f64,
+    pub checking: bool,
+    out: u32,
+    pub overdue: u32,
+    pub bound: f64,
+    pub pace: Histogram,
+    /// How slow its answers are against the mean.
+    pub slowness: f64,
+    /// Its listed size against the mean, as weights count it.
+    pub by_list: f64,
+    pub listed: f64,
+}
+
+impl Server {
+    pub fn new(entry: &Listed, verbs: usize, first_credit: f64, bound: f64, now: Duration) -> Self {
+        let (id, place, zone, cell) = (entry.server.clone(), hash(&entry.server), entry.zone, entry.cell);
+        let runs = vec![0; verbs];
+        let (slowness, by_list, listed, added) = (1.0, 1.0, 1.0, now);
+        Server {
+            id,
+            place,
+            zone,
+            cell,
+            first_credit,
+            runs,
+            bound,
+            slowness,
+            by_list,
+            listed,
+            added,
+            ..Server::default()
+        }
+    }
+
+    /// Told as ready; other servers are no part of any sum.
+    pub fn ready(&self) -> bool {
+        self.ready
+    }
+
+    pub fn chosen(&self) -> bool {
+        self.chosen
+    }
+
+    pub fn mark(&self) -> Option<&Mark> {
+        self.mark.as_ref()
+    }
+
+    /// A mark's own course; `Fleet` sets and takes marks.
+    pub fn mark_mut(&mut self) -> Option<&mut Mark> {
+        self.mark.as_mut()
+    }
+
+    pub fn report(&self) -> Option<(f64, Duration)> {
+        self.report
+    }
+
+    pub fn out(&self) -> u32 {
+        self.out
+    }
+
+    pub fn ramp_from(&self) -> Option<Duration> {
+        self.ramp_from
+    }
+}
+
+/// A server's number while this copy knows it. It is given again only once nothing is out at the server.
+pub type Slot = u32;
+
+#[derive(Debug, Default)]
+pub struct Fleet {
+    servers: Vec<Server>,
+    free: Vec<Slot>,
+    slots: BTreeMap<Id, Slot>,
+    /// By zone and cell: what drops a repeat may lie outside of the window.
+    cells: BTreeMap<(u32, u32, Id), Slot>,
+    /// The ready servers of the copy's own zone and of the others, by their places on the ring.
+    near: Vec<(u64, Slot)>,
+    far: Vec<(u64, Slot)>,
+    /// No longer ready, but something may be out there.
+    leaving: Vec<Slot>,
+    /// The ready servers that this copy works with, by their ids.
+    window: Vec<Slot>,
+    marked: BTreeMap<Id, Slot>,
+    ramping: Vec<Slot>,
+    listing: u64,
+    credited: Duration,
+    /// Ready and unmarked servers, and what is out at them.
+    clear: usize,
+    clear_out: u64,
+    nominal: f64,
+    reports: f64,
+    reporting: usize,
+}
+
+impl std::ops::Index<Slot> for Fleet {
+    type Output = Server;
+
+    fn index(&self, slot: Slot) -> &Server {
+        &self.servers[slot as usize]
+    }
+}
+
+impl std::ops::IndexMut<Slot> for Fleet {
+    fn index_mut(&mut self, slot: Slot) -> &mut Server {
+        &mut self.servers[slot as usize]
+    }
+}
+
+// What is known of all
+
+impl Fleet {
+    pub fn slot(&self, id: &Id) -> Option<Slot> {
+        self.slots.get(id).copied()
+    }
+
+    pub fn ready(&self) -> usize {
+        self.near.len() + self.far.len()
+    }
+
+    pub fn near(&self) -> usize {
+        self.near.len()
+    }
+
+    pub fn clear(&self) -> usize {
+        self.clear
+    }
+
+    pub fn clear_out(&self) -> u64 {
+        self.clear_out
+    }
+
+    pub fn mean_nominal(&self) -> f64 {
+        self.nominal / self.ready().max(1) as f64
+    }
+
+    pub fn mean_report(&self) -> f64 {
+        self.reports / self.reporting.max(1) as f64
+    }
+
+    pub fn window(&self) -> &[Slot] {
+        &self.window
+    }
+
+    pub fn marked(&self) -> impl Iterator<Item = Slot> {
+        self.marked.values().copied()
+    }
+
+    pub fn in_cell(&self, zone: u32, cell: u32) -> impl Iterator<Item = Slot> {
+        let from = (zone, cell, Id::from(""));
+        self.cells
+            .range(from..)
+            .take_while(move |((z, c, _), _)| (*z, *c) == (zone, cell))
+            .map(|(_, slot)| *slot)
+    }
+}
+
+// Changes, each with the sums that go by it
+
+impl Fleet {
+    /// Runs a change that decides whether the server counts as ready and unmarked.
+    fn recounted(&mut self, slot: Slot, change: impl FnOnce(&mut Server)) {
+        let server = &mut self.servers[slot as usize];
+        let count =
+            |server: &Server| (server.ready && server.mark.is_none()).then_some(u64::from(server.out));
+        let before = count(server);
+        change(server);
+        let after = count(server);
+        self.clear = self.clear + usize::from(after.is_some()) - usize::from(before.is_some());
+        self.clear_out = self.clear_out + after.unwrap_or(0) - before.unwrap_or(0);
+    }
+
+    pub fn change_out(&mut self, slot: Slot, by: i64) {
+        self.recounted(slot, |server| server.out = server.out.saturating_add_signed(by as i32));
+    }
+
+    pub fn set_mark(&mut self, slot: Slot, mark: Mark) {
+        self.recounted(slot, |server| server.mark = Some(mark));
+        self.marked.insert(self[slot].id.clone(), slot);
+    }
+
+    pub fn set_report(&mut self, slot: Slot, report: Option<(f64, Duration)>) {
+        let old = std::mem::replace(&mut self[slot].report, report);
+        self.reports += report.map_or(0.0, |(figure, _)| figure) - old.map_or(0.0, |(figure, _)| figure);
+        self.reporting = self.reporting + usize::from(report.is_some()) - usize::from(old.is_some());
+        if self.reporting == 0 {
+            self.reports = 0.0;
+        }
+    }
+
+    pub fn take_mark(&mut self, slot: Slot) {
+        self.recounted(slot, |server| server.mark = None);
+        let id = self[slot].id.clone();
+        self.marked.remove(&id);
+    }
+
+    /// The server ramps from this moment on; its credits go on from the last that any got.
+    pub fn set_ramp(&mut self, slot: Slot, from: Duration) {
+        let credited = self.credited;
+        let server = &mut self[slot];
+        if server.ramp_from.replace(from).is_none() {
+            server.credited = if server.added < credited { credited } else { Duration::ZERO };
+            self.ramping.push(slot);
+        }
+    }
+
+    /// Visits all that ramp; one of which `done` says so ramps no longer.
+    pub fn each_ramping(&mut self, now: Duration, mut done: impl FnMut(&mut Server) -> bool) {
+        self.credited = now;
+        let servers = &mut self.servers;
+        self.ramping.retain(|slot| {
+            let server = &mut servers[*slot as usize];
+            let over = done(server);
+            if over {
+                server.ramp_from = None;
+            }
+            !over
+        });
+    }
+}
+
+// The list
+
+impl Fleet {
+    /// What a whole list does not name is not ready.
+    pub fn only_listed(&mut self, entries: &[Listed]) {
+        self.listing += 1;
+        for entry in entries {
+            if let Some(slot) = self.slot(&entry.server) {
+                self[slot].listing = self.listing;
+            }
+        }
+        for slot in self.near.iter().chain(&self.far).map(|(_, slot)| *slot).collect::<Vec<_>>() {
+            if self[slot].listing != self.listing {
+                self.unready(slot);
+            }
+        }
+    }
+
+    fn unready(&mut self, slot: Slot) {
+        if !self[slot].ready {
+            return;
+        }
+        self.recounted(slot, |server| (server.ready, server.chosen) = (false, false));
+        self.nominal -= self[slot].nominal;
+        self.leaving.push(slot);
+    }
+
+    /// A list tells that a server is ready, of this size; a new one comes as `new` makes it. Whether it is new.
+    pub fn take(&mut self, entry: &Listed, own_zone: u32, new: impl FnOnce() -> Server) -> (Slot, bool) {
+        let known = self.slot(&entry.server);
+        let slot = known.unwrap_or_else(|| self.add(new()));
+        let nominal = if entry.nominal > 0.0 { entry.nominal } else { 1.0 };
+        if self[slot].ready {
+            self.nominal -= self[slot].nominal;
+        } else {
+            let place = (self[slot].place, slot);
+            if self[slot].zone == own_zone {
+                self.near.push(place)
+            } else {
+                self.far.push(place)
+            };
+        }
+        self.nominal += nominal;
+        self[slot].nominal = nominal;
+        self.recounted(slot, |server| server.ready = true);
+        (slot, known.is_none())
+    }
+
+    /// A list tells that a server is not ready.
+    pub fn leave(&mut self, id: &Id) {
+        if let Some(slot) = self.slot(id) {
+            self.unready(slot);
+        }
+    }
+
+    fn add(&mut self, server: Server) -> Slot {
+        let (id, cell) = (server.id.clone(), (server.zone, server.cell, server.id.clone()));
+        let slot = match self.free.pop() {
+            Some(slot) => {
+                self[slot] = server;
+                slot
+            }
+            None => {
+                self.servers.push(server);
+                (self.servers.len() - 1) as Slot
+            }
+        };
+        self.slots.insert(id, slot);
+        self.cells.insert(cell, slot);
+        slot
+    }
+
+    /// After a list's entries: the rings hold the ready ones alone, and what is gone is forgotten, as new ones
+    /// come under new ids all day.
+    pub fn settle(&mut self) {
+        let servers = &self.servers;
+        for ring in [&mut self.near, &mut self.far] {
+            ring.retain(|(_, slot)| servers[*slot as usize].ready);
+            ring.sort();
+            ring.dedup();
+        }
+        let mut leaving = std::mem::take(&mut self.leaving);
+        leaving.sort();
+        leaving.dedup();
+        for slot in leaving {
+            let server = &self[slot];
+            if server.ready {
+                continue;
+            }
+            if server.out > 0 {
+                self.leaving.push(slot);
+                continue;
+            }
+            self.set_report(slot, None);
+            let server = &self[slot];
+            let (id, cell) = (server.id.clone(), (server.zone, server.cell, server.id.clone()));
+            self.slots.remove(&id);
+            self.cells.remove(&cell);
+            self.marked.remove(&id);
+            self.ramping.retain(|other| *other != slot);
+            self.free.push(slot);
+        }
+        if self.ready() == 0 {
+            self.nominal = 0.0;
+        }
+    }
+}
+
+// The window
+
+impl Fleet {
+    /// Chooses anew: from the copy's own zone and from the others until so much is taken, on each ring from the
+    /// place that `start` gives as a share of it; `takes` is what one server counts.
+    pub fn choose(&mut self, start: f64, near: f64, far: f64, takes: impl Fn(&Server) -> f64) {
+        for slot in std::mem::take(&mut self.window) {
+            self[slot].chosen = false;
+        }
+        let (near_ring, far_ring) = (std::mem::take(&mut self.near), std::mem::take(&mut self.far));
+        self.choose_on(&far_ring, start, far, &takes);
+        self.choose_on(&near_ring, start, near, &takes);
+        (self.near, self.far) = (near_ring, far_ring);
+        let mut window = std::mem::take(&mut self.window);
+        window.sort_by(|one, other| self[*one].id.cmp(&self[*other].id));
+        self.window = window;
+    }
+
+    fn choose_on(
+        &mut self,
+        ring: &[(u64, Slot)],
+        start: f64,
+        mut wanted: f64,
+        takes: &impl Fn(&Server) -> f64,
+    ) {
+        let from = (start * ring.len() as f64) as usize;
+        for (_, slot) in ring[from..].iter().chain(&ring[..from]) {
+            if wanted <= 0.0 {
+                return;
+            }
+            let server = &mut self[*slot];
+            server.chosen = true;
+            wanted -= takes(server);
+            self.window.push(*slot);
+        }
+    }
+
+    /// Brings the sizes up to date that the window's weights count, to this power.
+    pub fn size_up(&mut self, power: f64) {
+        let mean = self.mean_nominal().max(1e-9);
+        for at in 0..self.window.len() {
+            self.size_one(self.window[at], power, mean);
+        }
+    }
+
+    pub fn size_one(&mut self, slot: Slot, power: f64, mean: f64) {
+        let server = &mut self[slot];
+        server.listed = server.nominal / mean;
+        server.by_list = server.listed.powf(power);
+    }
+}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,5 +1,7 @@
 //! Where a command goes, whether it goes again, and when it is given up.
 
+mod fleet;
 pub mod host;
 pub mod policy;
+mod stats;
 pub mod terms;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -5,10 +5,11 @@
 //! it happened; each acts by calling the `Host` handed over at start. The host trait and the plain types
 //! stand in `host.rs`, the settings in `terms.rs`, the reasons in `docs/design.md`.
 
+use crate::fleet::{Fleet, Mark, Server, Slot, hash};
 use crate::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
-use crate::terms::{Group, Repeats, Terms};
-use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
+use crate::stats::Histogram;
+use crate::terms::{ColdRule, Group, Repeats, Terms};
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 /// Straight failures that mark a server. The source's 50 never come together in a lower tier's trickle.
@@ -56,58 +57,13 @@
 const SERVERS_LEAST: f64 = 6.0;
 /// The part of them taken from the copy's own zone while it has as many.
 const NEAR: f64 = 0.7;
+const GOLDEN: f64 = 0.618_033_988_749_895;
 const CHOOSE_EVERY: Duration = Duration::from_millis(500);
 /// A copy whose part of all bounds is at least this holds to it at every moment, a smaller one on average.
 const ROOM_STEADY: f64 = 16.0;
 const SWEEP: Duration = Duration::from_millis(20);
 const RATE_SPAN: f64 = 4.0;
 
-/// Few coarse bins, each 1.6 times as wide as the last; halved when full, so that the old fades.
-#[derive(Clone, Debug, Default)]
-struct Histogram {
-    bins: [u32; 18],
-    total: u32,
-}
-
-impl Histogram {
-    const FLOOR: f64 = 0.004;
-    const STEP: f64 = 1.6;
-    const FULL: u32 = 256;
-
-    fn add(&mut self, value: f64, full: u32) {
-        let last = self.bins.len() - 1;
-        let bin = (value.max(Self::FLOOR) / Self::FLOOR).log(Self::STEP) as usize;
-        if let Some(count) = self.bins.get_mut(bin.min(last)) {
-            *count += 1;
-        }
-        self.total += 1;
-        if self.total >= full {
-            self.bins.iter_mut().for_each(|count| *count /= 2);
-            self.total = self.bins.iter().sum();
-        }
-    }
-
-    fn upper(bin: usize) -> f64 {
-        Self::FLOOR * Self::STEP.powi(bin as i32 + 1)
-    }
-
-    fn mean(&self) -> Option<f64> {
-        let middle = |(bin, count): (usize, &u32)| Self::upper(bin) * 0.8 * f64::from(*count);
-        let sum: f64 = self.bins.iter().enumerate().map(middle).sum();
-        (self.total > 0).then(|| sum / f64::from(self.total))
-    }
-
-    fn quantile(&self, share: f64) -> Option<f64> {
-        let wanted = share * f64::from(self.total);
-        let mut seen = 0.0;
-        let reached = |count: &u32| {
-            seen += f64::from(*count);
-            seen >= wanted && seen > 0.0
-        };
-        self.bins.iter().position(reached).map(Self::upper)
-    }
-}
-
 /// A rate a second that forgets evenly over `RATE_SPAN`.
 #[derive(Clone, Debug, Default)]
 struct Rate {
@@ -130,70 +86,23 @@
     }
 }
 
-fn mean(values: impl Iterator<Item = f64>) -> f64 {
-    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
-    sum / f64::max(count, 1.0)
-}
-
-fn hash(of: &impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    of.hash(&mut hasher);
-    hasher.finish()
+/// How much of its full share a server gets: all of it unless it started or returned of late.
+fn ramp(cold: &ColdRule, from: Option<Duration>, now: Duration) -> f64 {
+    let Some(from) = from else { return 1.0 };
+    let done = now.saturating_sub(from).as_secs_f64() / cold.warm_after.as_secs_f64().max(1e-3);
+    (cold.share + (1.0 - cold.share) * done).min(1.0)
 }
 
-#[derive(Debug)]
-struct Mark {
-    passes: u32,
-    next: Duration,
-    trying: bool,
+/// Takes an answer's time, as a multiple of its verb's mean, into what is known of the server's slowness.
+fn learn(server: &mut Server, pace: f64) {
+    server.pace.add(pace, 32);
+    let known = server.pace.total >= 4;
+    server.slowness = if known { server.pace.mean().unwrap_or(1.0).clamp(0.2, 10.0) } else { 1.0 };
 }
 
-#[derive(Debug, Default)]
-struct Server {
-    zone: u32,
-    cell: u32,
-    ready: bool,
-    /// Among the servers that this copy works with.
-    chosen: bool,
-    nominal: f64,
-    up_since: Option<Duration>,
-    runs: Vec<u32>,
-    mark: Option<Mark>,
-    ramp_from: Option<Duration>,
-    /// By chance, so that copies told of a start at one moment do not all send to it at one moment.
-    first_credit: f64,
-    cold_credit: f64,
-    credited: Duration,
-    report: Option<(f64, Duration)>,
-    sends: f64,
-    checking: bool,
-    out: u32,
-    overdue: u32,
-    bound: f64,
-    pace: Histogram,
-}
-
-impl Server {
-    fn new(entry: &Listed, verbs: usize, first_credit: f64) -> Self {
-        let (zone, cell) = (entry.zone, entry.cell);
-        Server { zone, cell, first_credit, runs: vec![0; verbs], bound: BOUND_START, ..Server::default() }
-    }
-
-    /// A process that started anew has nothing to do with what was learned of the old one.
-    fn restarted(&mut self, at: Duration) {
-        self.runs.iter_mut().for_each(|run| *run = 0);
-        self.mark = None;
-        self.report = None;
-        self.sends = 0.0;
-        self.pace = Histogram::default();
-        // It is cold, and many new ones with the usual bound would flood the tier behind them.
-        self.bound = BOUND_LEAST;
-        (self.ramp_from, self.cold_credit) = (Some(at), self.first_credit);
-    }
-
-    fn slowness(&self) -> f64 {
-        if self.pace.total < 4 { 1.0 } else { self.pace.mean().unwrap_or(1.0).clamp(0.2, 10.0) }
-    }
+fn chance(seed: u64, draws: &mut u64) -> f64 {
+    *draws += 1;
+    (hash(&(seed, *draws)) >> 11) as f64 / (1u64 << 53) as f64
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -206,6 +115,7 @@
 #[derive(Debug)]
 struct Relay {
     server: Id,
+    slot: Slot,
     zone: u32,
     cell: u32,
     sent: Duration,
@@ -241,6 +151,8 @@
     calm: Option<f64>,
     asked: Rate,
     answered: Rate,
+    /// Relays by the time they were sent, with their command and number, until they are over or overdue.
+    watched: VecDeque<(Duration, Id, u32)>,
 }
 
 #[derive(Debug, Default)]
@@ -256,7 +168,7 @@
     now: Duration,
     seed: u64,
     draws: u64,
-    servers: BTreeMap<Id, Server>,
+    fleet: Fleet,
     cmds: BTreeMap<Id, Cmd>,
     held: Vec<Id>,
     verbs: Vec<VerbRecord>,
@@ -273,6 +185,8 @@
     /// What this copy has out on average of late, and when that was brought up to date.
     mean_out: f64,
     averaged: Duration,
+    /// The last draw's, kept for its memory.
+    weights: Vec<(Slot, f64)>,
 }
 
 // Lifecycle
@@ -287,7 +201,7 @@
             now,
             seed,
             draws: 0,
-            servers: BTreeMap::new(),
+            fleet: Fleet::default(),
             cmds: BTreeMap::new(),
             held: Vec::new(),
             verbs,
@@ -301,6 +215,7 @@
             choose_at: now,
             mean_out: 0.0,
             averaged: now,
+            weights: Vec::new(),
         };
         if policy.terms.must_ask {
             // Copies that start together must not all call the one list service at once.
@@ -331,8 +246,7 @@
     }
 
     fn chance(&mut self) -> f64 {
-        self.draws += 1;
-        (hash(&(self.seed, self.draws)) >> 11) as f64 / (1u64 << 53) as f64
+        chance(self.seed, &mut self.draws)
     }
 }
 
@@ -341,9 +255,7 @@
 impl<H: Host> Policy<H> {
     pub fn list_cached(&mut self, now: Duration, entries: &[Listed]) {
         self.now = now;
-        for (id, server) in &mut self.servers {
-            server.ready = server.ready && entries.iter().any(|entry| entry.server == *id);
-        }
+        self.fleet.only_listed(entries);
         self.take_entries(entries);
     }
 
@@ -360,8 +272,7 @@
 
     fn take_entries(&mut self, entries: &[Listed]) {
         entries.iter().for_each(|entry| self.take_entry(entry));
-        // New ones come under new ids all day: each draw would look at all that ever were.
-        self.servers.retain(|_, server| server.ready || server.out > 0);
+        self.fleet.settle();
         self.choose_servers();
         self.place_held();
     }
@@ -376,40 +287,39 @@
     }
 
     fn take_entry(&mut self, entry: &Listed) {
-        let verbs = self.terms.verbs.len();
         if entry.state != State::Ready {
-            if let Some(server) = self.servers.get_mut(&entry.server) {
-                server.ready = false;
-            }
+            self.fleet.leave(&entry.server);
             return;
         }
-        let new = !self.servers.contains_key(&entry.server);
-        let first = self.chance();
-        let start = || Server::new(entry, verbs, first);
-        let server = self.servers.entry(entry.server.clone()).or_insert_with(start);
-        server.ready = true;
-        server.nominal = if entry.nominal > 0.0 { entry.nominal } else { 1.0 };
-        let fresh = |at: &Duration| *at + self.terms.cold.warm_after > self.now;
+        let (first, now, verbs) = (self.chance(), self.now, self.terms.verbs.len());
+        let start = || Server::new(entry, verbs, first, BOUND_START, now);
+        let (slot, new) = self.fleet.take(entry, self.terms.zone, start);
+        let server = &mut self.fleet[slot];
         if let Some(at) = entry.up_since.filter(|at| new || server.up_since != Some(*at)) {
             server.up_since = Some(at);
-            if fresh(&at) || !new {
-                server.restarted(at);
+            if at + self.terms.cold.warm_after > now || !new {
+                self.restarted(slot, at);
             }
         }
     }
+
+    /// A process that started anew has nothing to do with what was learned of the old one.
+    fn restarted(&mut self, slot: Slot, at: Duration) {
+        self.fleet.take_mark(slot);
+        self.fleet.set_report(slot, None);
+        let server = &mut self.fleet[slot];
+        server.runs.iter_mut().for_each(|run| *run = 0);
+        server.sends = 0.0;
+        (server.pace, server.slowness) = (Histogram::default(), 1.0);
+        // It is cold, and many new ones with the usual bound would flood the tier behind them.
+        (server.bound, server.cold_credit) = (BOUND_LEAST, server.first_credit);
+        self.fleet.set_ramp(slot, at);
+    }
 }
 
 // The servers that this copy works with
 
 impl<H: Host> Policy<H> {
-    fn ready(&self) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(|server| server.ready)
-    }
-
-    fn unmarked(&self) -> impl Iterator<Item = &Server> {
-        self.ready().filter(|server| server.mark.is_none())
-    }
-
     /// One of hundreds of copies meets each of a hundred servers too seldom for a run, a pace or a warm
     /// connection. So each works with a window on the ring of servers, in an order that all copies share and
     /// from a place that its number gives, so that every server gets about as many copies; what is marked or
@@ -418,33 +328,24 @@
         self.choose_at = self.now + CHOOSE_EVERY;
         let asked: f64 = self.verbs.iter().map(|record| record.asked.per_s(self.now)).sum();
         let wanted = (asked / SEEN_EACH).max(SERVERS_LEAST);
-        let near = self.ready().filter(|server| server.zone == self.terms.zone).count() as f64;
-        let ready = self.ready().count() as f64;
+        let (near, ready) = (self.fleet.near() as f64, self.fleet.ready() as f64);
         let from_far = (wanted * (1.0 - NEAR)).max(wanted - near).min(ready - near);
-        self.choose_on(false, from_far);
-        self.choose_on(true, wanted - from_far);
-        let chosen = self.ready().filter(|server| server.chosen).count() as f64;
+        let start = (f64::from(self.terms.ordinal) * GOLDEN).fract();
+        let (cold, now) = (&self.terms.cold, self.now);
+        let takes = |server: &Server| match server.mark() {
+            Some(_) => 0.0,
+            None => ramp(cold, server.ramp_from(), now),
+        };
+        self.fleet.choose(start, wanted - from_far, from_far, takes);
+        let chosen = self.fleet.window().len() as f64;
         self.sharers = (self.terms.balancers * chosen / ready.max(1.0)).max(1.0);
+        // What one of many copies knows cannot correct it if all of them crowd the large servers: the less it
+        // sees of the whole, the nearer the weights come to plain sizes.
+        self.fleet.size_up(self.crowding());
     }
 
-    fn choose_on(&mut self, near: bool, mut wanted: f64) {
-        const GOLDEN: f64 = 0.618_033_988_749_895;
-        let (terms, now) = (&self.terms, self.now);
-        let mut ring: Vec<(u64, &mut Server)> = Vec::new();
-        for (id, server) in &mut self.servers {
-            if server.ready && near == (server.zone == terms.zone) {
-                ring.push((hash(id), server));
-            }
-        }
-        ring.sort_by_key(|(place, _)| *place);
-        let start = (f64::from(terms.ordinal) * GOLDEN).fract() * ring.len() as f64;
-        ring.rotate_left(start as usize);
-        for (_, server) in ring {
-            server.chosen = wanted > 0.0;
-            if server.mark.is_none() {
-                wanted -= Self::ramp(terms, server.ramp_from, now);
-            }
-        }
+    fn crowding(&self) -> f64 {
+        1.0 + f64::from(SHARPNESS - 1) * 4.0 / (3.0 + self.sharers)
     }
 }
 
@@ -554,23 +455,28 @@
             return false;
         }
         let Some(server) = self.draw(id) else { return false };
-        self.send(id, &server);
+        self.send(id, server);
         true
     }
 
-    fn send(&mut self, id: &Id, to: &Id) {
-        let (Some(cmd), Some(server)) = (self.cmds.get_mut(id), self.servers.get_mut(to)) else { return };
-        let (zone, cell) = (server.zone, server.cell);
-        let relay = Relay { server: to.clone(), zone, cell, sent: self.now, fate: Fate::Out, overdue: false };
-        cmd.relays.push(relay);
-        server.out += 1;
+    fn send(&mut self, id: &Id, to: Slot) {
+        let Some(cmd) = self.cmds.get_mut(id) else { return };
+        let server = &mut self.fleet[to];
+        let (zone, cell, sent, number) = (server.zone, server.cell, self.now, cmd.relays.len() as u32);
+        let (server_id, fate) = (server.id.clone(), Fate::Out);
         server.sends += 1.0;
         server.cold_credit = (server.cold_credit - 1.0).max(0.0);
-        if let Some(mark) = &mut server.mark {
+        if let Some(mark) = server.mark_mut() {
             mark.trying = true;
         }
+        self.fleet.change_out(to, 1);
+        let relay = Relay { server: server_id.clone(), slot: to, zone, cell, sent, fate, overdue: false };
+        cmd.relays.push(relay);
+        if let Some(record) = self.verbs.get_mut(cmd.verb) {
+            record.watched.push_back((sent, id.clone(), number));
+        }
         self.sent.add(self.now, 1.0);
-        self.host.relay(id, to, cmd.good_until);
+        self.host.relay(id, &server_id, cmd.good_until);
     }
 
     fn repeats(&self, cmd: &Cmd) -> Repeats {
@@ -641,26 +547,25 @@
             return;
         }
         relay.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        let (verb, overdue, server) = (cmd.verb, relay.overdue, relay.server.clone());
+        let (verb, overdue, slot) = (cmd.verb, relay.overdue, relay.slot);
         cmd.finished |= ended.closed;
         let in_time = now <= cmd.good_until;
         self.ended.add(now, 1.0);
         self.average_out();
-        self.take_report(&server, ended.load);
+        self.take_report(slot, ended.load);
         let (usual, answered) = (self.expected(verb), ended.outcome == Outcome::Ok);
-        if let Some(server) = self.servers.get_mut(&server) {
-            server.out = server.out.saturating_sub(1);
-            server.overdue = server.overdue.saturating_sub(u32::from(overdue));
-            // What is too slow to answer in time would otherwise be known by its quickest answers only.
-            if usual > 0.0 && (answered || overdue || ended.outcome == Outcome::Timeout) {
-                let pace = ended.latency.as_secs_f64() / usual;
-                server.pace.add(if answered { pace } else { pace.max(1.0) }, 32);
-            }
+        self.fleet.change_out(slot, -1);
+        let server = &mut self.fleet[slot];
+        server.overdue = server.overdue.saturating_sub(u32::from(overdue));
+        // What is too slow to answer in time would otherwise be known by its quickest answers only.
+        if usual > 0.0 && (answered || overdue || ended.outcome == Outcome::Timeout) {
+            let pace = ended.latency.as_secs_f64() / usual;
+            learn(server, if answered { pace } else { pace.max(1.0) });
         }
         if answered {
-            self.count_answer(&server, verb, ended.latency, in_time);
+            self.count_answer(slot, verb, ended.latency, in_time);
         } else {
-            self.count_failure(&server, verb, ended.outcome, overdue);
+            self.count_failure(slot, verb, ended.outcome, overdue);
         }
         self.go_on(&ended.cmd);
         self.place_held();
@@ -683,24 +588,22 @@
         }
     }
 
-    fn take_report(&mut self, id: &Id, load: Load) {
-        let Some(server) = self.servers.get_mut(id) else { return };
+    fn take_report(&mut self, slot: Slot, load: Load) {
         if let Some(figure) = load.queue.or(load.in_flight) {
-            server.report = Some((figure, self.now));
-            server.sends = 0.0;
+            self.fleet.set_report(slot, Some((figure, self.now)));
+            self.fleet[slot].sends = 0.0;
         }
     }
 
-    fn count_answer(&mut self, id: &Id, verb: usize, latency: Duration, in_time: bool) {
+    fn count_answer(&mut self, slot: Slot, verb: usize, latency: Duration, in_time: bool) {
         let (now, sharers, mean_out, room) = (self.now, self.sharers, self.mean_out, self.room());
-        let (Some(server), Some(record)) = (self.servers.get_mut(id), self.verbs.get_mut(verb)) else {
-            return;
-        };
+        let server = &mut self.fleet[slot];
+        let Some(record) = self.verbs.get_mut(verb) else { return };
         let Some(goal) = self.terms.verbs.get(verb).map(|verb| verb.goal.as_secs_f64()) else { return };
         let took = latency.as_secs_f64();
         // A bound that rises while it is not reached would let a later jam in.
         let used =
-            mean_out + 1.0 >= 0.8 * room || f64::from(server.out + 1) >= (server.bound / sharers).max(2.0);
+            mean_out + 1.0 >= 0.8 * room || f64::from(server.out() + 1) >= (server.bound / sharers).max(2.0);
         record.latency.add(took, Histogram::FULL);
         if let Some(mean) = record.latency.mean().filter(|_| record.latency.total >= 100) {
             let calm = record.calm.map_or(mean, |calm| (calm * 1.0005).min(mean));
@@ -708,7 +611,7 @@
             self.strain.add((took / calm).min(4.0), 64);
         }
         // Where one zone is crowded and another is not, only what is seen of this server tells which it is.
-        let strain = self.strain.mean().unwrap_or(1.0) * server.slowness();
+        let strain = self.strain.mean().unwrap_or(1.0) * server.slowness;
         if in_time {
             record.answered.add(now, 1.0);
         }
@@ -716,21 +619,21 @@
             *run = 0;
         }
         if took > goal || !in_time {
-            self.cut_bound(id, 1.0);
+            self.cut_bound(slot, 1.0);
         } else if strain > STRAINED && server.bound > BOUND_LEAST {
             server.bound = (server.bound * (-STRAIN_CUT * sharers).exp()).max(BOUND_LEAST);
         } else if used && strain < CALM {
             server.bound = (server.bound + BOUND_RISE * sharers / server.bound).min(BOUND_MOST);
         }
-        self.pass(id);
+        self.pass(slot);
     }
 
-    fn cut_bound(&mut self, id: &Id, weight: f64) {
-        let Some(server) = self.servers.get_mut(id) else { return };
+    fn cut_bound(&mut self, slot: Slot, weight: f64) {
+        let server = &mut self.fleet[slot];
         server.bound = (server.bound * (-weight * BOUND_CUT * self.sharers).exp()).max(1.0);
     }
 
-    fn count_failure(&mut self, id: &Id, verb: usize, outcome: Outcome, counted: bool) {
+    fn count_failure(&mut self, slot: Slot, verb: usize, outcome: Outcome, counted: bool) {
         if matches!(outcome, Outcome::Moot | Outcome::Cancelled) {
             return;
         }
@@ -738,53 +641,57 @@
         // So does an answer that never comes while all others come as in calm times: it is lost, not late.
         let calm = self.strain.mean().is_some_and(|strain| strain < CALM);
         match outcome {
-            Outcome::Timeout if calm => self.cut_bound(id, ERROR_WEIGHS),
-            Outcome::Timeout | Outcome::Full => self.cut_bound(id, 1.0),
-            Outcome::Error | Outcome::Reset => self.cut_bound(id, ERROR_WEIGHS),
+            Outcome::Timeout if calm => self.cut_bound(slot, ERROR_WEIGHS),
+            Outcome::Timeout | Outcome::Full => self.cut_bound(slot, 1.0),
+            Outcome::Error | Outcome::Reset => self.cut_bound(slot, ERROR_WEIGHS),
             _ => {}
         }
         if !counted {
-            self.lengthen_run(id, verb);
+            self.lengthen_run(slot, verb);
         }
     }
 
     /// The run is kept by verb: what a server answers of one verb must not hide that it fails another.
-    fn lengthen_run(&mut self, id: &Id, verb: usize) {
-        let wait = self.wait_marked();
-        let Some(server) = self.servers.get_mut(id) else { return };
-        if let Some(mark) = &mut server.mark {
-            (mark.passes, mark.trying) = (0, false);
-            mark.next = self.now + wait;
+    fn lengthen_run(&mut self, slot: Slot, verb: usize) {
+        let next = self.now + self.wait_marked();
+        let server = &mut self.fleet[slot];
+        if let Some(mark) = server.mark_mut() {
+            *mark = Mark { passes: 0, next, trying: false };
             return;
         }
         let Some(run) = server.runs.get_mut(verb) else { return };
         *run += 1;
         if *run >= MARK_AFTER {
-            self.mark(id);
+            self.mark(slot);
         }
     }
 
     /// Relays that stay out far longer than measured count as failures before any time-out says so: a server
     /// that answers nothing would otherwise go on taking its share until then.
     fn watch_relays(&mut self) {
-        let mut late: Vec<(Id, usize, Id, u32)> = Vec::new();
-        for (id, cmd) in &mut self.cmds {
-            let Some(usual) = self.verbs.get(cmd.verb).and_then(|record| record.latency.quantile(0.9)) else {
-                continue;
-            };
-            for (number, relay) in (0u32..).zip(&mut cmd.relays) {
-                let since = self.now.saturating_sub(relay.sent).as_secs_f64();
-                if relay.fate == Fate::Out && !relay.overdue && !cmd.streaming && since > OVERDUE * usual {
+        let mut late: Vec<(Id, usize, Slot, u32)> = Vec::new();
+        for (verb, record) in self.verbs.iter_mut().enumerate() {
+            let usual = record.latency.quantile(0.9);
+            // What was sent first is overdue first.
+            while let Some((sent, id, number)) = record.watched.front() {
+                let cmd = self.cmds.get_mut(id).filter(|cmd| !cmd.streaming);
+                let relay = cmd.and_then(|cmd| cmd.relays.get_mut(*number as usize));
+                // A later command may have the id of one that is over.
+                if let Some(relay) = relay.filter(|r| r.fate == Fate::Out && r.sent == *sent) {
+                    let since = self.now.saturating_sub(*sent).as_secs_f64();
+                    if usual.is_none_or(|usual| since <= OVERDUE * usual) {
+                        break;
+                    }
                     relay.overdue = true;
-                    late.push((id.clone(), cmd.verb, relay.server.clone(), number));
+                    late.push((id.clone(), verb, relay.slot, *number));
                 }
+                record.watched.pop_front();
             }
         }
-        for (id, verb, server, number) in late {
-            if let Some(server) = self.servers.get_mut(&server) {
-                server.overdue += 1;
-            }
-            self.lengthen_run(&server, verb);
+        late.sort();
+        for (id, verb, slot, number) in late {
+            self.fleet[slot].overdue += 1;
+            self.lengthen_run(slot, verb);
             self.second_relay(&id, number);
         }
     }
@@ -809,18 +716,17 @@
 // Marks, checks and the ramp
 
 impl<H: Host> Policy<H> {
-    fn mark(&mut self, id: &Id) {
-        let ready = self.ready().count() as f64;
-        let marked = ready - self.unmarked().count() as f64;
+    fn mark(&mut self, slot: Slot) {
+        let ready = self.fleet.ready() as f64;
+        let marked = ready - self.fleet.clear() as f64;
         // When most of the fleet fails, the cause is load or something shared: marking on would push all the
         // traffic onto the rest.
         if marked + 1.0 > ready * MARKED_AT_MOST {
             return;
         }
-        let wait = self.wait_marked();
-        let Some(server) = self.servers.get_mut(id) else { return };
-        server.mark = Some(Mark { passes: 0, next: self.now + wait, trying: false });
-        self.host.note(&format!("mark {id}"));
+        let next = self.now + self.wait_marked();
+        self.fleet.set_mark(slot, Mark { passes: 0, next, trying: false });
+        self.host.note(&format!("mark {}", self.fleet[slot].id));
     }
 
     /// How long a marked server gets neither check nor trial.
@@ -828,27 +734,26 @@
         if self.terms.allowed.checks { CHECK_EVERY } else { TRIAL_AFTER }
     }
 
-    fn pass(&mut self, id: &Id) {
+    fn pass(&mut self, slot: Slot) {
         let now = self.now;
         let wait = if self.terms.allowed.checks { CHECK_EVERY } else { Duration::ZERO };
-        let Some(server) = self.servers.get_mut(id) else { return };
-        let Some(mark) = &mut server.mark else { return };
+        let Some(mark) = self.fleet[slot].mark_mut() else { return };
         mark.passes += 1;
         (mark.trying, mark.next) = (false, now + wait);
         if mark.passes >= RISE {
-            server.restarted(now);
-            self.host.note(&format!("return {id}"));
+            self.restarted(slot, now);
+            self.host.note(&format!("return {}", self.fleet[slot].id));
         }
     }
 
     /// Its report is passed over: it would be the last for long, and age into an even share.
     pub fn check_ended(&mut self, now: Duration, outcome: Outcome, id: &Id) {
         self.now = now;
-        let Some(server) = self.servers.get_mut(id) else { return };
-        server.checking = false;
+        let Some(slot) = self.fleet.slot(id) else { return };
+        self.fleet[slot].checking = false;
         if outcome == Outcome::Ok {
-            self.pass(id);
-        } else if let Some(mark) = &mut server.mark {
+            self.pass(slot);
+        } else if let Some(mark) = self.fleet[slot].mark_mut() {
             (mark.passes, mark.next) = (0, now + CHECK_EVERY);
         }
     }
@@ -857,38 +762,29 @@
         if !self.terms.allowed.checks {
             return;
         }
-        let now = self.now;
-        for (id, server) in &mut self.servers {
-            let due = server.mark.as_ref().is_some_and(|mark| mark.next <= now);
-            if due && server.ready && !server.checking {
+        for slot in self.fleet.marked().collect::<Vec<_>>() {
+            let server = &mut self.fleet[slot];
+            let due = server.mark().is_some_and(|mark| mark.next <= self.now);
+            if due && server.ready() && !server.checking {
                 server.checking = true;
-                self.host.check(id);
+                self.host.check(&server.id);
             }
         }
     }
 
-    /// How much of its full share a server gets: all of it unless it started or returned of late.
-    fn ramp(terms: &Terms, from: Option<Duration>, now: Duration) -> f64 {
-        let Some(from) = from else { return 1.0 };
-        let done = now.saturating_sub(from).as_secs_f64() / terms.cold.warm_after.as_secs_f64().max(1e-3);
-        (terms.cold.share + (1.0 - terms.cold.share) * done).min(1.0)
-    }
-
     /// Rule 4: while a server ramps, this copy sends it no more than the ramp's share of what it sends the
     /// others on average, so that all copies together stay under what the server can do.
     fn credit_cold(&mut self) {
-        let chosen = self.ready().filter(|server| server.chosen).count().max(1) as f64;
+        let chosen = self.fleet.window().len().max(1) as f64;
         let usual = (self.sent.per_s(self.now) / chosen).max(4.0 / self.sharers);
-        let now = self.now;
-        for server in self.servers.values_mut() {
+        let (cold, now) = (&self.terms.cold, self.now);
+        self.fleet.each_ramping(now, |server| {
             let since = now.saturating_sub(server.credited).as_secs_f64().min(1.0);
             server.credited = now;
-            let share = Self::ramp(&self.terms, server.ramp_from, now);
-            if share >= 1.0 {
-                server.ramp_from = None;
-            }
+            let share = ramp(cold, server.ramp_from(), now);
             server.cold_credit = (server.cold_credit + since * usual * share).min(1.5);
-        }
+            share >= 1.0
+        });
     }
 }
 
@@ -898,14 +794,15 @@
     /// Its part of all bounds. The part of one server's bound can be less than one relay: without the sum,
     /// many copies would each have one out at every server.
     fn room(&self) -> f64 {
-        let bounds = self.unmarked().filter(|server| server.chosen).map(|server| server.bound);
+        let servers = self.fleet.window().iter().map(|slot| &self.fleet[*slot]);
+        let bounds = servers.filter(|server| server.mark().is_none()).map(|server| server.bound);
         (bounds.sum::<f64>() / self.sharers).max(0.1)
     }
 
     /// Brings the mean of what is out up to date, before that changes. Where the copy's room is a few relays,
     /// holding to it at every moment would turn away chance clusters that all copies together have room for.
     fn average_out(&mut self) {
-        let out: f64 = self.unmarked().map(|server| f64::from(server.out)).sum();
+        let out = self.fleet.clear_out() as f64;
         let span = 0.1 * (ROOM_STEADY / self.room() - 1.0);
         let since = self.now.saturating_sub(self.averaged).as_secs_f64();
         self.averaged = self.now;
@@ -913,7 +810,7 @@
         self.mean_out = out + (self.mean_out - out) * kept;
     }
 
-    fn draw(&mut self, id: &Id) -> Option<Id> {
+    fn draw(&mut self, id: &Id) -> Option<Slot> {
         self.credit_cold();
         self.average_out();
         if self.mean_out >= self.room() {
@@ -921,49 +818,58 @@
         }
         let drawn = self.chance();
         let cmd = self.cmds.get(id)?;
-        let all_marked = self.unmarked().next().is_none();
-        let report = mean(self.servers.values().filter_map(|server| Some(server.report?.0)));
-        let listed = mean(self.ready().map(|server| server.nominal)).max(1e-9);
-        let mut weights: Vec<(&Id, f64)> = Vec::with_capacity(self.servers.len());
-        for (id, server) in &self.servers {
-            if self.fits(cmd, id, server, all_marked) {
-                weights.push((id, self.weight(server, report, listed)));
+        let repeats = self.repeats(cmd);
+        // The servers that drop a repeat may all lie outside of the window.
+        let first = cmd.relays.iter().find(|relay| relay.fate != Fate::NeverRan);
+        let first = first.filter(|_| repeats == Repeats::Receipted(Group::Cell));
+        let bound_to: Option<Vec<Slot>> = first.map(|at| self.fleet.in_cell(at.zone, at.cell).collect());
+        if let Some(cell) = &bound_to {
+            let (power, mean) = (self.crowding(), self.fleet.mean_nominal().max(1e-9));
+            cell.iter().for_each(|slot| self.fleet.size_one(*slot, power, mean));
+        }
+        let cmd = self.cmds.get(id)?;
+        let mut weights = std::mem::take(&mut self.weights);
+        weights.clear();
+        let (all_marked, report) = (self.fleet.clear() == 0, self.fleet.mean_report());
+        for slot in bound_to.as_deref().unwrap_or(self.fleet.window()) {
+            let server = &self.fleet[*slot];
+            if self.fits(cmd, repeats, server, all_marked) {
+                weights.push((*slot, self.weight(server, report)));
             }
         }
         let total: f64 = weights.iter().map(|(_, weight)| weight).sum();
         let mut left = drawn * total;
-        for (id, weight) in &weights {
+        let reached = |(_, weight): &&(Slot, f64)| {
             left -= weight;
-            if left <= 0.0 {
-                return Some((*id).clone());
-            }
-        }
-        weights.pop().map(|(id, _)| id.clone())
+            left <= 0.0
+        };
+        let slot = weights.iter().find(reached).or(weights.last()).map(|(slot, _)| *slot);
+        self.weights = weights;
+        slot
     }
 
-    fn fits(&self, cmd: &Cmd, id: &Id, server: &Server, all_marked: bool) -> bool {
-        // The servers that drop a repeat may all lie outside of the window.
-        let bound_to = cmd.may_have_run() && self.repeats(cmd) == Repeats::Receipted(Group::Cell);
-        let within = server.chosen || bound_to && server.ramp_from.is_none();
-        let cold = server.ramp_from.is_some() && server.cold_credit < 1.0;
-        let met = cmd.relays.iter().any(|relay| relay.server == *id);
-        if !server.ready || !within || cold || met || !self.may_relay(cmd, server.zone, server.cell) {
+    fn fits(&self, cmd: &Cmd, repeats: Repeats, server: &Server, all_marked: bool) -> bool {
+        let ramps = server.ramp_from().is_some();
+        let within = server.chosen() || !ramps;
+        let cold = ramps && server.cold_credit < 1.0;
+        let met = cmd.relays.iter().any(|relay| relay.server == server.id);
+        if !server.ready() || !within || cold || met || !self.may_relay(cmd, server.zone, server.cell) {
             return false;
         }
-        match &server.mark {
+        match server.mark() {
             Some(mark) if !all_marked => {
                 let trial = !self.terms.allowed.checks && !mark.trying && mark.next <= self.now;
-                trial && self.repeats(cmd) == Repeats::Pure
+                trial && repeats == Repeats::Pure
             }
-            _ => f64::from(server.out) < (server.bound / self.sharers).max(1.0),
+            _ => f64::from(server.out()) < (server.bound / self.sharers).max(1.0),
         }
     }
 
-    fn weight(&self, server: &Server, mean: f64, listed: f64) -> f64 {
-        let (listed, pace) = (server.nominal / listed, 1.0 / server.slowness());
+    fn weight(&self, server: &Server, mean: f64) -> f64 {
+        let (listed, pace) = (server.listed, 1.0 / server.slowness);
         let size = listed * pace;
-        let own = f64::from(server.out) * self.sharers;
-        let figure = match server.report {
+        let own = f64::from(server.out()) * self.sharers;
+        let figure = match server.report() {
             Some((figure, at)) => {
                 let age = self.now.saturating_sub(at).as_secs_f64();
                 mean + (figure + server.sends * self.sharers - mean) * (-age / DECAY).exp()
@@ -973,12 +879,10 @@
         // A report that hides what this copy itself has out there, or whose server answers nothing, must not
         // age its way back to an even share.
         let figure = figure.max(own) + f64::from(server.overdue) * self.sharers;
-        // What one of many copies knows cannot correct it if all of them crowd the large servers: the less it
-        // sees of the whole, the nearer the weights come to plain sizes.
-        let crowding = 1.0 + f64::from(SHARPNESS - 1) * 4.0 / (3.0 + self.sharers);
-        let by_size = listed.powf(crowding) * pace.powi(SHARPNESS);
+        let by_size = server.by_list * pace.powi(SHARPNESS);
         let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
-        let share = Self::ramp(&self.terms, server.ramp_from, self.now) * (-far * CROSSING_AVERSION).exp();
+        let price = if far > 0.0 { (-far * CROSSING_AVERSION).exp() } else { 1.0 };
+        let share = ramp(&self.terms.cold, server.ramp_from(), self.now) * price;
         share * by_size / (1.0 + figure / size).powi(SHARPNESS)
     }
 }
--- /dev/null
+++ b/crates/decisions/src/stats.rs
@@ -0,0 +1,47 @@
+//! Figures that fade: few numbers for many answers. Nothing is decided here.
+
+/// Few coarse bins, each 1.6 times as wide as the last; halved when full, so that the old fades.
+#[derive(Clone, Debug, Default)]
+pub struct Histogram {
+    bins: [u32; 18],
+    pub total: u32,
+}
+
+impl Histogram {
+    const FLOOR: f64 = 0.004;
+    const STEP: f64 = 1.6;
+    pub const FULL: u32 = 256;
+
+    pub fn add(&mut self, value: f64, full: u32) {
+        let last = self.bins.len() - 1;
+        let bin = (value.max(Self::FLOOR) / Self::FLOOR).log(Self::STEP) as usize;
+        if let Some(count) = self.bins.get_mut(bin.min(last)) {
+            *count += 1;
+        }
+        self.total += 1;
+        if self.total >= full {
+            self.bins.iter_mut().for_each(|count| *count /= 2);
+            self.total = self.bins.iter().sum();
+        }
+    }
+
+    fn upper(bin: usize) -> f64 {
+        Self::FLOOR * Self::STEP.powi(bin as i32 + 1)
+    }
+
+    pub fn mean(&self) -> Option<f64> {
+        let middle = |(bin, count): (usize, &u32)| Self::upper(bin) * 0.8 * f64::from(*count);
+        let sum: f64 = self.bins.iter().enumerate().map(middle).sum();
+        (self.total > 0).then(|| sum / f64::from(self.total))
+    }
+
+    pub fn quantile(&self, share: f64) -> Option<f64> {
+        let wanted = share * f64::from(self.total);
+        let mut seen = 0.0;
+        let reached = |count: &u32| {
+            seen += f64::from(*count);
+            seen >= wanted && seen > 0.0
+        };
+        self.bins.iter().position(reached).map(Self::upper)
+    }
+}
