bench takes servers and connections; waiting before reading tried at the sidecar and undone

Need: one point of the bench must be measured by itself, in pairs. Tried: waiting for readiness before the first read of an answer and before looking whether a caller has left, and one timer for the owner in place of one a word. All three undone.

--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -144,6 +144,12 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "bench")]
 pub struct Bench {
+    /// servers behind the sidecar; may be given several times, 8 and 200 where it is not
+    #[argh(option)]
+    pub servers: Vec<usize>,
+    /// connections to it; may be given several times, 1, 8, 32 and 128 where it is not
+    #[argh(option)]
+    pub connections: Vec<usize>,
     /// seconds for each figure
     #[argh(option, default = "5.0")]
     pub seconds: f64,
--- a/crates/lab/src/live.rs
+++ b/crates/lab/src/live.rs
@@ -136,6 +136,14 @@
     Ok(())
 }
 
+fn or_else(given: &[usize], otherwise: &[usize]) -> Vec<usize> {
+    if given.is_empty() {
+        otherwise.to_vec()
+    } else {
+        given.iter().map(|figure| (*figure).clamp(1, 4096)).collect()
+    }
+}
+
 pub fn bench(wanted: &Bench) -> Result<(), String> {
     let program = program(wanted.program.as_ref())?;
     let dir = sockets::run_dir("bench")?;
@@ -158,9 +166,9 @@
         );
     };
     tell(&points::direct(32, length)?);
-    for servers in [8, 200] {
-        for connections in [1, 8, 32, 128] {
-            tell(&points::through(&program, &dir, servers, connections, length)?);
+    for servers in &or_else(&wanted.servers, &[8, 200]) {
+        for connections in &or_else(&wanted.connections, &[1, 8, 32, 128]) {
+            tell(&points::through(&program, &dir, *servers, *connections, length)?);
         }
     }
     Ok(())
