--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -423,3 +423,92 @@
         server.by_list = server.listed.powf(power);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::host::State;
+    use proptest::prelude::*;
+    use proptest::test_runner::{Config as Cases, RngSeed, TestRunner};
+
+    /// What the sums and indexes stand for, walked.
+    fn agrees(fleet: &Fleet) -> Result<(), TestCaseError> {
+        let known: Vec<&Server> = fleet.slots.values().map(|slot| &fleet[*slot]).collect();
+        let clear = known.iter().filter(|server| server.ready && server.mark.is_none());
+        prop_assert_eq!(fleet.clear(), clear.clone().count());
+        prop_assert_eq!(fleet.clear_out(), clear.map(|server| u64::from(server.out)).sum::<u64>());
+        let ready: Vec<&&Server> = known.iter().filter(|server| server.ready).collect();
+        prop_assert_eq!(fleet.ready(), ready.len());
+        let nominal: f64 = ready.iter().map(|server| server.nominal).sum();
+        prop_assert!((fleet.mean_nominal() - nominal / ready.len().max(1) as f64).abs() < 1e-9);
+        let reports: Vec<f64> = known.iter().filter_map(|server| Some(server.report?.0)).collect();
+        let mean = reports.iter().sum::<f64>() / reports.len().max(1) as f64;
+        prop_assert!((fleet.mean_report() - mean).abs() < 1e-9);
+        let marked: Vec<Slot> = fleet.slots.values().copied().filter(|s| fleet[*s].mark.is_some()).collect();
+        prop_assert_eq!(fleet.marked().collect::<Vec<_>>(), marked);
+        prop_assert!(fleet.window().iter().all(|slot| fleet[*slot].ready && fleet[*slot].chosen));
+        prop_assert_eq!(fleet.cells.len(), known.len());
+        // Nothing is forgotten while something is out there, and nothing stays for ever.
+        prop_assert!(known.iter().all(|server| server.ready || server.out > 0));
+        prop_assert_eq!(known.len() + fleet.free.len(), fleet.servers.len());
+        Ok(())
+    }
+
+    fn step(fleet: &mut Fleet, now: Duration, kind: u8, servers: &[u8]) {
+        let id = |number: u8| Id::from(format!("s{number}"));
+        let entry = |number: &u8, state| Listed {
+            server: id(*number),
+            zone: u32::from(number % 2),
+            cell: u32::from(number % 3),
+            state,
+            nominal: f64::from(number % 4),
+            up_since: None,
+        };
+        let slots: Vec<Slot> = servers.iter().filter_map(|number| fleet.slot(&id(*number))).collect();
+        match kind {
+            0 | 1 => {
+                let entries: Vec<Listed> = servers.iter().map(|number| entry(number, State::Ready)).collect();
+                if kind == 0 {
+                    fleet.only_listed(&entries);
+                }
+                for entry in &entries {
+                    fleet.take(entry, 0, || Server::new(entry, 1, 0.5, 5.0, now));
+                }
+            }
+            2 => servers.iter().for_each(|number| fleet.leave(&id(*number))),
+            3 => slots.iter().for_each(|slot| fleet.change_out(*slot, 1)),
+            4 => {
+                let out = slots.iter().filter(|slot| fleet[**slot].out > 0).copied().collect::<Vec<_>>();
+                out.into_iter().for_each(|slot| fleet.change_out(slot, -1));
+            }
+            5 => slots.iter().for_each(|slot| {
+                fleet.set_mark(*slot, Mark { passes: 0, next: now, trying: false });
+            }),
+            6 => slots.iter().for_each(|slot| {
+                fleet.take_mark(*slot);
+                fleet.set_ramp(*slot, now);
+            }),
+            7 => slots.iter().for_each(|slot| fleet.set_report(*slot, Some((f64::from(*slot), now)))),
+            _ => fleet.each_ramping(now, |server| server.out > 0),
+        }
+        fleet.settle();
+        fleet.choose(0.3, 2.0, 1.0, |server| if server.mark.is_some() { 0.0 } else { 1.0 });
+    }
+
+    #[test]
+    fn sums_and_indexes_agree_with_a_walk_after_every_change() {
+        let cases =
+            Cases { cases: 200, rng_seed: RngSeed::Fixed(15), failure_persistence: None, ..Cases::default() };
+        let steps = prop::collection::vec((0u8..9, prop::collection::vec(0u8..24, 0..8)), 1..60);
+        TestRunner::new(cases)
+            .run(&steps, |steps| {
+                let mut fleet = Fleet::default();
+                for (second, (kind, servers)) in (1u64..).zip(steps) {
+                    step(&mut fleet, Duration::from_secs(second), kind, &servers);
+                    agrees(&fleet)?;
+                }
+                Ok(())
+            })
+            .expect("sums and walks agree");
+    }
+}
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -3,7 +3,8 @@
 //!
 //! A front calls `Policy::start` once and then one method for each thing that happens, in the order in which
 //! it happened; each acts by calling the `Host` handed over at start. The host trait and the plain types
-//! stand in `host.rs`, the settings in `terms.rs`, the reasons in `docs/design.md`.
+//! stand in `host.rs`, the settings in `terms.rs`, the servers and their sums in `fleet.rs`, the reasons in
+//! `docs/design.md`.
 
 use crate::fleet::{Fleet, Mark, Server, Slot, hash};
 use crate::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
