A fresh copy holds by what ended lately; a copy held up itself marks nobody

Cause: with 128 connections at once to a fresh copy the hold went by an average of what ended over 4 s, some 0 in the first tenth of a second, and declined what idle servers would have answered; and a stall of the process made relays look overdue, so that half of the servers were marked within 60 us (seen in the log: 4 marks at one moment, then 2,700 declines).

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -64,14 +64,25 @@
 const ROOM_STEADY: f64 = 16.0;
 const SWEEP: Duration = Duration::from_millis(20);
 const RATE_SPAN: f64 = 4.0;
+/// What ends within this span is a jump when it is so many times the usual.
+const LATELY: f64 = 0.25;
+const JUMP: f64 = 2.0;
+const JUMP_SEEN: f64 = 8.0;
 
-/// A rate a second that forgets evenly over `RATE_SPAN`.
-#[derive(Clone, Debug, Default)]
+/// A rate a second that forgets evenly over its span.
+#[derive(Clone, Debug)]
 struct Rate {
+    span: f64,
     count: f64,
     at: Duration,
 }
 
+impl Default for Rate {
+    fn default() -> Self {
+        Rate { span: RATE_SPAN, count: 0.0, at: Duration::ZERO }
+    }
+}
+
 impl Rate {
     fn add(&mut self, now: Duration, amount: f64) {
         self.count = self.count(now) + amount;
@@ -79,11 +90,11 @@
     }
 
     fn count(&self, now: Duration) -> f64 {
-        self.count * (-now.saturating_sub(self.at).as_secs_f64() / RATE_SPAN).exp()
+        self.count * (-now.saturating_sub(self.at).as_secs_f64() / self.span).exp()
     }
 
     fn per_s(&self, now: Duration) -> f64 {
-        self.count(now) / RATE_SPAN
+        self.count(now) / self.span
     }
 }
 
@@ -178,6 +189,7 @@
     tenants: Vec<Rate>,
     sent: Rate,
     ended: Rate,
+    lately: Rate,
     spare_relays: f64,
     asking: Asking,
     /// How many copies work with each server, this one among them.
@@ -186,6 +198,9 @@
     /// What this copy has out on average of late, and when that was brought up to date.
     mean_out: f64,
     averaged: Duration,
+    /// When this copy last swept, and by how much it was late of late: that time is no server's.
+    swept: Duration,
+    late: Duration,
     /// The last draw's, kept for its memory.
     weights: Vec<(Slot, f64)>,
 }
@@ -210,12 +225,15 @@
             tenants,
             sent: Rate::default(),
             ended: Rate::default(),
+            lately: Rate { span: LATELY, ..Rate::default() },
             spare_relays: RELAY_BURST,
             asking: Asking::default(),
             sharers: 1.0,
             choose_at: now,
             mean_out: 0.0,
             averaged: now,
+            swept: now,
+            late: Duration::ZERO,
             weights: Vec::new(),
         };
         if policy.terms.must_ask {
@@ -232,6 +250,8 @@
 
     pub fn woken(&mut self, now: Duration) {
         self.now = now;
+        let late = now.saturating_sub(self.swept + self.sweep_span());
+        (self.swept, self.late) = (now, late.max(self.late / 2));
         self.host.wake_in(self.sweep_span());
         if self.asking.next.is_some_and(|at| at <= now) {
             self.asking.next = None;
@@ -432,7 +452,7 @@
     /// Gives up at once what would most likely not be answered within its goal: waiting in vain costs more
     /// than a quick word, so a newcomer must fit into less of its slack than what waits already.
     fn thin_held(&mut self, newcomer: Option<&Id>) {
-        let rate = self.ended.per_s(self.now).max(1.0);
+        let rate = self.turnover();
         let mut ahead = 0.0;
         for id in self.held.clone() {
             let Some(cmd) = self.cmds.get(&id) else { continue };
@@ -447,6 +467,19 @@
         }
     }
 
+    /// Places that come free in a second. After a lull, or in a copy that has just started, what has ended on
+    /// average is too little; before anything has ended, all places are taken to come free within what a newcomer
+    /// would wait.
+    fn turnover(&self) -> f64 {
+        let (usual, lately) = (self.ended.per_s(self.now), self.lately.per_s(self.now));
+        if usual == 0.0 && self.room() >= ROOM_STEADY {
+            let goals = self.terms.verbs.iter().map(|verb| verb.goal.as_secs_f64());
+            return self.room() / (HOLD * goals.fold(f64::MAX, f64::min).max(1e-3));
+        }
+        let jumps = lately > JUMP * usual && self.lately.count(self.now) >= JUMP_SEEN;
+        if jumps { lately } else { usual }.max(1.0)
+    }
+
     /// Relays the command now if some server has room for it.
     fn place(&mut self, id: &Id) -> bool {
         // Work that starts with less time left than half of what it usually takes is mostly done for nothing.
@@ -552,6 +585,7 @@
         cmd.finished |= ended.closed;
         let in_time = now <= cmd.good_until;
         self.ended.add(now, 1.0);
+        self.lately.add(now, 1.0);
         self.average_out();
         self.take_report(slot, ended.load);
         let (usual, answered) = (self.expected(verb), ended.outcome == Outcome::Ok);
@@ -679,7 +713,8 @@
                 let relay = cmd.and_then(|cmd| cmd.relays.get_mut(*number as usize));
                 // A later command may have the id of one that is over.
                 if let Some(relay) = relay.filter(|r| r.fate == Fate::Out && r.sent == *sent) {
-                    let since = self.now.saturating_sub(*sent).as_secs_f64();
+                    // A copy that was itself held up has not read the answers that came meanwhile.
+                    let since = self.now.saturating_sub(*sent + self.late).as_secs_f64();
                     if usual.is_none_or(|usual| since <= OVERDUE * usual) {
                         break;
                     }
--- a/crates/decisions/tests/decisions/plain.rs
+++ b/crates/decisions/tests/decisions/plain.rs
@@ -266,3 +266,26 @@
     assert!(!scene.noted("mark s1"), "two straight failures of three are no run");
     assert!(met < 20, "its even share would be 40, not {met}");
 }
+
+#[test]
+fn a_copy_that_was_itself_held_up_marks_nobody() {
+    let held_up = |stall: u64| {
+        let mut scene = Scene::new(terms("all", ""), "all", 3, 8);
+        for _ in 0..400 {
+            scene.play(0, |_| Outcome::Ok);
+        }
+        let out: Vec<_> = (0..24).map(|_| scene.give(0, ms(3000))).collect();
+        // Either the servers are silent while this copy looks on, or it hears nothing as it does not run.
+        let from = scene.now();
+        if stall > 0 {
+            scene.script.0.borrow_mut().now = from + ms(stall);
+            scene.policy.woken(scene.now());
+        } else {
+            scene.pass(ms(600));
+        }
+        assert!(out.iter().all(|id| scene.ended(id).is_none()) || stall == 0);
+        scene.noted("mark")
+    };
+    assert!(held_up(0), "servers that say nothing are marked");
+    assert!(!held_up(600), "its own delay is no server's");
+}
--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -144,6 +144,9 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "bench")]
 pub struct Bench {
+    /// seconds before the figures count; 0 shows what a copy does that has just started
+    #[argh(option, default = "3.0")]
+    pub settle: f64,
     /// servers behind the sidecar; may be given several times, 8 and 200 where it is not
     #[argh(option)]
     pub servers: Vec<usize>,
--- a/crates/lab/src/live.rs
+++ b/crates/lab/src/live.rs
@@ -147,7 +147,8 @@
 pub fn bench(wanted: &Bench) -> Result<(), String> {
     let program = program(wanted.program.as_ref())?;
     let dir = sockets::run_dir("bench")?;
-    let length = Duration::from_secs_f64(wanted.seconds.clamp(0.5, 600.0));
+    let span = |seconds: f64, least: f64| Duration::from_secs_f64(seconds.clamp(least, 600.0));
+    let spans = (span(wanted.settle, 0.0), span(wanted.seconds, 0.5));
     println!(
         "| servers | connections | answered a second | p50 ms | p99 ms | declined | lost | cores used |"
     );
@@ -165,10 +166,10 @@
             figures.lost
         );
     };
-    tell(&points::direct(32, length)?);
+    tell(&points::direct(32, spans)?);
     for servers in &or_else(&wanted.servers, &[8, 200]) {
         for connections in &or_else(&wanted.connections, &[1, 8, 32, 128]) {
-            tell(&points::through(&program, &dir, *servers, *connections, length)?);
+            tell(&points::through(&program, &dir, *servers, *connections, spans)?);
         }
     }
     Ok(())
--- a/crates/lab/src/sockets/bench.rs
+++ b/crates/lab/src/sockets/bench.rs
@@ -53,23 +53,26 @@
     Ok(fleet)
 }
 
-fn plan_of(targets: Vec<SocketAddr>, connections: usize, length: Duration) -> LoadPlan {
+/// What is not counted at the start, and what is after it.
+type Spans = (Duration, Duration);
+
+fn plan_of(targets: Vec<SocketAddr>, connections: usize, (settle, length): Spans) -> LoadPlan {
     LoadPlan {
         targets,
         verb: "view".into(),
         connections,
         rate: 0.0,
         limit: Duration::from_secs(2),
-        settle: Duration::from_secs(3),
+        settle,
         length,
         seed: 1,
     }
 }
 
-pub fn direct(connections: usize, length: Duration) -> Result<Point, String> {
+pub fn direct(connections: usize, spans: Spans) -> Result<Point, String> {
     let fleet = fleet(1)?;
     let targets = vec![fleet.servers[0].address];
-    Ok(Point { servers: 0, figures: load(&plan_of(targets, connections, length)), busy: 0.0 })
+    Ok(Point { servers: 0, figures: load(&plan_of(targets, connections, spans)), busy: 0.0 })
 }
 
 pub fn through(
@@ -77,7 +80,7 @@
     dir: &Path,
     servers: usize,
     connections: usize,
-    length: Duration,
+    spans: Spans,
 ) -> Result<Point, String> {
     let fleet = fleet(servers)?;
     let discovery = Discovery::start().map_err(|wrong| wrong.to_string())?;
@@ -110,7 +113,7 @@
     let mut sidecar = Sidecar::start(program, dir, "bench", &config_of(&plan, &told))?;
     let before = processor_time(sidecar.pid());
     let began = Instant::now();
-    let figures = load(&plan_of(vec![listen], connections, length));
+    let figures = load(&plan_of(vec![listen], connections, spans));
     let busy = (processor_time(sidecar.pid()) - before) / began.elapsed().as_secs_f64();
     sidecar.must_run()?;
     discovery.end();
