--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -468,8 +468,8 @@
     }
 
     /// Places that come free in a second. After a lull, or in a copy that has just started, what has ended on
-    /// average is too little; before anything has ended, all places are taken to come free within what a newcomer
-    /// would wait.
+    /// average is too little; before anything has ended, all places are taken to come free within what a
+    /// newcomer would wait.
     fn turnover(&self) -> f64 {
         let (usual, lately) = (self.ended.per_s(self.now), self.lately.per_s(self.now));
         if usual == 0.0 && self.room() >= ROOM_STEADY {
