Frozen load reports on sockets stand still; one stand-in for bench and scenes

Cause: reading the change again: on sockets a frozen report was told as an idle one, and bench and scenes both spelled out a stand-in that answers at once.

--- a/crates/lab/src/sockets/fleet.rs
+++ b/crates/lab/src/sockets/fleet.rs
@@ -102,6 +102,8 @@
     waiting: AtomicU32,
     inside: AtomicU32,
     pub taken: AtomicU64,
+    /// What it reported last while it told the truth: in flight above, queue below.
+    told: AtomicU64,
     verbs: Verbs,
     ledger: Arc<Ledger>,
     over: AtomicBool,
@@ -133,6 +135,7 @@
             waiting: AtomicU32::new(0),
             inside: AtomicU32::new(0),
             taken: AtomicU64::new(0),
+            told: AtomicU64::new(0),
             verbs,
             ledger,
             over: AtomicBool::new(false),
@@ -363,9 +366,18 @@
     fn report(&self) -> String {
         use crate::plan::Lie;
         let (queue, inside) = match self.serving().says {
-            Some(Lie::Idle | Lie::Frozen) => (0, 0),
+            Some(Lie::Idle) => (0, 0),
+            Some(Lie::Frozen) => {
+                let told = self.told.load(Ordering::Relaxed);
+                (told as u32, (told >> 32) as u32)
+            }
             Some(Lie::Busy) => (self.make.queue as u32, self.make.queue as u32),
-            None => (self.waiting.load(Ordering::Relaxed), self.inside.load(Ordering::Relaxed)),
+            None => {
+                let (queue, inside) =
+                    (self.waiting.load(Ordering::Relaxed), self.inside.load(Ordering::Relaxed));
+                self.told.store(u64::from(inside) << 32 | u64::from(queue), Ordering::Relaxed);
+                (queue, inside)
+            }
         };
         format!("TEXT inflight={inside}, queue={queue}")
     }
--- a/crates/sidecar/tests/scenes.rs
+++ b/crates/sidecar/tests/scenes.rs
@@ -2,13 +2,11 @@
 //! whether they are right.
 
 use landingspread_lab::plan;
-use landingspread_lab::plan::{Repeats, Spread};
-use landingspread_lab::sockets::{self, Doing, Fleet, Ledger, LoadPlan, Make, Sidecar, load, run_dir};
+use landingspread_lab::sockets::{self, LoadPlan, Sidecar, bench, load, run_dir};
 use serde_json::json;
 use std::path::Path;
-use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_landingspread");
 
@@ -58,29 +56,9 @@
     );
 }
 
-fn at_once() -> Fleet {
-    let doing =
-        Doing { name: "view".into(), repeats: Repeats::Pure, work: 0.0, spread: Spread::Fixed, calls: 0 };
-    let make = Make {
-        name: "t0s0".into(),
-        cores: 8,
-        queue: 100,
-        speed: 1.0,
-        cold_share: 1.0,
-        warm_after: Duration::ZERO,
-        grace: Duration::MAX,
-        reports: false,
-        behind: None,
-        seed: 1,
-    };
-    let mut fleet = Fleet::empty();
-    fleet.add(make, Arc::new(vec![doing]), Arc::new(Ledger::new(Instant::now()))).expect("a stand-in");
-    fleet
-}
-
 #[test]
 fn what_waits_for_a_slow_answer_counts_from_when_it_was_meant_to_be_sent() {
-    let fleet = at_once();
+    let fleet = bench::fleet(1).expect("a stand-in");
     let server = fleet.servers[0].clone();
     let pause = thread::spawn(move || {
         thread::sleep(Duration::from_millis(500));
