Load checks before each draw where checks alone tell what servers hold

Dropped: marks as the cause (few before second 3, chokes start at 2 s). Lines: draw and fits in policy.rs went by own relays times sharers.

Change: where Report.How is probe with the commands held, and a check's price allows two or more for 0.012 of the goal, each command waits for fresh reports of up to six servers of its window and goes where it would be answered in time; a command's size goes by its hint.

--- a/crates/decisions/benches/decisions.rs
+++ b/crates/decisions/benches/decisions.rs
@@ -38,6 +38,10 @@
 
     fn subscribe(&mut self) {}
 
+    fn let_go(&mut self, _: &Id) {}
+
+    fn tell(&mut self, _: Option<u32>, _: &[u8]) {}
+
     fn note(&mut self, _: &str) {}
 }
 
@@ -84,10 +88,10 @@
         let now = self.now();
         let id: Id = format!("c{}", self.given).into();
         let due = now + Duration::from_secs(3);
-        self.policy.cmd_came(now, Arrival { id, verb: 0, due, tenant: 0 });
+        self.policy.cmd_came(now, Arrival { id, verb: 0, due, tenant: 0, cost: None });
         if self.relays.borrow().len() > OUT {
             let (cmd, server, sent) = self.relays.borrow_mut().pop_front().expect("one is out");
-            let load = Load { queue: Some(1.0), in_flight: None };
+            let load = Load { queue: Some(1.0), ..Load::default() };
             let (closed, outcome, relay, latency) = (true, Outcome::Ok, 0, now - sent);
             self.policy.relay_ended(now, Ended { cmd, closed, outcome, relay, latency, server, load });
         }
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -46,6 +46,8 @@
     report: Option<(f64, Duration)>,
     pub sends: f64,
     pub checking: bool,
+    /// When a check last found nobody there.
+    pub absent: Option<Duration>,
     out: u32,
     pub overdue: u32,
     pub bound: f64,
--- a/crates/decisions/src/host.rs
+++ b/crates/decisions/src/host.rs
@@ -14,6 +14,10 @@
     fn check(&mut self, server: &Id);
     fn wake_in(&mut self, span: Duration);
     fn subscribe(&mut self);
+    /// Closes this copy's idle connections to the server.
+    fn let_go(&mut self, server: &Id);
+    /// Tells one peer, or all of them, at most 256 bytes.
+    fn tell(&mut self, peer: Option<u32>, words: &[u8]);
     fn note(&mut self, text: &str);
 }
 
@@ -40,6 +44,8 @@
     pub verb: usize,
     pub due: Duration,
     pub tenant: usize,
+    /// The work that it is said to take, as time on a standard core.
+    pub cost: Option<Duration>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,4 +82,7 @@
 pub struct Load {
     pub queue: Option<f64>,
     pub in_flight: Option<f64>,
+    /// How busy its cores are, and what it answers in a second.
+    pub util: Option<f64>,
+    pub qps: Option<f64>,
 }
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -69,6 +69,17 @@
 const JUMP: f64 = 2.0;
 const JUMP_SEEN: f64 = 8.0;
 
+/// Where checks alone tell what a server holds, so many points of the goal may go into checks before a command's draw.
+const LOOKS_COST: f64 = 0.012;
+const LOOKS_MOST: f64 = 6.0;
+/// A report as young as this needs no check, and a command waits no longer than this for its checks.
+const FRESH: Duration = Duration::from_millis(4);
+const LOOK_WAIT: Duration = Duration::from_millis(10);
+/// Weights of reports fetched for the draw itself are raised to this power: they hardly age.
+const LOOK_SHARPNESS: i32 = 12;
+/// A command goes to a server only if it would be answered there within this share of the time left.
+const IN_TIME: f64 = 0.9;
+
 /// A rate a second that forgets evenly over its span.
 #[derive(Clone, Debug)]
 struct Rate {
@@ -133,6 +144,8 @@
     sent: Duration,
     fate: Fate,
     overdue: bool,
+    /// What the server was said to hold when it was sent.
+    ahead: Option<f64>,
 }
 
 #[derive(Debug, Default)]
@@ -140,6 +153,12 @@
     verb: usize,
     /// Past this an answer earns nothing.
     good_until: Duration,
+    /// The work it is said to take, against the usual of its verb.
+    size: f64,
+    /// The servers that it chooses among, those of them whose checks are out, and how long it waits for them.
+    among: Vec<Slot>,
+    looks: Vec<Slot>,
+    look_until: Duration,
     relays: Vec<Relay>,
     finished: bool,
     streaming: bool,
@@ -161,6 +180,8 @@
     latency: Histogram,
     /// The mean time to an answer when things went best, forgotten slowly.
     calm: Option<f64>,
+    /// The work that its commands are usually said to take.
+    cost: Option<f64>,
     asked: Rate,
     answered: Rate,
     /// Relays by the time they were sent, with their command and number, until they are over or overdue.
@@ -187,6 +208,10 @@
     /// Answers' times as multiples of the calm mean of their verb.
     strain: Histogram,
     tenants: Vec<Rate>,
+    /// Seconds to an answer for each command that the server held, this one with them.
+    turn: Histogram,
+    /// How many servers are checked before a command's draw.
+    looks: usize,
     sent: Rate,
     ended: Rate,
     lately: Rate,
@@ -211,6 +236,8 @@
     pub fn start(host: H, terms: Terms, seed: u64, now: Duration) -> Self {
         let verbs = vec![VerbRecord::default(); terms.verbs.len()];
         let tenants = vec![Rate::default(); terms.quotas.len()];
+        let looks = (LOOKS_COST / terms.prices.check.max(1e-9)).min(LOOKS_MOST) as usize;
+        let looks = if terms.checks_tell && terms.allowed.checks && looks > 1 { looks } else { 0 };
         let mut policy = Policy {
             host,
             terms,
@@ -223,6 +250,8 @@
             verbs,
             strain: Histogram::default(),
             tenants,
+            turn: Histogram::default(),
+            looks,
             sent: Rate::default(),
             ended: Rate::default(),
             lately: Rate { span: LATELY, ..Rate::default() },
@@ -373,6 +402,10 @@
 // Commands
 
 impl<H: Host> Policy<H> {
+    pub fn peer_said(&mut self, now: Duration, _peer: u32, _words: &[u8]) {
+        self.now = now;
+    }
+
     pub fn cmd_came(&mut self, now: Duration, arrival: Arrival) {
         self.now = now;
         let Some(verb) = self.terms.verbs.get(arrival.verb) else {
@@ -384,9 +417,11 @@
         self.verbs[arrival.verb].asked.add(now, 1.0);
         self.spare_relays = (self.spare_relays + RELAY_SHARE).min(RELAY_BURST);
         let beyond = self.beyond_quota(arrival.tenant);
-        let cmd = Cmd { verb: arrival.verb, good_until, beyond, ..Cmd::default() };
+        let size = self.size(arrival.verb, arrival.cost);
+        let cmd = Cmd { verb: arrival.verb, good_until, beyond, size, ..Cmd::default() };
         self.cmds.insert(arrival.id.clone(), cmd);
         self.held.push(arrival.id.clone());
+        self.look(&arrival.id);
         self.place_held();
         self.thin_held(Some(&arrival.id));
     }
@@ -426,6 +461,19 @@
         self.verbs.get(verb).and_then(|record| record.latency.mean()).unwrap_or(0.0)
     }
 
+    fn expected_of(&self, cmd: &Cmd) -> f64 {
+        self.expected(cmd.verb) * cmd.size
+    }
+
+    /// A command's work against the usual of its verb; one where nothing is said of it.
+    fn size(&mut self, verb: usize, cost: Option<Duration>) -> f64 {
+        let (Some(cost), Some(record)) = (cost, self.verbs.get_mut(verb)) else { return 1.0 };
+        let cost = cost.as_secs_f64();
+        let usual = record.cost.map_or(cost, |usual| usual + 0.05 * (cost - usual));
+        record.cost = Some(usual);
+        (cost / usual.max(1e-6)).clamp(0.1, 20.0)
+    }
+
     /// What a command earns for each second that it keeps a place, the more the less of its verb is answered:
     /// part of the goal may go by the worst answered verb.
     fn rank(&self, cmd: &Cmd) -> f64 {
@@ -456,7 +504,10 @@
         let mut ahead = 0.0;
         for id in self.held.clone() {
             let Some(cmd) = self.cmds.get(&id) else { continue };
-            let slack = self.left(cmd) - self.expected(cmd.verb);
+            if self.looking(cmd) {
+                continue;
+            }
+            let slack = self.left(cmd) - self.expected_of(cmd);
             let part = if newcomer == Some(&id) { HOLD } else { 2.0 * HOLD };
             if (ahead + 1.0) / rate > part * slack {
                 self.held.retain(|held| *held != id);
@@ -484,8 +535,8 @@
     fn place(&mut self, id: &Id) -> bool {
         // Work that starts with less time left than half of what it usually takes is mostly done for nothing.
         let Some(cmd) = self.cmds.get(id) else { return false };
-        let hopeless = self.left(cmd) < HOPELESS * self.expected(cmd.verb);
-        if hopeless {
+        let hopeless = self.left(cmd) < HOPELESS * self.expected_of(cmd);
+        if hopeless || self.looking(cmd) {
             return false;
         }
         let Some(server) = self.draw(id) else { return false };
@@ -496,6 +547,7 @@
     fn send(&mut self, id: &Id, to: Slot) {
         let Some(cmd) = self.cmds.get_mut(id) else { return };
         let server = &mut self.fleet[to];
+        let ahead = server.report().map(|(figure, _)| figure + server.sends).filter(|_| self.looks > 0);
         let (zone, cell, sent, number) = (server.zone, server.cell, self.now, cmd.relays.len() as u32);
         let (server_id, fate) = (server.id.clone(), Fate::Out);
         server.sends += 1.0;
@@ -504,7 +556,8 @@
             mark.trying = true;
         }
         self.fleet.change_out(to, 1);
-        let relay = Relay { server: server_id.clone(), slot: to, zone, cell, sent, fate, overdue: false };
+        let relay =
+            Relay { server: server_id.clone(), slot: to, zone, cell, sent, fate, overdue: false, ahead };
         cmd.relays.push(relay);
         if let Some(record) = self.verbs.get_mut(cmd.verb) {
             record.watched.push_back((sent, id.clone(), number));
@@ -581,7 +634,7 @@
             return;
         }
         relay.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        let (verb, overdue, slot) = (cmd.verb, relay.overdue, relay.slot);
+        let (verb, overdue, slot, size, ahead) = (cmd.verb, relay.overdue, relay.slot, cmd.size, relay.ahead);
         cmd.finished |= ended.closed;
         let in_time = now <= cmd.good_until;
         self.ended.add(now, 1.0);
@@ -594,11 +647,14 @@
         server.overdue = server.overdue.saturating_sub(u32::from(overdue));
         // What is too slow to answer in time would otherwise be known by its quickest answers only.
         if usual > 0.0 && (answered || overdue || ended.outcome == Outcome::Timeout) {
-            let pace = ended.latency.as_secs_f64() / usual;
+            let pace = ended.latency.as_secs_f64() / (usual * size);
             learn(server, if answered { pace } else { pace.max(1.0) });
         }
         if answered {
-            self.count_answer(slot, verb, ended.latency, in_time);
+            if let Some(ahead) = ahead {
+                self.turn.add(ended.latency.as_secs_f64() / (size * (1.0 + ahead)), Histogram::FULL);
+            }
+            self.count_answer(slot, verb, ended.latency, size, in_time);
         } else {
             self.count_failure(slot, verb, ended.outcome, overdue);
         }
@@ -614,7 +670,7 @@
         } else if cmd.out() == 0 {
             let repeated = cmd.may_have_run();
             let left = self.left(cmd);
-            let hopeful = left > self.expected(cmd.verb);
+            let hopeful = left > self.expected_of(cmd);
             if hopeful && (!repeated || self.spare_relays >= 1.0) && self.place(id) {
                 self.spare_relays -= if repeated { 1.0 } else { 0.0 };
             } else {
@@ -624,13 +680,14 @@
     }
 
     fn take_report(&mut self, slot: Slot, load: Load) {
-        if let Some(figure) = load.queue.or(load.in_flight) {
+        let figure = if self.looks > 0 { load.in_flight } else { load.queue.or(load.in_flight) };
+        if let Some(figure) = figure {
             self.fleet.set_report(slot, Some((figure, self.now)));
             self.fleet[slot].sends = 0.0;
         }
     }
 
-    fn count_answer(&mut self, slot: Slot, verb: usize, latency: Duration, in_time: bool) {
+    fn count_answer(&mut self, slot: Slot, verb: usize, latency: Duration, size: f64, in_time: bool) {
         let (now, sharers, mean_out, room) = (self.now, self.sharers, self.mean_out, self.room());
         let server = &mut self.fleet[slot];
         let Some(record) = self.verbs.get_mut(verb) else { return };
@@ -639,11 +696,11 @@
         // A bound that rises while it is not reached would let a later jam in.
         let used =
             mean_out + 1.0 >= 0.8 * room || f64::from(server.out() + 1) >= (server.bound / sharers).max(2.0);
-        record.latency.add(took, Histogram::FULL);
+        record.latency.add(took / size, Histogram::FULL);
         if let Some(mean) = record.latency.mean().filter(|_| record.latency.total >= 100) {
             let calm = record.calm.map_or(mean, |calm| (calm * 1.0005).min(mean));
             record.calm = Some(calm);
-            self.strain.add((took / calm).min(4.0), 64);
+            self.strain.add((took / size / calm).min(4.0), 64);
         }
         // Where one zone is crowded and another is not, only what is seen of this server tells which it is.
         let strain = self.strain.mean().unwrap_or(1.0) * server.slowness;
@@ -735,7 +792,7 @@
     /// Within the budget, what is overdue at one server is tried at another while the goal can still be met.
     fn second_relay(&mut self, id: &Id, number: u32) {
         let Some(cmd) = self.cmds.get(id) else { return };
-        if cmd.finished || self.spare_relays < 1.0 || self.left(cmd) < 1.5 * self.expected(cmd.verb) {
+        if cmd.finished || self.spare_relays < 1.0 || self.left(cmd) < 1.5 * self.expected_of(cmd) {
             return;
         }
         if self.terms.allowed.parallel {
@@ -782,11 +839,15 @@
         }
     }
 
-    /// Its report is passed over: it would be the last for long, and age into an even share.
-    pub fn check_ended(&mut self, now: Duration, outcome: Outcome, id: &Id) {
+    /// Its report counts only where each draw fetches its own: else it would be the last for long, and age into an
+    /// even share.
+    pub fn check_ended(&mut self, now: Duration, outcome: Outcome, id: &Id, load: Load) {
         self.now = now;
         let Some(slot) = self.fleet.slot(id) else { return };
         self.fleet[slot].checking = false;
+        if self.looks > 0 {
+            self.looked(slot, outcome, load);
+        }
         if outcome == Outcome::Ok {
             self.pass(slot);
         } else if let Some(mark) = self.fleet[slot].mark_mut() {
@@ -824,6 +885,64 @@
     }
 }
 
+// Looking before the draw
+
+impl<H: Host> Policy<H> {
+    /// Has what some servers hold told anew before the command's draw. One of hundreds of copies hears too little of
+    /// any server to go by what it heard last.
+    fn look(&mut self, id: &Id) {
+        let Some(cmd) = self.cmds.get(id).filter(|_| self.looks > 0) else { return };
+        let repeats = self.repeats(cmd);
+        let fits = |slot: &&Slot| self.fits(cmd, repeats, &self.fleet[**slot], false);
+        let mut among: Vec<Slot> = self.fleet.window().iter().filter(fits).copied().collect();
+        while among.len() > self.looks {
+            let at = (self.chance() * among.len() as f64) as usize;
+            among.swap_remove(at);
+        }
+        let now = self.now;
+        let stale = |server: &Server| server.report().is_none_or(|(_, at)| at + FRESH < now);
+        let looks: Vec<Slot> = among.iter().filter(|slot| stale(&self.fleet[**slot])).copied().collect();
+        for slot in &looks {
+            let server = &mut self.fleet[*slot];
+            if !std::mem::replace(&mut server.checking, true) {
+                self.host.check(&server.id);
+            }
+        }
+        if let Some(cmd) = self.cmds.get_mut(id) {
+            (cmd.among, cmd.looks, cmd.look_until) = (among, looks, now + LOOK_WAIT);
+        }
+    }
+
+    fn looking(&self, cmd: &Cmd) -> bool {
+        !cmd.looks.is_empty() && self.now < cmd.look_until
+    }
+
+    fn looked(&mut self, slot: Slot, outcome: Outcome, load: Load) {
+        let server = &mut self.fleet[slot];
+        server.absent = if outcome == Outcome::Ok { None } else { Some(self.now) };
+        if outcome == Outcome::Ok {
+            self.take_report(slot, load);
+        } else {
+            (0..self.terms.verbs.len()).for_each(|verb| self.lengthen_run(slot, verb));
+        }
+        for id in &self.held {
+            if let Some(cmd) = self.cmds.get_mut(id) {
+                cmd.looks.retain(|look| *look != slot);
+            }
+        }
+        self.place_held();
+        self.thin_held(None);
+    }
+
+    /// Whether the server would most likely answer in time, by what it is said to hold.
+    fn in_time(&self, cmd: &Cmd, server: &Server) -> bool {
+        let held = server.report().map_or(0.0, |(figure, _)| figure) + server.sends;
+        let goal = self.terms.verbs.get(cmd.verb).map_or(0.0, |verb| verb.goal.as_secs_f64());
+        let turn = self.turn.mean().unwrap_or(goal / BOUND_START);
+        turn * (held + cmd.size) <= IN_TIME * self.left(cmd)
+    }
+}
+
 // The draw
 
 impl<H: Host> Policy<H> {
@@ -849,7 +968,7 @@
     fn draw(&mut self, id: &Id) -> Option<Slot> {
         self.credit_cold();
         self.average_out();
-        if self.mean_out >= self.room() {
+        if self.looks == 0 && self.mean_out >= self.room() {
             return None;
         }
         let drawn = self.chance();
@@ -867,7 +986,8 @@
         let mut weights = std::mem::take(&mut self.weights);
         weights.clear();
         let (all_marked, report) = (self.fleet.clear() == 0, self.fleet.mean_report());
-        for slot in bound_to.as_deref().unwrap_or(self.fleet.window()) {
+        let among = if cmd.among.is_empty() { self.fleet.window() } else { &cmd.among };
+        for slot in bound_to.as_deref().unwrap_or(among) {
             let server = &self.fleet[*slot];
             if self.fits(cmd, repeats, server, all_marked) {
                 weights.push((*slot, self.weight(server, report)));
@@ -897,6 +1017,10 @@
                 let trial = !self.terms.allowed.checks && !mark.trying && mark.next <= self.now;
                 trial && repeats == Repeats::Pure
             }
+            _ if self.looks > 0 => {
+                let here = server.absent.is_none_or(|at| at + CHECK_EVERY < self.now);
+                here && self.in_time(cmd, server)
+            }
             _ => f64::from(server.out()) < (server.bound / self.sharers).max(1.0),
         }
     }
@@ -904,21 +1028,23 @@
     fn weight(&self, server: &Server, mean: f64) -> f64 {
         let (listed, pace) = (server.listed, 1.0 / server.slowness);
         let size = listed * pace;
-        let own = f64::from(server.out()) * self.sharers;
+        // A report fetched for this draw has all copies' relays in it, and only this copy's own since.
+        let (others, sharp) = if self.looks > 0 { (1.0, LOOK_SHARPNESS) } else { (self.sharers, SHARPNESS) };
+        let own = f64::from(server.out()) * others;
         let figure = match server.report() {
             Some((figure, at)) => {
                 let age = self.now.saturating_sub(at).as_secs_f64();
-                mean + (figure + server.sends * self.sharers - mean) * (-age / DECAY).exp()
+                mean + (figure + server.sends * others - mean) * (-age / DECAY).exp()
             }
             None => mean + own,
         };
         // A report that hides what this copy itself has out there, or whose server answers nothing, must not
         // age its way back to an even share.
-        let figure = figure.max(own) + f64::from(server.overdue) * self.sharers;
+        let figure = figure.max(own) + f64::from(server.overdue) * others;
         let by_size = server.by_list * pace.powi(SHARPNESS);
         let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
         let price = if far > 0.0 { (-far * CROSSING_AVERSION).exp() } else { 1.0 };
         let share = ramp(&self.terms.cold, server.ramp_from(), self.now) * price;
-        share * by_size / (1.0 + figure / size).powi(SHARPNESS)
+        share * by_size / (1.0 + figure / size).powi(sharp)
     }
 }
--- a/crates/decisions/src/terms.rs
+++ b/crates/decisions/src/terms.rs
@@ -34,6 +34,7 @@
     pub checks: bool,
     pub cancel: bool,
     pub parallel: bool,
+    pub peers: bool,
     pub relays: u32,
     pub come_back: Option<Duration>,
 }
@@ -49,6 +50,7 @@
 #[derive(Clone, Debug)]
 pub struct Prices {
     pub crossing: f64,
+    pub check: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -72,6 +74,8 @@
     pub allowed: Allowed,
     pub cold: ColdRule,
     pub prices: Prices,
+    /// Checks alone tell how many commands a server holds.
+    pub checks_tell: bool,
     pub goal: GoalWeights,
 }
 
@@ -169,6 +173,13 @@
         }
     }
 
+    /// The commands that a server holds are what load checks go by; what waits alone hides those at work.
+    fn checks_tell(&self) -> Result<bool, Unreadable> {
+        let fields = self.maybe::<String>("Report.Fields")?.unwrap_or_default();
+        let how = self.maybe::<String>("Report.How")?;
+        Ok(how.as_deref() == Some("probe") && fields.split(',').any(|field| field == "active"))
+    }
+
     fn allowed(&self) -> Result<Allowed, Unreadable> {
         let come_back = self.maybe_span("PolicyLimits.MaxRetryAfter")?.filter(|span| !span.is_zero());
         let heard = self.flag("PolicyLimits.RetryAfter")?;
@@ -176,6 +187,7 @@
             checks: self.flag("PolicyLimits.Probes")?,
             cancel: self.flag("PolicyLimits.MayCancel")?,
             parallel: self.flag("PolicyLimits.ParallelTries")?,
+            peers: self.flag("PolicyLimits.Peers")?,
             relays: self.maybe("PolicyLimits.MostRelays")?.unwrap_or(1),
             come_back: come_back.filter(|_| heard),
         })
@@ -213,7 +225,11 @@
                 multiple: pairs.need("Rules.TipMultiple")?,
                 window: pairs.span("Rules.Fall")?,
             },
-            prices: Prices { crossing: pairs.figure("Costs.CrossZone", 0.0)? },
+            prices: Prices {
+                crossing: pairs.figure("Costs.CrossZone", 0.0)?,
+                check: pairs.figure("Costs.Probe", 0.0)?,
+            },
+            checks_tell: pairs.checks_tell()?,
             goal: GoalWeights { worst_verb: pairs.figure("Goal.WorstClass", 0.0)? },
         })
     }
--- a/crates/decisions/tests/decisions/plain.rs
+++ b/crates/decisions/tests/decisions/plain.rs
@@ -136,7 +136,7 @@
             let to = scene.script.0.borrow().cmds[&id].relays[0].server.clone();
             scene.pass(ms(20));
             let in_flight = Some(if &*to == "s0" { 9.0 } else { 0.0 });
-            scene.end(&id, 0, Outcome::Ok, Load { in_flight, queue: None });
+            scene.end(&id, 0, Outcome::Ok, Load { in_flight, ..Load::default() });
         }
         scene.pass(wait);
         let before = scene.script.0.borrow().sent_to("s0");
--- a/crates/decisions/tests/decisions/rules.rs
+++ b/crates/decisions/tests/decisions/rules.rs
@@ -38,7 +38,8 @@
         5..=8 => {
             let out = scene.out();
             if let Some((id, number)) = out.get(usize::from(which) % out.len().max(1)).cloned() {
-                let load = Load { in_flight: (how % 3 == 0).then(|| f64::from(how % 40)), queue: None };
+                let in_flight = (how % 3 == 0).then(|| f64::from(how % 40));
+                let load = Load { in_flight, ..Load::default() };
                 scene.end(&id, number, OUTCOMES[usize::from(how) % OUTCOMES.len()], load);
             }
         }
@@ -61,7 +62,7 @@
         14 => {
             let now = scene.now();
             scene.policy.list_call_failed(now);
-            scene.policy.check_ended(now, Outcome::Ok, &server.as_str().into());
+            scene.policy.check_ended(now, Outcome::Ok, &server.as_str().into(), Load::default());
             scene.policy.client_left(now, &"never-given".into());
         }
         _ => {
--- a/crates/decisions/tests/decisions/scripted.rs
+++ b/crates/decisions/tests/decisions/scripted.rs
@@ -66,6 +66,8 @@
     pub cmds: BTreeMap<Id, Taken>,
     pub checks: Vec<Id>,
     pub notes: Vec<String>,
+    pub let_go: Vec<Id>,
+    pub told: Vec<Vec<u8>>,
     pub come_back: Option<Duration>,
     pub list_calls: usize,
     pub scope: String,
@@ -151,6 +153,15 @@
         self.0.borrow_mut().list_calls += 1;
     }
 
+    fn let_go(&mut self, server: &Id) {
+        self.0.borrow_mut().let_go.push(server.clone());
+    }
+
+    fn tell(&mut self, _: Option<u32>, words: &[u8]) {
+        assert!(words.len() <= 256, "a message of at most 256 bytes");
+        self.0.borrow_mut().told.push(words.to_vec());
+    }
+
     fn note(&mut self, text: &str) {
         self.0.borrow_mut().notes.push(text.into());
     }
@@ -214,7 +225,7 @@
         let due = now + due_in;
         let taken = Taken { verb, due, relays: Vec::new(), ended: None };
         self.script.0.borrow_mut().cmds.insert(id.clone(), taken);
-        self.policy.cmd_came(now, Arrival { id: id.clone(), verb, due, tenant: 0 });
+        self.policy.cmd_came(now, Arrival { id: id.clone(), verb, due, tenant: 0, cost: None });
         id
     }
 
@@ -293,7 +304,7 @@
     pub fn check_all(&mut self, outcome: Outcome) {
         let checks = std::mem::take(&mut self.script.0.borrow_mut().checks);
         for server in checks {
-            self.policy.check_ended(self.now(), outcome, &server);
+            self.policy.check_ended(self.now(), outcome, &server, Load::default());
         }
     }
 
--- a/crates/lab/src/picker.rs
+++ b/crates/lab/src/picker.rs
@@ -1,6 +1,6 @@
 //! Who picks, as the world calls it.
 
-use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Outcome};
+use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome};
 use landingspread_decisions::policy::Policy;
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
     fn cmd_came(&mut self, now: Duration, arrival: Arrival);
     fn client_left(&mut self, now: Duration, cmd: &Id);
     fn relay_ended(&mut self, now: Duration, ended: Ended);
-    fn check_ended(&mut self, now: Duration, outcome: Outcome, server: &Id);
+    fn check_ended(&mut self, now: Duration, outcome: Outcome, server: &Id, load: Load);
     fn woken(&mut self, now: Duration);
 }
 
@@ -46,8 +46,8 @@
         Policy::relay_ended(self, now, ended);
     }
 
-    fn check_ended(&mut self, now: Duration, outcome: Outcome, server: &Id) {
-        Policy::check_ended(self, now, outcome, server);
+    fn check_ended(&mut self, now: Duration, outcome: Outcome, server: &Id, load: Load) {
+        Policy::check_ended(self, now, outcome, server, load);
     }
 
     fn woken(&mut self, now: Duration) {
--- a/crates/lab/src/pickers/plain.rs
+++ b/crates/lab/src/pickers/plain.rs
@@ -4,7 +4,7 @@
 use super::rules::{Sent, may_decline, may_go};
 use crate::picker::Picker;
 use crate::world::Hand;
-use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Outcome, State};
+use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
 use landingspread_decisions::terms::Terms;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -191,7 +191,7 @@
         }
     }
 
-    fn check_ended(&mut self, _now: Duration, _outcome: Outcome, _server: &Id) {}
+    fn check_ended(&mut self, _now: Duration, _outcome: Outcome, _server: &Id, _load: Load) {}
 
     fn woken(&mut self, _now: Duration) {
         if self.failures > 0 {
--- a/crates/lab/src/world/hand.rs
+++ b/crates/lab/src/world/hand.rs
@@ -115,6 +115,18 @@
         ground.put_in(delay, Happening::ListCall(self.alive));
     }
 
+    fn let_go(&mut self, server: &Id) {
+        let ground = &mut *self.ground.borrow_mut();
+        if let Some(number) = ground.server_number(server)
+            && let Some(kept) = ground.copies[self.alive.copy].kept.get_mut(&number)
+        {
+            kept.idle = 0;
+        }
+    }
+
+    /// This world's copies have no words for each other, and its terms say so.
+    fn tell(&mut self, _: Option<u32>, _: &[u8]) {}
+
     fn note(&mut self, text: &str) {
         let ground = &mut *self.ground.borrow_mut();
         let now = ground.now;
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -147,7 +147,7 @@
             Happening::Checked(alive, server, outcome) => {
                 let id = books().servers[server].id.clone();
                 if let Some(picker) = self.living(alive) {
-                    picker.check_ended(now, outcome, &id);
+                    picker.check_ended(now, outcome, &id, Load::default());
                 }
             }
             Happening::Wake(alive) => {
@@ -186,7 +186,8 @@
                 return;
             }
             let Some(cmd) = ground.cmds.get(number) else { return };
-            let arrival = Arrival { id: cmd.id.clone(), verb: cmd.verb, due: cmd.due, tenant: cmd.tenant };
+            let (id, verb, due, tenant) = (cmd.id.clone(), cmd.verb, cmd.due, cmd.tenant);
+            let arrival = Arrival { id, verb, due, tenant, cost: None };
             (cmd.copy.copy, arrival)
         };
         if let Some(picker) = self.picker(arrival.0) {
@@ -301,6 +302,7 @@
             checks: tier.checks,
             cancel: rules.cancel,
             parallel: rules.parallel,
+            peers: false,
             relays: rules.relays,
             come_back: Some(span(rules.come_back)).filter(|most| !most.is_zero()),
         },
@@ -310,7 +312,8 @@
             multiple: tier.cold.multiple,
             window: span(tier.cold.window),
         },
-        prices: Prices { crossing: rules.crossing },
+        prices: Prices { crossing: rules.crossing, check: 0.0 },
+        checks_tell: false,
         goal: GoalWeights { worst_verb: 0.0 },
     }
 }
--- a/crates/lab/src/world/serving.rs
+++ b/crates/lab/src/world/serving.rs
@@ -420,6 +420,7 @@
         Load {
             queue: matches!(kinds, Reports::Queue | Reports::Both).then_some(figures.0),
             in_flight: matches!(kinds, Reports::InFlight | Reports::Both).then_some(figures.1),
+            ..Load::default()
         }
     }
 
--- a/crates/lab/tests/referee.rs
+++ b/crates/lab/tests/referee.rs
@@ -1,6 +1,6 @@
 //! The referee catches pickers that are wrong on purpose, one for each rule, and names what it saw.
 
-use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Outcome, State};
+use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
 use landingspread_lab::pickers::Picker;
 use landingspread_lab::plan::{self, Scenario};
 use landingspread_lab::world::{Hand, Run, play};
@@ -110,7 +110,7 @@
         }
     }
 
-    fn check_ended(&mut self, _: Duration, _: Outcome, _: &Id) {}
+    fn check_ended(&mut self, _: Duration, _: Outcome, _: &Id, _: Load) {}
 
     fn woken(&mut self, _: Duration) {}
 }
--- a/crates/sidecar/src/launch/file.rs
+++ b/crates/sidecar/src/launch/file.rs
@@ -150,6 +150,8 @@
     #[serde(with = "humantime_serde")]
     warm_after: Duration,
     crossing: f64,
+    check: f64,
+    checks_tell: bool,
     beyond_quota: f64,
 }
 
@@ -164,6 +166,8 @@
             cold_share: 0.3,
             warm_after: Duration::from_secs(8),
             crossing: 0.0,
+            check: 0.0,
+            checks_tell: false,
             beyond_quota: 1.0,
         }
     }
@@ -259,6 +263,7 @@
         .or_else(|| least("rules.relays", u64::from(file.rules.relays), 1))
         .or_else(|| share("rules.cold_share", file.rules.cold_share, 1.0))
         .or_else(|| share("rules.crossing", file.rules.crossing, 1.0))
+        .or_else(|| share("rules.check", file.rules.check, 1.0))
         .or_else(|| share("rules.beyond_quota", file.rules.beyond_quota, 1.0))
 }
 
@@ -370,6 +375,7 @@
             checks: rules.checks,
             cancel: rules.cancel,
             parallel: rules.parallel,
+            peers: false,
             relays: rules.relays,
             come_back: Some(rules.come_back).filter(|most| !most.is_zero()),
         },
@@ -379,7 +385,8 @@
             multiple: 3.0,
             window: Duration::from_secs(2),
         },
-        prices: Prices { crossing: rules.crossing },
+        prices: Prices { crossing: rules.crossing, check: rules.check },
+        checks_tell: rules.checks_tell,
         goal: GoalWeights { worst_verb: 0.0 },
     }
 }
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -302,7 +302,7 @@
         let keep = message.keep;
         let Cmd { id, verb, tenant, left, head } = cmd;
         let due = self.all_due.get().map_or(came + left, |all_due| all_due.min(came + left));
-        let arrival = Arrival { id: id.clone(), verb, due, tenant };
+        let arrival = Arrival { id: id.clone(), verb, due, tenant, cost: None };
         let (caller, word) = async_channel::bounded(1);
         let careful = self.verbs[verb].method != "GET";
         let outgoing = Outgoing { head, message, careful };
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -102,6 +102,8 @@
     stock: Rc<Stock>,
     kept_for: Duration,
     dial_timeout: Duration,
+    /// What a check asks for: whether the process runs, or that and its load.
+    check_path: &'static str,
 }
 
 /// How a relay ended.
@@ -120,7 +122,9 @@
 impl Endpoints {
     pub fn new(launch: &Launch, stock: Rc<Stock>) -> Endpoints {
         let (kept_for, dial_timeout) = (launch.conn_idle.mul_f64(KEPT_FOR), launch.dial_timeout);
-        Endpoints { kept: RefCell::default(), breaks: RefCell::default(), stock, kept_for, dial_timeout }
+        let check_path = if launch.terms.checks_tell { "/_load" } else { "/ping" };
+        let (kept, breaks) = (RefCell::default(), RefCell::default());
+        Endpoints { kept, breaks, stock, kept_for, dial_timeout, check_path }
     }
 
     /// Sends the command once and hears how that ended, at the latest at `not_past`.
@@ -175,17 +179,22 @@
         Ok(answer)
     }
 
-    pub async fn check(&self, to: &Target) -> Outcome {
-        within(CHECK_WITHIN, self.ping(to)).await.unwrap_or(Outcome::Timeout)
+    pub async fn check(&self, to: &Target) -> (Outcome, Load) {
+        within(CHECK_WITHIN, self.ping(to)).await.unwrap_or((Outcome::Timeout, Load::default()))
     }
 
-    async fn ping(&self, to: &Target) -> Outcome {
-        let head = || format!("GET /ping HTTP/1.1\r\nHost: {}\r\n\r\n", to.address).into_bytes();
-        match self.once(to, false, head, b"", || {}).await.map(|answer| http::status(answer.head())) {
-            Ok(Some(200)) => Outcome::Ok,
-            Ok(Some(503)) => Outcome::Full,
-            Ok(_) => Outcome::Error,
-            Err(outcome) => outcome,
+    async fn ping(&self, to: &Target) -> (Outcome, Load) {
+        let path = self.check_path;
+        let head = || format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", to.address).into_bytes();
+        let answer = match self.once(to, false, head, b"", || {}).await {
+            Ok(answer) => answer,
+            Err(outcome) => return (outcome, Load::default()),
+        };
+        let load = std::str::from_utf8(answer.body()).map(read_load).unwrap_or_default();
+        match http::status(answer.head()) {
+            Some(200) => (Outcome::Ok, load),
+            Some(503) => (Outcome::Full, load),
+            _ => (Outcome::Error, Load::default()),
         }
     }
 
@@ -297,6 +306,8 @@
         match key.trim() {
             "queue" | "waiting" => load.queue = value,
             "inflight" | "active" => load.in_flight = value,
+            "util" | "cpu" => load.util = value,
+            "qps" | "rps" => load.qps = value,
             _ => {}
         }
     }
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -13,7 +13,7 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use futures_lite::future::or;
-use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Outcome, State};
+use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
 use landingspread_decisions::policy::Policy;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
@@ -52,7 +52,7 @@
     Came(Box<Came>),
     Left(Id, u64),
     Ended(Id, u32, Box<End>),
-    Checked(Id, Outcome),
+    Checked(Id, Outcome, Load),
     Listed(Catalog),
     ListFailed,
 }
@@ -194,14 +194,14 @@
     fn check(&mut self, server: &Id) {
         let desk = self.0.borrow();
         let Some(address) = desk.addresses.get(server).copied() else {
-            desk.queue.tell(Word::Checked(server.clone(), Outcome::Moot));
+            desk.queue.tell(Word::Checked(server.clone(), Outcome::Moot, Load::default()));
             return;
         };
         let (endpoints, queue) = (desk.endpoints.clone(), desk.queue.clone());
         let target = Target { server: server.clone(), address };
         let check = async move {
-            let outcome = endpoints.check(&target).await;
-            queue.tell(Word::Checked(target.server, outcome));
+            let (outcome, load) = endpoints.check(&target).await;
+            queue.tell(Word::Checked(target.server, outcome, load));
         };
         desk.executor.spawn(check).detach();
     }
@@ -217,6 +217,12 @@
         let _ = self.0.borrow().ask.try_send(());
     }
 
+    fn let_go(&mut self, server: &Id) {
+        self.0.borrow().endpoints.forget(server);
+    }
+
+    fn tell(&mut self, _peer: Option<u32>, _words: &[u8]) {}
+
     fn note(&mut self, text: &str) {
         tracing::info!("{text}");
     }
@@ -288,7 +294,7 @@
             Word::Came(came) => self.cmd_came(now, *came),
             Word::Left(id, number) => self.client_left(now, &id, number),
             Word::Ended(id, number, end) => self.relay_ended(now, id, number, *end),
-            Word::Checked(server, outcome) => self.policy.check_ended(now, outcome, &server),
+            Word::Checked(server, outcome, load) => self.policy.check_ended(now, outcome, &server, load),
             Word::Listed(catalog) => {
                 let whole = catalog.whole;
                 let entries = self.note_addresses(catalog);
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -68,6 +68,16 @@
         self.say("SUBSCRIBE", format_args!(" 1"));
     }
 
+    fn let_go(&mut self, server: &Id) {
+        self.say("RELEASE", format_args!(" {server}"));
+    }
+
+    fn tell(&mut self, peer: Option<u32>, words: &[u8]) {
+        let to = peer.map_or_else(|| "all".to_string(), |peer| peer.to_string());
+        let hex: String = words.iter().map(|byte| format!("{byte:02x}")).collect();
+        self.say("BROADCAST_TO", format_args!(" {to} {hex}"));
+    }
+
     fn note(&mut self, text: &str) {
         self.say("TRACE", format_args!(" {text}"));
     }
@@ -130,6 +140,18 @@
         })
     }
 
+    /// Hex digits; `-` is none at all.
+    fn bytes(&mut self, name: &str) -> Result<Vec<u8>, Malformed> {
+        let text = self.text(name)?;
+        let digits = if text == "-" { "" } else { text };
+        let byte = |pair: &[u8]| {
+            let pair = std::str::from_utf8(pair).ok().filter(|pair| pair.len() == 2)?;
+            u8::from_str_radix(pair, 16).ok()
+        };
+        let bytes: Option<Vec<u8>> = digits.as_bytes().chunks(2).map(byte).collect();
+        bytes.map_or_else(|| malformed(format!("{name} is no hex: {text:?}")), Ok)
+    }
+
     fn load(&mut self) -> Load {
         let mut load = Load::default();
         for pair in self.0.next().unwrap_or("-").split(',') {
@@ -138,6 +160,8 @@
             match key {
                 "waiting" => load.queue = value,
                 "active" => load.in_flight = value,
+                "cpu" => load.util = value,
+                "rps" => load.qps = value,
                 _ => {}
             }
         }
@@ -234,7 +258,9 @@
                 let (id, verb, due) = (fields.id("Req")?, fields.need("Grade")?, fields.span("Due")?);
                 fields.0.next();
                 let tenant = fields.maybe("Team")?.unwrap_or(0);
-                instance.cmd_came(now, Arrival { id, verb, due, tenant });
+                let cost = fields.maybe("CostGuess")?.map(Duration::from_micros);
+                let said = fields.maybe::<u32>("Options")?.unwrap_or(0) & 1 == 1;
+                instance.cmd_came(now, Arrival { id, verb, due, tenant, cost: cost.filter(|_| said) });
             }
             "REPLY" => {
                 let (cmd, closed, outcome) = (fields.id("Req")?, fields.flag("Terminal")?, fields.outcome()?);
@@ -248,10 +274,12 @@
             "PONG" => {
                 let (outcome, server) = (fields.outcome()?, fields.id("Endpoint")?);
                 fields.span("Latency")?;
-                instance.check_ended(now, outcome, &server);
+                instance.check_ended(now, outcome, &server, fields.load());
+            }
+            "FROM_PEER" => {
+                let (peer, words) = (fields.need("Neighbour")?, fields.bytes("Data")?);
+                instance.peer_said(now, peer, &words);
             }
-            // Peers' words are not used yet: what a peer says is heard and passed over.
-            "FROM_PEER" => {}
             _ => return malformed(format!("unknown message {message:?}")),
         }
         Ok(())
