Idle connections that break are let go of, told among copies; old reports bar no server

Change: a reset right after sending on an idle connection is the connection's. It is told to the peers; while such breaks are heard, connections idle as long are closed before use, but for a quarter of the pure commands, which see the end of it.

--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -50,6 +50,8 @@
     pub absent: Option<Duration>,
     out: u32,
     pub overdue: u32,
+    /// When this copy last sent to it or heard from it.
+    pub used: Option<Duration>,
     pub bound: f64,
     pub pace: Histogram,
     /// How slow its answers are against the mean.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod policy;
 mod stats;
 pub mod terms;
+pub mod words;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -10,6 +10,7 @@
 use crate::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
 use crate::stats::Histogram;
 use crate::terms::{ColdRule, Group, Repeats, Terms};
+use crate::words::{self, Hearer, Words};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -80,6 +81,16 @@
 /// A command goes to a server only if it would be answered there within this share of the time left.
 const IN_TIME: f64 = 0.9;
 
+/// A reset within this time, on a connection idle for so long, is the idle connection's and not the server's.
+const BREAK_WITHIN: Duration = Duration::from_millis(50);
+const IDLE_LEAST: Duration = Duration::from_millis(300);
+/// So many breaks of idle connections of late, own and told, and commands get new ones; past the second, no more is told.
+const BREAKS: f64 = 1.5;
+const BREAKS_TOLD: f64 = 4.0;
+const BREAKS_SPAN: f64 = 6.0;
+/// This share of the pure commands goes on over idle connections, as without them the end would not be seen.
+const IDLE_TRIALS: f64 = 0.25;
+
 /// A rate a second that forgets evenly over its span.
 #[derive(Clone, Debug)]
 struct Rate {
@@ -144,6 +155,8 @@
     sent: Duration,
     fate: Fate,
     overdue: bool,
+    /// For how long this copy had been silent towards the server.
+    idle: Duration,
     /// What the server was said to hold when it was sent.
     ahead: Option<f64>,
 }
@@ -216,6 +229,10 @@
     ended: Rate,
     lately: Rate,
     spare_relays: f64,
+    words: Words,
+    /// Idle connections that broke of late, and the shortest time that one had been idle.
+    breaks: Rate,
+    break_after: Duration,
     asking: Asking,
     /// How many copies work with each server, this one among them.
     sharers: f64,
@@ -256,6 +273,9 @@
             ended: Rate::default(),
             lately: Rate { span: LATELY, ..Rate::default() },
             spare_relays: RELAY_BURST,
+            words: Words::default(),
+            breaks: Rate { span: BREAKS_SPAN, ..Rate::default() },
+            break_after: Duration::MAX,
             asking: Asking::default(),
             sharers: 1.0,
             choose_at: now,
@@ -293,6 +313,9 @@
         }
         self.place_held();
         self.thin_held(None);
+        if let Some(words) = self.words.take() {
+            self.host.tell(None, &words);
+        }
     }
 
     fn chance(&mut self) -> f64 {
@@ -402,8 +425,9 @@
 // Commands
 
 impl<H: Host> Policy<H> {
-    pub fn peer_said(&mut self, now: Duration, _peer: u32, _words: &[u8]) {
+    pub fn peer_said(&mut self, now: Duration, _peer: u32, said: &[u8]) {
         self.now = now;
+        words::read(said, self);
     }
 
     pub fn cmd_came(&mut self, now: Duration, arrival: Arrival) {
@@ -545,8 +569,10 @@
     }
 
     fn send(&mut self, id: &Id, to: Slot) {
+        let idle = self.renew_idle(id, to);
         let Some(cmd) = self.cmds.get_mut(id) else { return };
         let server = &mut self.fleet[to];
+        server.used = Some(self.now);
         let ahead = server.report().map(|(figure, _)| figure + server.sends).filter(|_| self.looks > 0);
         let (zone, cell, sent, number) = (server.zone, server.cell, self.now, cmd.relays.len() as u32);
         let (server_id, fate) = (server.id.clone(), Fate::Out);
@@ -556,8 +582,17 @@
             mark.trying = true;
         }
         self.fleet.change_out(to, 1);
-        let relay =
-            Relay { server: server_id.clone(), slot: to, zone, cell, sent, fate, overdue: false, ahead };
+        let relay = Relay {
+            server: server_id.clone(),
+            slot: to,
+            zone,
+            cell,
+            sent,
+            fate,
+            overdue: false,
+            idle,
+            ahead,
+        };
         cmd.relays.push(relay);
         if let Some(record) = self.verbs.get_mut(cmd.verb) {
             record.watched.push_back((sent, id.clone(), number));
@@ -623,6 +658,39 @@
     }
 }
 
+// Idle connections that break
+
+impl<H: Host> Policy<H> {
+    /// For how long the connection to the server was idle. Where such ones break unseen it is let go of first:
+    /// what is sent on it may have run, for all that can be known.
+    fn renew_idle(&mut self, id: &Id, to: Slot) -> Duration {
+        let server = &self.fleet[to];
+        let used = server.used.filter(|_| server.out() == 0);
+        let idle = used.map_or(Duration::ZERO, |at| self.now.saturating_sub(at));
+        let breaks = self.breaks.count(self.now) >= BREAKS && idle.mul_f64(1.25) >= self.break_after;
+        let pure = self.cmds.get(id).is_some_and(|cmd| self.repeats(cmd) == Repeats::Pure);
+        if !breaks || (pure && self.chance() < IDLE_TRIALS) {
+            return idle;
+        }
+        self.host.let_go(&self.fleet[to].id);
+        Duration::ZERO
+    }
+}
+
+impl<H: Host> Hearer for Policy<H> {
+    fn idle_broke(&mut self, idle: Duration) {
+        let none = self.breaks.count(self.now) < 0.3;
+        self.break_after = if none { idle } else { self.break_after.min(idle) };
+        self.breaks.add(self.now, 1.0);
+    }
+
+    fn verb_failed(&mut self, _server: u32, _verb: usize) {}
+
+    fn verb_answered(&mut self, _server: u32, _verb: usize) {}
+
+    fn traffic(&mut self, _per_s: f64) {}
+}
+
 // Outcomes
 
 impl<H: Host> Policy<H> {
@@ -634,6 +702,8 @@
             return;
         }
         relay.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
+        let (idle, quick) = (relay.idle, ended.latency <= BREAK_WITHIN);
+        let broke = ended.outcome == Outcome::Reset && idle >= IDLE_LEAST && quick;
         let (verb, overdue, slot, size, ahead) = (cmd.verb, relay.overdue, relay.slot, cmd.size, relay.ahead);
         cmd.finished |= ended.closed;
         let in_time = now <= cmd.good_until;
@@ -645,6 +715,7 @@
         self.fleet.change_out(slot, -1);
         let server = &mut self.fleet[slot];
         server.overdue = server.overdue.saturating_sub(u32::from(overdue));
+        server.used = Some(now);
         // What is too slow to answer in time would otherwise be known by its quickest answers only.
         if usual > 0.0 && (answered || overdue || ended.outcome == Outcome::Timeout) {
             let pace = ended.latency.as_secs_f64() / (usual * size);
@@ -655,6 +726,12 @@
                 self.turn.add(ended.latency.as_secs_f64() / (size * (1.0 + ahead)), Histogram::FULL);
             }
             self.count_answer(slot, verb, ended.latency, size, in_time);
+        } else if broke {
+            if self.terms.allowed.peers && self.breaks.count(now) < BREAKS_TOLD {
+                self.words.idle_broke(idle);
+            }
+            self.idle_broke(idle);
+            self.spare_relays += 1.0;
         } else {
             self.count_failure(slot, verb, ended.outcome, overdue);
         }
@@ -671,7 +748,12 @@
             let repeated = cmd.may_have_run();
             let left = self.left(cmd);
             let hopeful = left > self.expected_of(cmd);
-            if hopeful && (!repeated || self.spare_relays >= 1.0) && self.place(id) {
+            let may = hopeful && (!repeated || self.spare_relays >= 1.0);
+            if may && self.looks > 0 {
+                self.spare_relays -= if repeated { 1.0 } else { 0.0 };
+                self.held.push(id.clone());
+                self.look(id);
+            } else if may && self.place(id) {
                 self.spare_relays -= if repeated { 1.0 } else { 0.0 };
             } else {
                 self.give_up(id);
@@ -934,9 +1016,15 @@
         self.thin_held(None);
     }
 
+    /// Fetched for a draw that goes on.
+    fn young(&self, at: Duration) -> bool {
+        self.now <= at + FRESH + LOOK_WAIT
+    }
+
     /// Whether the server would most likely answer in time, by what it is said to hold.
     fn in_time(&self, cmd: &Cmd, server: &Server) -> bool {
-        let held = server.report().map_or(0.0, |(figure, _)| figure) + server.sends;
+        let Some((figure, _)) = server.report().filter(|(_, at)| self.young(*at)) else { return true };
+        let held = figure + server.sends;
         let goal = self.terms.verbs.get(cmd.verb).map_or(0.0, |verb| verb.goal.as_secs_f64());
         let turn = self.turn.mean().unwrap_or(goal / BOUND_START);
         turn * (held + cmd.size) <= IN_TIME * self.left(cmd)
@@ -987,9 +1075,12 @@
         weights.clear();
         let (all_marked, report) = (self.fleet.clear() == 0, self.fleet.mean_report());
         let among = if cmd.among.is_empty() { self.fleet.window() } else { &cmd.among };
+        let young = |slot: &Slot| self.fleet[*slot].report().is_some_and(|(_, at)| self.young(at));
+        let any_told = self.looks > 0 && among.iter().any(young);
         for slot in bound_to.as_deref().unwrap_or(among) {
             let server = &self.fleet[*slot];
-            if self.fits(cmd, repeats, server, all_marked) {
+            let told = server.report().is_some_and(|(_, at)| self.young(at));
+            if (told || !any_told) && self.fits(cmd, repeats, server, all_marked) {
                 weights.push((*slot, self.weight(server, report)));
             }
         }
--- /dev/null
+++ b/crates/decisions/src/words.rs
@@ -0,0 +1,129 @@
+//! What copies tell each other, as bytes. Nothing is decided here: what is heard, and what it is worth, is `policy.rs`'s.
+
+use std::time::Duration;
+
+/// The most that one message holds.
+pub const MOST: usize = 256;
+const IDLE_BROKE: u8 = 1;
+const VERB_FAILED: u8 = 2;
+const TRAFFIC: u8 = 3;
+const VERB_ANSWERED: u8 = 4;
+
+/// Who hears a peer's words, one method for each.
+pub trait Hearer {
+    fn idle_broke(&mut self, idle: Duration);
+    fn verb_failed(&mut self, server: u32, verb: usize);
+    fn verb_answered(&mut self, server: u32, verb: usize);
+    fn traffic(&mut self, per_s: f64);
+}
+
+/// Words gathered for one message; what no longer fits is dropped, as a message may be lost anyway.
+#[derive(Debug, Default)]
+pub struct Words(Vec<u8>);
+
+impl Words {
+    fn add(&mut self, word: &[u8]) {
+        if self.0.len() + word.len() <= MOST {
+            self.0.extend(word);
+        }
+    }
+
+    pub fn idle_broke(&mut self, idle: Duration) {
+        let ms = u16::try_from(idle.as_millis()).unwrap_or(u16::MAX).to_be_bytes();
+        self.add(&[IDLE_BROKE, ms[0], ms[1]]);
+    }
+
+    pub fn verb_failed(&mut self, server: u32, verb: usize) {
+        self.of_verb(VERB_FAILED, server, verb);
+    }
+
+    pub fn verb_answered(&mut self, server: u32, verb: usize) {
+        self.of_verb(VERB_ANSWERED, server, verb);
+    }
+
+    fn of_verb(&mut self, kind: u8, server: u32, verb: usize) {
+        let Ok(verb) = u8::try_from(verb) else { return };
+        let [a, b, c, d] = server.to_be_bytes();
+        self.add(&[kind, a, b, c, d, verb]);
+    }
+
+    /// In tenths of a command a second.
+    pub fn traffic(&mut self, per_s: f64) {
+        let tenths = ((per_s * 10.0).clamp(0.0, 65535.0) as u16).to_be_bytes();
+        self.add(&[TRAFFIC, tenths[0], tenths[1]]);
+    }
+
+    pub fn take(&mut self) -> Option<Vec<u8>> {
+        Some(std::mem::take(&mut self.0)).filter(|bytes| !bytes.is_empty())
+    }
+}
+
+/// Reads a message up to its end or to the first word that this version doesn't know.
+pub fn read(mut bytes: &[u8], hearer: &mut impl Hearer) {
+    loop {
+        bytes = match bytes {
+            [IDLE_BROKE, a, b, rest @ ..] => {
+                hearer.idle_broke(Duration::from_millis(u16::from_be_bytes([*a, *b]).into()));
+                rest
+            }
+            [VERB_FAILED, a, b, c, d, verb, rest @ ..] => {
+                hearer.verb_failed(u32::from_be_bytes([*a, *b, *c, *d]), (*verb).into());
+                rest
+            }
+            [VERB_ANSWERED, a, b, c, d, verb, rest @ ..] => {
+                hearer.verb_answered(u32::from_be_bytes([*a, *b, *c, *d]), (*verb).into());
+                rest
+            }
+            [TRAFFIC, a, b, rest @ ..] => {
+                hearer.traffic(f64::from(u16::from_be_bytes([*a, *b])) / 10.0);
+                rest
+            }
+            _ => return,
+        };
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[derive(Debug, Default, PartialEq)]
+    struct Heard(Vec<String>);
+
+    impl Hearer for Heard {
+        fn idle_broke(&mut self, idle: Duration) {
+            self.0.push(format!("broke {idle:?}"));
+        }
+        fn verb_failed(&mut self, server: u32, verb: usize) {
+            self.0.push(format!("failed {server} {verb}"));
+        }
+        fn verb_answered(&mut self, server: u32, verb: usize) {
+            self.0.push(format!("answered {server} {verb}"));
+        }
+        fn traffic(&mut self, per_s: f64) {
+            self.0.push(format!("traffic {per_s}"));
+        }
+    }
+
+    #[test]
+    fn words_are_heard_as_they_were_said_and_no_message_is_too_long() {
+        let mut words = Words::default();
+        words.idle_broke(Duration::from_millis(1100));
+        words.verb_failed(77, 2);
+        words.verb_answered(u32::MAX, 0);
+        words.traffic(2.5);
+        let (mut heard, bytes) = (Heard::default(), words.take().expect("there are words"));
+        read(&bytes, &mut heard);
+        assert_eq!(heard.0, ["broke 1.1s", "failed 77 2", "answered 4294967295 0", "traffic 2.5"]);
+        assert!(words.take().is_none());
+        (0..100).for_each(|server| words.verb_failed(server, 1));
+        let bytes = words.take().expect("there are words");
+        assert_eq!(bytes.len(), MOST / 6 * 6);
+        // Cut anywhere, or followed by what a later version says, the words before it are heard.
+        for end in 0..bytes.len() {
+            let mut heard = Heard::default();
+            read(&[&bytes[..end], &[200, 1]].concat(), &mut heard);
+            assert_eq!(heard.0.len(), end / 6);
+        }
+    }
+}
