--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -21,6 +21,13 @@
     pub trying: bool,
 }
 
+/// The run of straight failures of one verb, and the mark that a server has for this verb alone.
+#[derive(Debug, Default)]
+pub struct VerbAt {
+    pub run: u32,
+    pub mark: Option<Mark>,
+}
+
 #[derive(Debug, Default)]
 pub struct Server {
     pub id: Id,
@@ -36,7 +43,10 @@
     chosen: bool,
     nominal: f64,
     pub up_since: Option<Duration>,
-    pub runs: Vec<u32>,
+    /// By verb, what is held against the server.
+    pub verbs: Vec<VerbAt>,
+    /// Straight checks that found nobody.
+    pub missed: u32,
     mark: Option<Mark>,
     ramp_from: Option<Duration>,
     /// By chance, so that copies told of a start at one moment do not all send to it at one moment.
@@ -64,7 +74,7 @@
 impl Server {
     pub fn new(entry: &Listed, verbs: usize, first_credit: f64, bound: f64, now: Duration) -> Self {
         let (id, place, zone, cell) = (entry.server.clone(), hash(&entry.server), entry.zone, entry.cell);
-        let runs = vec![0; verbs];
+        let verbs = (0..verbs).map(|_| VerbAt::default()).collect();
         let (slowness, by_list, listed, added) = (1.0, 1.0, 1.0, now);
         Server {
             id,
@@ -72,7 +82,7 @@
             zone,
             cell,
             first_credit,
-            runs,
+            verbs,
             bound,
             slowness,
             by_list,
@@ -100,6 +110,14 @@
         self.mark.as_mut()
     }
 
+    /// Copies name servers by the first 24 bits of their places.
+    const NAMED_BY: u32 = 40;
+
+    /// What copies call it among themselves.
+    pub fn name(&self) -> u32 {
+        (self.place >> Self::NAMED_BY) as u32
+    }
+
     pub fn report(&self) -> Option<(f64, Duration)> {
         self.report
     }
@@ -195,6 +213,20 @@
         self.marked.values().copied()
     }
 
+    pub fn ready_ones(&self) -> impl Iterator<Item = &Server> {
+        self.near.iter().chain(&self.far).map(|(_, slot)| &self[*slot])
+    }
+
+    /// The ready server that peers call by this name.
+    pub fn named(&self, name: u32) -> Option<Slot> {
+        [&self.near, &self.far].into_iter().find_map(|ring| {
+            let at = ring.partition_point(|(place, _)| ((place >> Server::NAMED_BY) as u32) < name);
+            ring.get(at)
+                .filter(|(place, _)| (place >> Server::NAMED_BY) as u32 == name)
+                .map(|(_, slot)| *slot)
+        })
+    }
+
     pub fn in_cell(&self, zone: u32, cell: u32) -> impl Iterator<Item = Slot> {
         let from = (zone, cell, Id::from(""));
         self.cells
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -6,7 +6,7 @@
 //! stand in `host.rs`, the settings in `terms.rs`, the servers and their sums in `fleet.rs`, the reasons in
 //! `docs/design.md`.
 
-use crate::fleet::{Fleet, Mark, Server, Slot, hash};
+use crate::fleet::{Fleet, Mark, Server, Slot, VerbAt, hash};
 use crate::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
 use crate::stats::Histogram;
 use crate::terms::{ColdRule, Group, Repeats, Terms};
@@ -21,6 +21,8 @@
 const CHECK_EVERY: Duration = Duration::from_secs(1);
 const TRIAL_AFTER: Duration = Duration::from_secs(5);
 const RISE: u32 = 2;
+/// Straight checks before draws that find nobody mark a server.
+const MISSES: u32 = 2;
 /// A report counts for e^(-age/DECAY).
 const DECAY: f64 = 1.0;
 /// The draw's weights are raised to this power.
@@ -91,6 +93,18 @@
 /// This share of the pure commands goes on over idle connections, as without them the end would not be seen.
 const IDLE_TRIALS: f64 = 0.25;
 
+/// A relay is lost after this many times what it would take by what the server was said to hold.
+const LOST: f64 = 2.5;
+/// A server that answers other verbs is marked for the one, at so many of the ready ones at most, and takes this
+/// part of its place in a window.
+const VERB_MARKED_AT_MOST: f64 = 0.75;
+const VERB_MARKED_TAKES: f64 = 0.3;
+/// How long it gets no trial of the verb, longer where a trial may cost a command; all copies together make one trial
+/// in the time in which its end is heard of.
+const VERB_TRIAL: Duration = Duration::from_secs(5);
+const EFFECTFUL_TRIAL: Duration = Duration::from_secs(12);
+const TRIAL_EACH: f64 = 0.3;
+
 /// A rate a second that forgets evenly over its span.
 #[derive(Clone, Debug)]
 struct Rate {
@@ -381,7 +395,8 @@
         self.fleet.take_mark(slot);
         self.fleet.set_report(slot, None);
         let server = &mut self.fleet[slot];
-        server.runs.iter_mut().for_each(|run| *run = 0);
+        server.verbs.iter_mut().for_each(|at| *at = VerbAt::default());
+        (server.missed, server.absent) = (0, None);
         server.sends = 0.0;
         (server.pace, server.slowness) = (Histogram::default(), 1.0);
         // It is cold, and many new ones with the usual bound would flood the tier behind them.
@@ -407,6 +422,7 @@
         let (cold, now) = (&self.terms.cold, self.now);
         let takes = |server: &Server| match server.mark() {
             Some(_) => 0.0,
+            None if server.verbs.iter().any(|at| at.mark.is_some()) => VERB_MARKED_TAKES,
             None => ramp(cold, server.ramp_from(), now),
         };
         self.fleet.choose(start, wanted - from_far, from_far, takes);
@@ -581,6 +597,9 @@
         if let Some(mark) = server.mark_mut() {
             mark.trying = true;
         }
+        if let Some(mark) = server.verbs.get_mut(cmd.verb).and_then(|at| at.mark.as_mut()) {
+            mark.next = self.now + VERB_TRIAL;
+        }
         self.fleet.change_out(to, 1);
         let relay = Relay {
             server: server_id.clone(),
@@ -684,9 +703,17 @@
         self.breaks.add(self.now, 1.0);
     }
 
-    fn verb_failed(&mut self, _server: u32, _verb: usize) {}
+    fn verb_failed(&mut self, server: u32, verb: usize) {
+        if let Some(slot) = self.fleet.named(server) {
+            self.lengthen_run(slot, verb);
+        }
+    }
 
-    fn verb_answered(&mut self, _server: u32, _verb: usize) {}
+    fn verb_answered(&mut self, server: u32, verb: usize) {
+        if let Some(slot) = self.fleet.named(server) {
+            self.answered_again(slot, verb);
+        }
+    }
 
     fn traffic(&mut self, _per_s: f64) {}
 }
@@ -789,9 +816,7 @@
         if in_time {
             record.answered.add(now, 1.0);
         }
-        if let Some(run) = server.runs.get_mut(verb) {
-            *run = 0;
-        }
+        let failing = server.verbs.get(verb).is_some_and(|at| at.run > 0 || at.mark.is_some());
         if took > goal || !in_time {
             self.cut_bound(slot, 1.0);
         } else if strain > STRAINED && server.bound > BOUND_LEAST {
@@ -799,6 +824,10 @@
         } else if used && strain < CALM {
             server.bound = (server.bound + BOUND_RISE * sharers / server.bound).min(BOUND_MOST);
         }
+        if failing {
+            self.words_of(slot, verb, Words::verb_answered);
+            self.answered_again(slot, verb);
+        }
         self.pass(slot);
     }
 
@@ -820,8 +849,24 @@
             Outcome::Error | Outcome::Reset => self.cut_bound(slot, ERROR_WEIGHS),
             _ => {}
         }
-        if !counted {
-            self.lengthen_run(slot, verb);
+        match outcome {
+            _ if counted => {}
+            Outcome::ConnectFailed if self.looks > 0 => self.missed(slot),
+            // By what it held, the server could not have answered yet.
+            Outcome::Timeout if self.looks > 0 => {}
+            _ => self.fail_verb(slot, verb),
+        }
+    }
+
+    /// A failure that other copies hear of too, where they may: each alone sees too few of a verb at a server.
+    fn fail_verb(&mut self, slot: Slot, verb: usize) {
+        self.words_of(slot, verb, Words::verb_failed);
+        self.lengthen_run(slot, verb);
+    }
+
+    fn words_of(&mut self, slot: Slot, verb: usize, say: fn(&mut Words, u32, usize)) {
+        if self.terms.allowed.peers {
+            say(&mut self.words, self.fleet[slot].name(), verb);
         }
     }
 
@@ -833,9 +878,54 @@
             *mark = Mark { passes: 0, next, trying: false };
             return;
         }
-        let Some(run) = server.runs.get_mut(verb) else { return };
-        *run += 1;
-        if *run >= MARK_AFTER {
+        let Some(at) = server.verbs.get_mut(verb) else { return };
+        at.run += if self.terms.allowed.peers { 2 } else { 1 };
+        if !self.terms.allowed.peers && at.run >= MARK_AFTER {
+            self.mark(slot);
+        } else if at.run >= 2 * MARK_AFTER {
+            // A server that is slow for all verbs alike shows as held commands, and loses none.
+            let others = server.verbs.iter().enumerate().filter(|(other, _)| *other != verb);
+            if server.verbs.len() == 1 || others.map(|(_, at)| at.run).min() < Some(MARK_AFTER) {
+                self.mark_verb(slot, verb);
+            }
+        }
+    }
+
+    /// For this verb alone: what fails one verb may serve the others, and with half of the fleet out of them the rest
+    /// could not carry all.
+    fn mark_verb(&mut self, slot: Slot, verb: usize) {
+        let marked = |server: &&Server| server.verbs.get(verb).is_some_and(|at| at.mark.is_some());
+        let count = self.fleet.ready_ones().filter(marked).count() as f64;
+        let known = self.fleet[slot].verbs[verb].mark.is_some();
+        if !known && count + 1.0 > VERB_MARKED_AT_MOST * self.fleet.ready() as f64 {
+            return;
+        }
+        let pure = self.terms.verbs[verb].repeats == Repeats::Pure;
+        let wait = if pure { VERB_TRIAL } else { EFFECTFUL_TRIAL };
+        let turn = Duration::from_secs_f64(self.chance() * TRIAL_EACH * self.sharers);
+        let next = self.now + wait + turn;
+        self.fleet[slot].verbs[verb].mark = Some(Mark { passes: 0, next, trying: false });
+        if !known {
+            self.host.note(&format!("mark {} for verb {verb}", self.fleet[slot].id));
+        }
+    }
+
+    fn answered_again(&mut self, slot: Slot, verb: usize) {
+        let Some(at) = self.fleet[slot].verbs.get_mut(verb) else { return };
+        // What is lost by chance comes between answers: of many copies' words an answer makes good half a failure.
+        at.run = if self.terms.allowed.peers { at.run.saturating_sub(1) } else { 0 };
+        if let Some(mark) = &mut at.mark {
+            mark.passes += 1;
+            if mark.passes >= RISE {
+                (at.mark, at.run) = (None, 0);
+            }
+        }
+    }
+
+    fn missed(&mut self, slot: Slot) {
+        let server = &mut self.fleet[slot];
+        (server.absent, server.missed) = (Some(self.now), server.missed + 1);
+        if server.missed >= MISSES && server.mark().is_none() {
             self.mark(slot);
         }
     }
@@ -844,29 +934,34 @@
     /// that answers nothing would otherwise go on taking its share until then.
     fn watch_relays(&mut self) {
         let mut late: Vec<(Id, usize, Slot, u32)> = Vec::new();
+        let turn = self.turn.mean().filter(|_| self.looks > 0);
         for (verb, record) in self.verbs.iter_mut().enumerate() {
             let usual = record.latency.quantile(0.9);
-            // What was sent first is overdue first.
-            while let Some((sent, id, number)) = record.watched.front() {
+            record.watched.retain(|(sent, id, number)| {
                 let cmd = self.cmds.get_mut(id).filter(|cmd| !cmd.streaming);
+                let size = cmd.as_ref().map_or(1.0, |cmd| cmd.size);
                 let relay = cmd.and_then(|cmd| cmd.relays.get_mut(*number as usize));
                 // A later command may have the id of one that is over.
                 if let Some(relay) = relay.filter(|r| r.fate == Fate::Out && r.sent == *sent) {
                     // A copy that was itself held up has not read the answers that came meanwhile.
                     let since = self.now.saturating_sub(*sent + self.late).as_secs_f64();
-                    if usual.is_none_or(|usual| since <= OVERDUE * usual) {
-                        break;
+                    let takes = match (relay.ahead, turn) {
+                        (Some(ahead), Some(turn)) => Some(LOST * turn * (size + ahead)),
+                        _ => usual.map(|usual| OVERDUE * usual),
+                    };
+                    if takes.is_none_or(|takes| since <= takes) {
+                        return true;
                     }
                     relay.overdue = true;
                     late.push((id.clone(), verb, relay.slot, *number));
                 }
-                record.watched.pop_front();
-            }
+                false
+            });
         }
         late.sort();
         for (id, verb, slot, number) in late {
             self.fleet[slot].overdue += 1;
-            self.lengthen_run(slot, verb);
+            self.fail_verb(slot, verb);
             self.second_relay(&id, number);
         }
     }
@@ -1001,11 +1096,11 @@
 
     fn looked(&mut self, slot: Slot, outcome: Outcome, load: Load) {
         let server = &mut self.fleet[slot];
-        server.absent = if outcome == Outcome::Ok { None } else { Some(self.now) };
         if outcome == Outcome::Ok {
+            (server.absent, server.missed) = (None, 0);
             self.take_report(slot, load);
         } else {
-            (0..self.terms.verbs.len()).for_each(|verb| self.lengthen_run(slot, verb));
+            self.missed(slot);
         }
         for id in &self.held {
             if let Some(cmd) = self.cmds.get_mut(id) {
@@ -1103,6 +1198,11 @@
         if !server.ready() || !within || cold || met || !self.may_relay(cmd, server.zone, server.cell) {
             return false;
         }
+        if let Some(mark) = server.verbs.get(cmd.verb).and_then(|at| at.mark.as_ref())
+            && mark.next > self.now
+        {
+            return false;
+        }
         match server.mark() {
             Some(mark) if !all_marked => {
                 let trial = !self.terms.allowed.checks && !mark.trying && mark.next <= self.now;
--- a/crates/decisions/src/words.rs
+++ b/crates/decisions/src/words.rs
@@ -5,9 +5,11 @@
 /// The most that one message holds.
 pub const MOST: usize = 256;
 const IDLE_BROKE: u8 = 1;
-const VERB_FAILED: u8 = 2;
-const TRAFFIC: u8 = 3;
-const VERB_ANSWERED: u8 = 4;
+const TRAFFIC: u8 = 2;
+/// With the verb's number added; of later verbs than these nothing is told.
+const VERBS: u8 = 64;
+const VERB_FAILED: u8 = 64;
+const VERB_ANSWERED: u8 = 128;
 
 /// Who hears a peer's words, one method for each.
 pub trait Hearer {
@@ -42,9 +44,9 @@
     }
 
     fn of_verb(&mut self, kind: u8, server: u32, verb: usize) {
-        let Ok(verb) = u8::try_from(verb) else { return };
-        let [a, b, c, d] = server.to_be_bytes();
-        self.add(&[kind, a, b, c, d, verb]);
+        let Some(verb) = u8::try_from(verb).ok().filter(|verb| *verb < VERBS) else { return };
+        let [_, a, b, c] = server.to_be_bytes();
+        self.add(&[kind + verb, a, b, c]);
     }
 
     /// In tenths of a command a second.
@@ -66,12 +68,12 @@
                 hearer.idle_broke(Duration::from_millis(u16::from_be_bytes([*a, *b]).into()));
                 rest
             }
-            [VERB_FAILED, a, b, c, d, verb, rest @ ..] => {
-                hearer.verb_failed(u32::from_be_bytes([*a, *b, *c, *d]), (*verb).into());
+            [kind @ VERB_FAILED..VERB_ANSWERED, a, b, c, rest @ ..] => {
+                hearer.verb_failed(u32::from_be_bytes([0, *a, *b, *c]), (kind - VERB_FAILED).into());
                 rest
             }
-            [VERB_ANSWERED, a, b, c, d, verb, rest @ ..] => {
-                hearer.verb_answered(u32::from_be_bytes([*a, *b, *c, *d]), (*verb).into());
+            [kind @ VERB_ANSWERED..192, a, b, c, rest @ ..] => {
+                hearer.verb_answered(u32::from_be_bytes([0, *a, *b, *c]), (kind - VERB_ANSWERED).into());
                 rest
             }
             [TRAFFIC, a, b, rest @ ..] => {
@@ -110,20 +112,23 @@
         let mut words = Words::default();
         words.idle_broke(Duration::from_millis(1100));
         words.verb_failed(77, 2);
-        words.verb_answered(u32::MAX, 0);
+        words.verb_answered(0xff_ffff, 63);
+        words.verb_answered(1, 64);
         words.traffic(2.5);
         let (mut heard, bytes) = (Heard::default(), words.take().expect("there are words"));
         read(&bytes, &mut heard);
-        assert_eq!(heard.0, ["broke 1.1s", "failed 77 2", "answered 4294967295 0", "traffic 2.5"]);
+        assert_eq!(heard.0, ["broke 1.1s", "failed 77 2", "answered 16777215 63", "traffic 2.5"]);
         assert!(words.take().is_none());
         (0..100).for_each(|server| words.verb_failed(server, 1));
         let bytes = words.take().expect("there are words");
-        assert_eq!(bytes.len(), MOST / 6 * 6);
+        assert_eq!(bytes.len(), MOST / 4 * 4);
         // Cut anywhere, or followed by what a later version says, the words before it are heard.
         for end in 0..bytes.len() {
-            let mut heard = Heard::default();
-            read(&[&bytes[..end], &[200, 1]].concat(), &mut heard);
-            assert_eq!(heard.0.len(), end / 6);
+            let (mut cut, mut later) = (Heard::default(), Heard::default());
+            read(&bytes[..end], &mut cut);
+            assert_eq!(cut.0.len(), end / 4);
+            read(&[&bytes[..end / 4 * 4], &[200, 1, 2, 3, 4]].concat(), &mut later);
+            assert_eq!(later.0.len(), end / 4);
         }
     }
 }
