--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -75,13 +75,18 @@
 /// Where checks alone tell what a server holds, so many points of the goal may go into checks before a command's draw.
 const LOOKS_COST: f64 = 0.012;
 const LOOKS_MOST: f64 = 6.0;
+/// So many servers are looked at first, those with warm connections before others; if each holds something, more
+/// are, from what is left of all commands' checks so far.
+const FIRST_LOOKS: usize = 2;
+const LOOKS_SAVED: f64 = 60.0;
+const ROUNDS: u32 = 3;
 /// A report as young as this needs no check, and a command waits no longer than this for its checks.
 const FRESH: Duration = Duration::from_millis(4);
 const LOOK_WAIT: Duration = Duration::from_millis(10);
 /// Weights of reports fetched for the draw itself are raised to this power: they hardly age.
 const LOOK_SHARPNESS: i32 = 12;
 /// A command goes to a server only if it would be answered there within this share of the time left.
-const IN_TIME: f64 = 0.9;
+const IN_TIME: f64 = 1.0;
 
 /// A reset within this time, on a connection idle for so long, is the idle connection's and not the server's.
 const BREAK_WITHIN: Duration = Duration::from_millis(50);
@@ -186,6 +191,7 @@
     among: Vec<Slot>,
     looks: Vec<Slot>,
     look_until: Duration,
+    rounds: u32,
     relays: Vec<Relay>,
     finished: bool,
     streaming: bool,
@@ -239,6 +245,7 @@
     turn: Histogram,
     /// How many servers are checked before a command's draw.
     looks: usize,
+    spare_looks: f64,
     sent: Rate,
     ended: Rate,
     lately: Rate,
@@ -283,6 +290,7 @@
             tenants,
             turn: Histogram::default(),
             looks,
+            spare_looks: looks as f64,
             sent: Rate::default(),
             ended: Rate::default(),
             lately: Rate { span: LATELY, ..Rate::default() },
@@ -461,6 +469,7 @@
         let cmd = Cmd { verb: arrival.verb, good_until, beyond, size, ..Cmd::default() };
         self.cmds.insert(arrival.id.clone(), cmd);
         self.held.push(arrival.id.clone());
+        self.spare_looks = (self.spare_looks + self.looks as f64).min(LOOKS_SAVED);
         self.look(&arrival.id);
         self.place_held();
         self.thin_held(Some(&arrival.id));
@@ -579,7 +588,14 @@
         if hopeless || self.looking(cmd) {
             return false;
         }
-        let Some(server) = self.draw(id) else { return false };
+        let server = self.draw(id);
+        let idle = |slot: Slot| {
+            self.fleet[slot].report().is_some_and(|(held, _)| held + self.fleet[slot].sends < 1.0)
+        };
+        if self.looks > 0 && !server.is_some_and(idle) && self.look(id) {
+            return false;
+        }
+        let Some(server) = server else { return false };
         self.send(id, server);
         true
     }
@@ -778,6 +794,9 @@
             let may = hopeful && (!repeated || self.spare_relays >= 1.0);
             if may && self.looks > 0 {
                 self.spare_relays -= if repeated { 1.0 } else { 0.0 };
+                if let Some(cmd) = self.cmds.get_mut(id) {
+                    (cmd.among, cmd.rounds) = (Vec::new(), 0);
+                }
                 self.held.push(id.clone());
                 self.look(id);
             } else if may && self.place(id) {
@@ -934,7 +953,7 @@
     /// that answers nothing would otherwise go on taking its share until then.
     fn watch_relays(&mut self) {
         let mut late: Vec<(Id, usize, Slot, u32)> = Vec::new();
-        let turn = self.turn.mean().filter(|_| self.looks > 0);
+        let turn = self.turn.average().filter(|_| self.looks > 0);
         for (verb, record) in self.verbs.iter_mut().enumerate() {
             let usual = record.latency.quantile(0.9);
             record.watched.retain(|(sent, id, number)| {
@@ -1067,27 +1086,36 @@
 impl<H: Host> Policy<H> {
     /// Has what some servers hold told anew before the command's draw. One of hundreds of copies hears too little of
     /// any server to go by what it heard last.
-    fn look(&mut self, id: &Id) {
-        let Some(cmd) = self.cmds.get(id).filter(|_| self.looks > 0) else { return };
-        let repeats = self.repeats(cmd);
-        let fits = |slot: &&Slot| self.fits(cmd, repeats, &self.fleet[**slot], false);
+    fn look(&mut self, id: &Id) -> bool {
+        let Some(cmd) = self.cmds.get(id).filter(|cmd| self.looks > 0 && cmd.rounds < ROUNDS) else {
+            return false;
+        };
+        let (repeats, now, keeps) = (self.repeats(cmd), self.now, self.terms.conn_idle);
+        let fits =
+            |slot: &&Slot| !cmd.among.contains(slot) && self.fits(cmd, repeats, &self.fleet[**slot], false);
         let mut among: Vec<Slot> = self.fleet.window().iter().filter(fits).copied().collect();
-        while among.len() > self.looks {
-            let at = (self.chance() * among.len() as f64) as usize;
-            among.swap_remove(at);
-        }
-        let now = self.now;
+        let most = if cmd.rounds == 0 { FIRST_LOOKS } else { self.looks };
+        let wanted = most.min(self.spare_looks as usize).min(among.len());
+        for at in 0..among.len() {
+            let other = at + (self.chance() * (among.len() - at) as f64) as usize;
+            among.swap(at, other);
+        }
+        among.sort_by_key(|slot| self.fleet[*slot].used.is_none_or(|used| used + keeps <= now));
+        among.truncate(wanted);
         let stale = |server: &Server| server.report().is_none_or(|(_, at)| at + FRESH < now);
         let looks: Vec<Slot> = among.iter().filter(|slot| stale(&self.fleet[**slot])).copied().collect();
         for slot in &looks {
             let server = &mut self.fleet[*slot];
             if !std::mem::replace(&mut server.checking, true) {
+                self.spare_looks -= 1.0;
                 self.host.check(&server.id);
             }
         }
-        if let Some(cmd) = self.cmds.get_mut(id) {
-            (cmd.among, cmd.looks, cmd.look_until) = (among, looks, now + LOOK_WAIT);
-        }
+        let Some(cmd) = self.cmds.get_mut(id) else { return false };
+        let found = !among.is_empty();
+        cmd.among.extend(among);
+        (cmd.looks, cmd.look_until, cmd.rounds) = (looks, now + LOOK_WAIT, cmd.rounds + 1);
+        found
     }
 
     fn looking(&self, cmd: &Cmd) -> bool {
@@ -1113,7 +1141,7 @@
 
     /// Fetched for a draw that goes on.
     fn young(&self, at: Duration) -> bool {
-        self.now <= at + FRESH + LOOK_WAIT
+        self.now <= at + FRESH + ROUNDS * LOOK_WAIT
     }
 
     /// Whether the server would most likely answer in time, by what it is said to hold.
@@ -1121,7 +1149,7 @@
         let Some((figure, _)) = server.report().filter(|(_, at)| self.young(*at)) else { return true };
         let held = figure + server.sends;
         let goal = self.terms.verbs.get(cmd.verb).map_or(0.0, |verb| verb.goal.as_secs_f64());
-        let turn = self.turn.mean().unwrap_or(goal / BOUND_START);
+        let turn = self.turn.average().unwrap_or(goal / BOUND_START);
         turn * (held + cmd.size) <= IN_TIME * self.left(cmd)
     }
 }
--- a/crates/decisions/src/stats.rs
+++ b/crates/decisions/src/stats.rs
@@ -5,6 +5,7 @@
 pub struct Histogram {
     bins: [u32; 18],
     pub total: u32,
+    sum: f64,
 }
 
 impl Histogram {
@@ -19,9 +20,12 @@
             *count += 1;
         }
         self.total += 1;
+        self.sum += value;
         if self.total >= full {
             self.bins.iter_mut().for_each(|count| *count /= 2);
-            self.total = self.bins.iter().sum();
+            let kept = self.bins.iter().sum();
+            self.sum *= f64::from(kept) / f64::from(self.total);
+            self.total = kept;
         }
     }
 
@@ -35,6 +39,11 @@
         (self.total > 0).then(|| sum / f64::from(self.total))
     }
 
+    /// By the values themselves, where the bins are too coarse.
+    pub fn average(&self) -> Option<f64> {
+        (self.total > 0).then(|| self.sum / f64::from(self.total))
+    }
+
     pub fn quantile(&self, share: f64) -> Option<f64> {
         let wanted = share * f64::from(self.total);
         let mut seen = 0.0;
--- a/crates/decisions/src/terms.rs
+++ b/crates/decisions/src/terms.rs
@@ -63,6 +63,8 @@
     pub balancers: f64,
     pub ordinal: u32,
     pub tier: u32,
+    /// Connections idle for longer are closed.
+    pub conn_idle: Duration,
     pub zone: u32,
     pub must_ask: bool,
     pub ask_every: Duration,
@@ -210,6 +212,7 @@
             balancers: pairs.figure("Balancers", 1.0)?.max(1.0),
             ordinal: pairs.maybe("Ordinal")?.unwrap_or(0),
             tier: pairs.maybe("Tier")?.unwrap_or(0),
+            conn_idle: pairs.maybe_span("PolicyLimits.ConnIdle")?.unwrap_or(Duration::MAX),
             zone: pairs.maybe("MyZone")?.unwrap_or(0),
             must_ask,
             ask_every: pairs.maybe_span("Rules.AskEvery")?.unwrap_or(Duration::MAX),
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -290,6 +290,7 @@
         balancers: balancers as f64,
         ordinal: copy.ordinal,
         tier: copy.tier as u32,
+        conn_idle: span(tier.connections.idle),
         zone: copy.zone,
         must_ask: false,
         ask_every: Duration::MAX,
--- a/crates/sidecar/src/launch/file.rs
+++ b/crates/sidecar/src/launch/file.rs
@@ -363,6 +363,7 @@
         balancers: f64::from(file.copies),
         ordinal: file.ordinal,
         tier: file.tier,
+        conn_idle: file.limits.conn_idle,
         zone,
         must_ask: file.discovery.as_ref().is_some_and(|discovery| discovery.begins == Begins::Subscribe),
         ask_every: Duration::MAX,
