Looks: young reports of one draw, ramps counted, less time for what waits

Cause: a command whose looks were all fresh was thinned out before its draw; a cold server was counted as quick as a warm one.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -86,7 +86,7 @@
 /// Weights of reports fetched for the draw itself are raised to this power: they hardly age.
 const LOOK_SHARPNESS: i32 = 12;
 /// A command goes to a server only if it would be answered there within this share of the time left.
-const IN_TIME: f64 = 1.0;
+const IN_TIME: f64 = 0.75;
 
 /// A reset within this time, on a connection idle for so long, is the idle connection's and not the server's.
 const BREAK_WITHIN: Duration = Duration::from_millis(50);
@@ -588,12 +588,12 @@
         if hopeless || self.looking(cmd) {
             return false;
         }
-        let server = self.draw(id);
-        let idle = |slot: Slot| {
-            self.fleet[slot].report().is_some_and(|(held, _)| held + self.fleet[slot].sends < 1.0)
-        };
-        if self.looks > 0 && !server.is_some_and(idle) && self.look(id) {
-            return false;
+        let mut server = self.draw(id);
+        while !server.is_some_and(|slot| self.held_at(slot) < 1.0) && self.look(id) {
+            if self.cmds.get(id).is_some_and(|cmd| self.looking(cmd)) {
+                return false;
+            }
+            server = self.draw(id);
         }
         let Some(server) = server else { return false };
         self.send(id, server);
@@ -1139,6 +1139,15 @@
         self.thin_held(None);
     }
 
+    /// What it holds, by a report fetched for a draw that goes on.
+    fn told(&self, server: &Server) -> Option<f64> {
+        server.report().filter(|(_, at)| self.young(*at)).map(|(figure, _)| figure + server.sends)
+    }
+
+    fn held_at(&self, slot: Slot) -> f64 {
+        self.told(&self.fleet[slot]).unwrap_or(f64::MAX)
+    }
+
     /// Fetched for a draw that goes on.
     fn young(&self, at: Duration) -> bool {
         self.now <= at + FRESH + ROUNDS * LOOK_WAIT
@@ -1146,11 +1155,11 @@
 
     /// Whether the server would most likely answer in time, by what it is said to hold.
     fn in_time(&self, cmd: &Cmd, server: &Server) -> bool {
-        let Some((figure, _)) = server.report().filter(|(_, at)| self.young(*at)) else { return true };
-        let held = figure + server.sends;
+        let Some(held) = self.told(server) else { return true };
         let goal = self.terms.verbs.get(cmd.verb).map_or(0.0, |verb| verb.goal.as_secs_f64());
         let turn = self.turn.average().unwrap_or(goal / BOUND_START);
-        turn * (held + cmd.size) <= IN_TIME * self.left(cmd)
+        let turn = turn / ramp(&self.terms.cold, server.ramp_from(), self.now);
+        turn * (held + cmd.size) <= if held < 1.0 { 1.0 } else { IN_TIME } * self.left(cmd)
     }
 }
 
@@ -1198,12 +1207,10 @@
         weights.clear();
         let (all_marked, report) = (self.fleet.clear() == 0, self.fleet.mean_report());
         let among = if cmd.among.is_empty() { self.fleet.window() } else { &cmd.among };
-        let young = |slot: &Slot| self.fleet[*slot].report().is_some_and(|(_, at)| self.young(at));
-        let any_told = self.looks > 0 && among.iter().any(young);
+        let any_told = self.looks > 0 && among.iter().any(|slot| self.told(&self.fleet[*slot]).is_some());
         for slot in bound_to.as_deref().unwrap_or(among) {
             let server = &self.fleet[*slot];
-            let told = server.report().is_some_and(|(_, at)| self.young(at));
-            if (told || !any_told) && self.fits(cmd, repeats, server, all_marked) {
+            if (!any_told || self.told(server).is_some()) && self.fits(cmd, repeats, server, all_marked) {
                 weights.push((*slot, self.weight(server, report)));
             }
         }
