--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -761,7 +761,8 @@
         server.used = Some(now);
         // What is too slow to answer in time would otherwise be known by its quickest answers only.
         if usual > 0.0 && (answered || overdue || ended.outcome == Outcome::Timeout) {
-            let pace = ended.latency.as_secs_f64() / (usual * size);
+            let told = ahead.zip(self.turn.average()).map(|(ahead, turn)| turn * (size + ahead));
+            let pace = ended.latency.as_secs_f64() / told.unwrap_or(usual * size);
             learn(server, if answered { pace } else { pace.max(1.0) });
         }
         if answered {
@@ -1153,13 +1154,20 @@
         self.now <= at + FRESH + ROUNDS * LOOK_WAIT
     }
 
-    /// Whether the server would most likely answer in time, by what it is said to hold.
-    fn in_time(&self, cmd: &Cmd, server: &Server) -> bool {
-        let Some(held) = self.told(server) else { return true };
+    /// Seconds to an answer by what the server is said to hold; none where no report for this draw says it.
+    fn takes(&self, cmd: &Cmd, server: &Server) -> Option<f64> {
+        let held = self.told(server)?;
         let goal = self.terms.verbs.get(cmd.verb).map_or(0.0, |verb| verb.goal.as_secs_f64());
         let turn = self.turn.average().unwrap_or(goal / BOUND_START);
-        let turn = turn / ramp(&self.terms.cold, server.ramp_from(), self.now);
-        turn * (held + cmd.size) <= if held < 1.0 { 1.0 } else { IN_TIME } * self.left(cmd)
+        let slow = server.slowness.max(1.0) / ramp(&self.terms.cold, server.ramp_from(), self.now);
+        Some(turn * slow * (held + cmd.size))
+    }
+
+    /// Whether it would most likely answer in time.
+    fn in_time(&self, cmd: &Cmd, server: &Server) -> bool {
+        let Some(takes) = self.takes(cmd, server) else { return true };
+        let part = if self.told(server) < Some(1.0) { 1.0 } else { IN_TIME };
+        takes <= part * self.left(cmd)
     }
 }
 
@@ -1211,7 +1219,7 @@
         for slot in bound_to.as_deref().unwrap_or(among) {
             let server = &self.fleet[*slot];
             if (!any_told || self.told(server).is_some()) && self.fits(cmd, repeats, server, all_marked) {
-                weights.push((*slot, self.weight(server, report)));
+                weights.push((*slot, self.weight(cmd, server, report)));
             }
         }
         let total: f64 = weights.iter().map(|(_, weight)| weight).sum();
@@ -1251,26 +1259,28 @@
         }
     }
 
-    fn weight(&self, server: &Server, mean: f64) -> f64 {
+    fn weight(&self, cmd: &Cmd, server: &Server, mean: f64) -> f64 {
+        let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
+        let price = if far > 0.0 { (-far * CROSSING_AVERSION).exp() } else { 1.0 };
+        // A report fetched for this draw has all copies' relays in it, and hardly ages.
+        if let Some(takes) = self.takes(cmd, server) {
+            return price * takes.max(1e-3).powi(-LOOK_SHARPNESS);
+        }
         let (listed, pace) = (server.listed, 1.0 / server.slowness);
         let size = listed * pace;
-        // A report fetched for this draw has all copies' relays in it, and only this copy's own since.
-        let (others, sharp) = if self.looks > 0 { (1.0, LOOK_SHARPNESS) } else { (self.sharers, SHARPNESS) };
-        let own = f64::from(server.out()) * others;
+        let own = f64::from(server.out()) * self.sharers;
         let figure = match server.report() {
             Some((figure, at)) => {
                 let age = self.now.saturating_sub(at).as_secs_f64();
-                mean + (figure + server.sends * others - mean) * (-age / DECAY).exp()
+                mean + (figure + server.sends * self.sharers - mean) * (-age / DECAY).exp()
             }
             None => mean + own,
         };
         // A report that hides what this copy itself has out there, or whose server answers nothing, must not
         // age its way back to an even share.
-        let figure = figure.max(own) + f64::from(server.overdue) * others;
+        let figure = figure.max(own) + f64::from(server.overdue) * self.sharers;
         let by_size = server.by_list * pace.powi(SHARPNESS);
-        let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
-        let price = if far > 0.0 { (-far * CROSSING_AVERSION).exp() } else { 1.0 };
         let share = ramp(&self.terms.cold, server.ramp_from(), self.now) * price;
-        share * by_size / (1.0 + figure / size).powi(sharp)
+        share * by_size / (1.0 + figure / size).powi(SHARPNESS)
     }
 }
