--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -55,6 +55,9 @@
     pub credited: Duration,
     report: Option<(f64, Duration)>,
     pub sends: f64,
+    /// How busy it said it was, and when; what it can answer in a second by its own figures.
+    pub util: Option<(f64, Duration)>,
+    pub capacity: Option<f64>,
     pub checking: bool,
     /// When a check last found nobody there.
     pub absent: Option<Duration>,
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -58,7 +58,7 @@
 const COME_BACK: f64 = 0.3;
 /// Each copy works with as many servers as give it so many answers a second each, and no fewer than this.
 const SEEN_EACH: f64 = 5.0;
-const SERVERS_LEAST: f64 = 6.0;
+const SERVERS_LEAST: f64 = 3.0;
 /// The part of them taken from the copy's own zone while it has as many.
 const NEAR: f64 = 0.7;
 const GOLDEN: f64 = 0.618_033_988_749_895;
@@ -110,6 +110,25 @@
 const EFFECTFUL_TRIAL: Duration = Duration::from_secs(12);
 const TRIAL_EACH: f64 = 0.3;
 
+/// Words to peers may cost so many points of the goal a command, each message counted as this long at least.
+const WORDS_COST: f64 = 0.005;
+const WORDS_LEAST: usize = 16;
+const WORDS_SAVED: f64 = 3.0;
+/// Servers that say they are less busy than the first have room, as busy as the second are crowded.
+const BUSY_CALM: f64 = 0.95;
+const BUSY: f64 = 0.99;
+/// A server's own figures of what it can answer are taken in by this part, once it is busy enough to tell.
+const CAPACITY_GAIN: f64 = 0.2;
+const CAPACITY_FROM: f64 = 0.15;
+
+/// How many peers a copy tells its traffic at a time, how much each such word counts, and the least part that a copy
+/// takes itself to have of the usual copy's.
+const TELL_TRAFFIC: usize = 4;
+const TRAFFIC_GAIN: f64 = 0.03;
+const PART_LEAST: f64 = 0.5;
+/// Reports older than this say nothing of how busy servers are: who sends nothing hears nothing.
+const BUSY_FOR: Duration = Duration::from_secs(2);
+
 /// A rate a second that forgets evenly over its span.
 #[derive(Clone, Debug)]
 struct Rate {
@@ -251,12 +270,16 @@
     lately: Rate,
     spare_relays: f64,
     words: Words,
+    /// What may still be told, in whole messages delivered.
+    spare_words: f64,
     /// Idle connections that broke of late, and the shortest time that one had been idle.
     breaks: Rate,
     break_after: Duration,
     asking: Asking,
-    /// How many copies work with each server, this one among them.
+    /// How many copies work with each server, this one among them, by what they send.
     sharers: f64,
+    /// What the usual copy is asked in a second, by its peers' words.
+    usual_traffic: Option<f64>,
     choose_at: Duration,
     /// What this copy has out on average of late, and when that was brought up to date.
     mean_out: f64,
@@ -296,10 +319,12 @@
             lately: Rate { span: LATELY, ..Rate::default() },
             spare_relays: RELAY_BURST,
             words: Words::default(),
+            spare_words: 0.0,
             breaks: Rate { span: BREAKS_SPAN, ..Rate::default() },
             break_after: Duration::MAX,
             asking: Asking::default(),
             sharers: 1.0,
+            usual_traffic: None,
             choose_at: now,
             mean_out: 0.0,
             averaged: now,
@@ -335,7 +360,16 @@
         }
         self.place_held();
         self.thin_held(None);
-        if let Some(words) = self.words.take() {
+        self.tell_words();
+    }
+
+    fn tell_words(&mut self) {
+        let cost = self.terms.balancers * self.words.len().max(WORDS_LEAST) as f64 / words::MOST as f64;
+        self.spare_words = self.spare_words.min(WORDS_SAVED * cost);
+        if self.spare_words >= cost
+            && let Some(words) = self.words.take()
+        {
+            self.spare_words -= cost;
             self.host.tell(None, &words);
         }
     }
@@ -405,6 +439,7 @@
         let server = &mut self.fleet[slot];
         server.verbs.iter_mut().for_each(|at| *at = VerbAt::default());
         (server.missed, server.absent) = (0, None);
+        (server.util, server.capacity) = (None, None);
         server.sends = 0.0;
         (server.pace, server.slowness) = (Histogram::default(), 1.0);
         // It is cold, and many new ones with the usual bound would flood the tier behind them.
@@ -435,12 +470,36 @@
         };
         self.fleet.choose(start, wanted - from_far, from_far, takes);
         let chosen = self.fleet.window().len() as f64;
-        self.sharers = (self.terms.balancers * chosen / ready.max(1.0)).max(1.0);
+        let part = self.part();
+        self.sharers = (self.terms.balancers * chosen / (ready.max(1.0) * part)).max(1.0);
+        self.tell_traffic();
         // What one of many copies knows cannot correct it if all of them crowd the large servers: the less it
         // sees of the whole, the nearer the weights come to plain sizes.
         self.fleet.size_up(self.crowding());
     }
 
+    /// What this copy is asked against the usual copy. Copies beside their callers differ by tens of times, and an
+    /// even part of a bound would be far too little for some.
+    fn part(&self) -> f64 {
+        let asked: f64 = self.verbs.iter().map(|record| record.asked.per_s(self.now)).sum();
+        self.usual_traffic
+            .map_or(1.0, |usual| (asked / usual.max(0.01)).clamp(PART_LEAST, self.terms.balancers))
+    }
+
+    fn tell_traffic(&mut self) {
+        let peers = self.terms.balancers as u32;
+        if !self.terms.allowed.peers || peers < 2 {
+            return;
+        }
+        let mut words = Words::default();
+        words.traffic(self.verbs.iter().map(|record| record.asked.per_s(self.now)).sum());
+        let Some(words) = words.take() else { return };
+        for _ in 0..TELL_TRAFFIC {
+            let on = 1 + (self.chance() * f64::from(peers - 1)) as u32;
+            self.host.tell(Some((self.terms.ordinal + on) % peers), &words);
+        }
+    }
+
     fn crowding(&self) -> f64 {
         1.0 + f64::from(SHARPNESS - 1) * 4.0 / (3.0 + self.sharers)
     }
@@ -464,6 +523,7 @@
             if verb.overdue_utility > 0.0 { arrival.due } else { arrival.due.min(now + verb.goal) };
         self.verbs[arrival.verb].asked.add(now, 1.0);
         self.spare_relays = (self.spare_relays + RELAY_SHARE).min(RELAY_BURST);
+        self.spare_words += WORDS_COST / self.terms.prices.peer.max(WORDS_COST);
         let beyond = self.beyond_quota(arrival.tenant);
         let size = self.size(arrival.verb, arrival.cost);
         let cmd = Cmd { verb: arrival.verb, good_until, beyond, size, ..Cmd::default() };
@@ -493,11 +553,12 @@
         if self.terms.tier > 0 {
             return false;
         }
+        let copies = self.terms.balancers / self.part();
         let (Some(rate), Some(quota)) = (self.tenants.get_mut(tenant), self.terms.quotas.get(tenant)) else {
             return false;
         };
         rate.add(self.now, 1.0);
-        let (asked, quota) = (rate.per_s(self.now) * self.terms.balancers, *quota);
+        let (asked, quota) = (rate.per_s(self.now) * copies, *quota);
         asked > quota && self.chance() > quota / asked
     }
 
@@ -731,7 +792,10 @@
         }
     }
 
-    fn traffic(&mut self, _per_s: f64) {}
+    fn traffic(&mut self, per_s: f64) {
+        let usual = self.usual_traffic.map_or(per_s, |usual| usual + TRAFFIC_GAIN * (per_s - usual));
+        self.usual_traffic = Some(usual);
+    }
 }
 
 // Outcomes
@@ -809,6 +873,14 @@
     }
 
     fn take_report(&mut self, slot: Slot, load: Load) {
+        if let (Some(util), Some(qps)) = (load.util, load.qps) {
+            let server = &mut self.fleet[slot];
+            server.util = Some((util, self.now));
+            if util >= CAPACITY_FROM {
+                let (can, gain) = (qps / util, CAPACITY_GAIN);
+                server.capacity = Some(server.capacity.map_or(can, |known| known + gain * (can - known)));
+            }
+        }
         let figure = if self.looks > 0 { load.in_flight } else { load.queue.or(load.in_flight) };
         if let Some(figure) = figure {
             self.fleet.set_report(slot, Some((figure, self.now)));
@@ -818,6 +890,8 @@
 
     fn count_answer(&mut self, slot: Slot, verb: usize, latency: Duration, size: f64, in_time: bool) {
         let (now, sharers, mean_out, room) = (self.now, self.sharers, self.mean_out, self.room());
+        let busy = self.busy();
+        let heavy = busy.is_some_and(|busy| busy < BUSY);
         let server = &mut self.fleet[slot];
         let Some(record) = self.verbs.get_mut(verb) else { return };
         let Some(goal) = self.terms.verbs.get(verb).map(|verb| verb.goal.as_secs_f64()) else { return };
@@ -832,12 +906,19 @@
             self.strain.add((took / size / calm).min(4.0), 64);
         }
         // Where one zone is crowded and another is not, only what is seen of this server tells which it is.
-        let strain = self.strain.mean().unwrap_or(1.0) * server.slowness;
+        // Of heavy commands one answer in twenty comes past its goal on an idle server, and a mean of few says nothing:
+        // where servers say how busy they are, that tells.
+        let strain = match busy {
+            Some(busy) if busy < BUSY_CALM => 1.0,
+            Some(busy) if busy < BUSY => (CALM + STRAINED) / 2.0,
+            Some(_) => STRAINED + 0.1,
+            None => self.strain.mean().unwrap_or(1.0) * server.slowness,
+        };
         if in_time {
             record.answered.add(now, 1.0);
         }
         let failing = server.verbs.get(verb).is_some_and(|at| at.run > 0 || at.mark.is_some());
-        if took > goal || !in_time {
+        if (took > goal || !in_time) && !heavy {
             self.cut_bound(slot, 1.0);
         } else if strain > STRAINED && server.bound > BOUND_LEAST {
             server.bound = (server.bound * (-STRAIN_CUT * sharers).exp()).max(BOUND_LEAST);
@@ -1182,6 +1263,25 @@
         (bounds.sum::<f64>() / self.sharers).max(0.1)
     }
 
+    /// How busy the window's servers say they are, the older their word the less it counts.
+    fn busy(&self) -> Option<f64> {
+        let (mut sum, mut all) = (0.0, 0.0);
+        for slot in self.fleet.window() {
+            let server = &self.fleet[*slot];
+            let young = |(_, at): &(f64, Duration)| *at + BUSY_FOR > self.now;
+            if let Some((util, at)) = server.util.filter(young).filter(|_| server.mark().is_none()) {
+                let part = (-self.now.saturating_sub(at).as_secs_f64() / DECAY).exp();
+                (sum, all) = (sum + util * part, all + part);
+            }
+        }
+        (all > 0.0).then(|| sum / all)
+    }
+
+    /// Servers' own word that there is room goes before a copy's even part of what it believes that all may have out.
+    fn has_room(&self) -> bool {
+        self.busy().is_some_and(|busy| busy < BUSY_CALM)
+    }
+
     /// Brings the mean of what is out up to date, before that changes. Where the copy's room is a few relays,
     /// holding to it at every moment would turn away chance clusters that all copies together have room for.
     fn average_out(&mut self) {
@@ -1196,7 +1296,7 @@
     fn draw(&mut self, id: &Id) -> Option<Slot> {
         self.credit_cold();
         self.average_out();
-        if self.looks == 0 && self.mean_out >= self.room() {
+        if self.looks == 0 && !self.has_room() && self.mean_out >= self.room() {
             return None;
         }
         let drawn = self.chance();
@@ -1255,7 +1355,7 @@
                 let here = server.absent.is_none_or(|at| at + CHECK_EVERY < self.now);
                 here && self.in_time(cmd, server)
             }
-            _ => f64::from(server.out()) < (server.bound / self.sharers).max(1.0),
+            _ => self.has_room() || f64::from(server.out()) < (server.bound / self.sharers).max(1.0),
         }
     }
 
--- a/crates/decisions/src/terms.rs
+++ b/crates/decisions/src/terms.rs
@@ -51,6 +51,7 @@
 pub struct Prices {
     pub crossing: f64,
     pub check: f64,
+    pub peer: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -231,6 +232,7 @@
             prices: Prices {
                 crossing: pairs.figure("Costs.CrossZone", 0.0)?,
                 check: pairs.figure("Costs.Probe", 0.0)?,
+                peer: pairs.figure("Costs.Peer", 0.0)?,
             },
             checks_tell: pairs.checks_tell()?,
             goal: GoalWeights { worst_verb: pairs.figure("Goal.WorstClass", 0.0)? },
--- a/crates/decisions/src/words.rs
+++ b/crates/decisions/src/words.rs
@@ -55,6 +55,10 @@
         self.add(&[TRAFFIC, tenths[0], tenths[1]]);
     }
 
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     pub fn take(&mut self) -> Option<Vec<u8>> {
         Some(std::mem::take(&mut self.0)).filter(|bytes| !bytes.is_empty())
     }
--- a/crates/sidecar/src/launch/file.rs
+++ b/crates/sidecar/src/launch/file.rs
@@ -151,6 +151,7 @@
     warm_after: Duration,
     crossing: f64,
     check: f64,
+    peer: f64,
     checks_tell: bool,
     beyond_quota: f64,
 }
@@ -167,6 +168,7 @@
             warm_after: Duration::from_secs(8),
             crossing: 0.0,
             check: 0.0,
+            peer: 0.0,
             checks_tell: false,
             beyond_quota: 1.0,
         }
@@ -264,6 +266,7 @@
         .or_else(|| share("rules.cold_share", file.rules.cold_share, 1.0))
         .or_else(|| share("rules.crossing", file.rules.crossing, 1.0))
         .or_else(|| share("rules.check", file.rules.check, 1.0))
+        .or_else(|| share("rules.peer", file.rules.peer, 1.0))
         .or_else(|| share("rules.beyond_quota", file.rules.beyond_quota, 1.0))
 }
 
@@ -386,7 +389,7 @@
             multiple: 3.0,
             window: Duration::from_secs(2),
         },
-        prices: Prices { crossing: rules.crossing, check: rules.check },
+        prices: Prices { crossing: rules.crossing, check: rules.check, peer: rules.peer },
         checks_tell: rules.checks_tell,
         goal: GoalWeights { worst_verb: 0.0 },
     }
