--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -54,6 +54,8 @@
 const OVERDUE: f64 = 4.0;
 /// How steeply the price of a crossing lowers a far server's weight.
 const CROSSING_AVERSION: f64 = 60.0;
+/// And the price of a new connection that of a server without one.
+const DIAL_AVERSION: f64 = 30.0;
 /// Clients come back after this share of the response goal: later, nothing could be earned any more.
 const COME_BACK: f64 = 0.3;
 /// Each copy works with as many servers as give it so many answers a second each, and no fewer than this.
@@ -65,6 +67,10 @@
 const CHOOSE_EVERY: Duration = Duration::from_millis(500);
 /// A copy whose part of all bounds is at least this holds to it at every moment, a smaller one on average.
 const ROOM_STEADY: f64 = 16.0;
+/// So many times the room is there while servers say that they have some: what they say is seconds old.
+const ROOM_OPEN: f64 = 4.0;
+/// The part of the room that is for commands of any rank.
+const ROOM_FOR_ALL: f64 = 0.5;
 const SWEEP: Duration = Duration::from_millis(20);
 const RATE_SPAN: f64 = 4.0;
 /// What ends within this span is a jump when it is so many times the usual.
@@ -500,6 +506,11 @@
         }
     }
 
+    /// Whether this copy has a connection there, for all it knows.
+    fn warm(&self, server: &Server) -> bool {
+        server.used.is_some_and(|used| self.now.saturating_sub(used) < self.terms.conn_idle)
+    }
+
     fn crowding(&self) -> f64 {
         1.0 + f64::from(SHARPNESS - 1) * 4.0 / (3.0 + self.sharers)
     }
@@ -595,6 +606,16 @@
         verb.utility * short * if cmd.beyond { self.terms.beyond_quota } else { 1.0 } / time
     }
 
+    /// Where few commands come to a copy at a time, what ranks low leaves a part of the room to what ranks high.
+    fn part_of_room(&self, cmd: &Cmd) -> f64 {
+        if !self.terms.allowed.peers {
+            return 1.0;
+        }
+        let ranks = (0..self.verbs.len()).map(|verb| self.rank(&Cmd { verb, ..Cmd::default() }));
+        let most = ranks.fold(1e-9, f64::max);
+        ROOM_FOR_ALL + (1.0 - ROOM_FOR_ALL) * (self.rank(cmd) / most).min(1.0)
+    }
+
     fn place_held(&mut self) {
         let rank = |id: &Id| Some((self.rank(self.cmds.get(id)?), id.clone()));
         let mut ranked: Vec<(f64, Id)> = self.held.iter().filter_map(rank).collect();
@@ -922,7 +943,7 @@
             self.cut_bound(slot, 1.0);
         } else if strain > STRAINED && server.bound > BOUND_LEAST {
             server.bound = (server.bound * (-STRAIN_CUT * sharers).exp()).max(BOUND_LEAST);
-        } else if used && strain < CALM {
+        } else if used && strain < CALM && busy.is_none() {
             server.bound = (server.bound + BOUND_RISE * sharers / server.bound).min(BOUND_MOST);
         }
         if failing {
@@ -952,7 +973,7 @@
         }
         match outcome {
             _ if counted => {}
-            Outcome::ConnectFailed if self.looks > 0 => self.missed(slot),
+            Outcome::ConnectFailed if self.terms.allowed.peers => self.missed(slot),
             // By what it held, the server could not have answered yet.
             Outcome::Timeout if self.looks > 0 => {}
             _ => self.fail_verb(slot, verb),
@@ -1025,7 +1046,7 @@
 
     fn missed(&mut self, slot: Slot) {
         let server = &mut self.fleet[slot];
-        (server.absent, server.missed) = (Some(self.now), server.missed + 1);
+        (server.absent, server.missed, server.used) = (Some(self.now), server.missed + 1, None);
         if server.missed >= MISSES && server.mark().is_none() {
             self.mark(slot);
         }
@@ -1172,7 +1193,7 @@
         let Some(cmd) = self.cmds.get(id).filter(|cmd| self.looks > 0 && cmd.rounds < ROUNDS) else {
             return false;
         };
-        let (repeats, now, keeps) = (self.repeats(cmd), self.now, self.terms.conn_idle);
+        let (repeats, now) = (self.repeats(cmd), self.now);
         let fits =
             |slot: &&Slot| !cmd.among.contains(slot) && self.fits(cmd, repeats, &self.fleet[**slot], false);
         let mut among: Vec<Slot> = self.fleet.window().iter().filter(fits).copied().collect();
@@ -1182,7 +1203,7 @@
             let other = at + (self.chance() * (among.len() - at) as f64) as usize;
             among.swap(at, other);
         }
-        among.sort_by_key(|slot| self.fleet[*slot].used.is_none_or(|used| used + keeps <= now));
+        among.sort_by_key(|slot| !self.warm(&self.fleet[*slot]));
         among.truncate(wanted);
         let stale = |server: &Server| server.report().is_none_or(|(_, at)| at + FRESH < now);
         let looks: Vec<Slot> = among.iter().filter(|slot| stale(&self.fleet[**slot])).copied().collect();
@@ -1296,11 +1317,12 @@
     fn draw(&mut self, id: &Id) -> Option<Slot> {
         self.credit_cold();
         self.average_out();
-        if self.looks == 0 && !self.has_room() && self.mean_out >= self.room() {
-            return None;
-        }
         let drawn = self.chance();
         let cmd = self.cmds.get(id)?;
+        let open = if self.has_room() { ROOM_OPEN } else { 1.0 };
+        if self.looks == 0 && self.mean_out >= self.room() * self.part_of_room(cmd) * open {
+            return None;
+        }
         let repeats = self.repeats(cmd);
         // The servers that drop a repeat may all lie outside of the window.
         let first = cmd.relays.iter().find(|relay| relay.fate != Fate::NeverRan);
@@ -1351,22 +1373,22 @@
                 let trial = !self.terms.allowed.checks && !mark.trying && mark.next <= self.now;
                 trial && repeats == Repeats::Pure
             }
-            _ if self.looks > 0 => {
-                let here = server.absent.is_none_or(|at| at + CHECK_EVERY < self.now);
-                here && self.in_time(cmd, server)
-            }
+            _ if server.absent.is_some_and(|at| self.now < at + CHECK_EVERY) => false,
+            _ if self.looks > 0 => self.in_time(cmd, server),
             _ => self.has_room() || f64::from(server.out()) < (server.bound / self.sharers).max(1.0),
         }
     }
 
     fn weight(&self, cmd: &Cmd, server: &Server, mean: f64) -> f64 {
         let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
-        let price = if far > 0.0 { (-far * CROSSING_AVERSION).exp() } else { 1.0 };
+        let price = (-far * CROSSING_AVERSION).exp();
         // A report fetched for this draw has all copies' relays in it, and hardly ages.
         if let Some(takes) = self.takes(cmd, server) {
             return price * takes.max(1e-3).powi(-LOOK_SHARPNESS);
         }
         let (listed, pace) = (server.listed, 1.0 / server.slowness);
+        let dial = if self.warm(server) { 0.0 } else { self.terms.prices.handshake };
+        let price = price * (-dial * DIAL_AVERSION).exp();
         let size = listed * pace;
         let own = f64::from(server.out()) * self.sharers;
         let figure = match server.report() {
--- a/crates/decisions/src/terms.rs
+++ b/crates/decisions/src/terms.rs
@@ -52,6 +52,7 @@
     pub crossing: f64,
     pub check: f64,
     pub peer: f64,
+    pub handshake: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -233,6 +234,7 @@
                 crossing: pairs.figure("Costs.CrossZone", 0.0)?,
                 check: pairs.figure("Costs.Probe", 0.0)?,
                 peer: pairs.figure("Costs.Peer", 0.0)?,
+                handshake: pairs.figure("Costs.Handshake", 0.0)?,
             },
             checks_tell: pairs.checks_tell()?,
             goal: GoalWeights { worst_verb: pairs.figure("Goal.WorstClass", 0.0)? },
--- a/crates/sidecar/src/launch/file.rs
+++ b/crates/sidecar/src/launch/file.rs
@@ -152,6 +152,7 @@
     crossing: f64,
     check: f64,
     peer: f64,
+    handshake: f64,
     checks_tell: bool,
     beyond_quota: f64,
 }
@@ -169,6 +170,7 @@
             crossing: 0.0,
             check: 0.0,
             peer: 0.0,
+            handshake: 0.0,
             checks_tell: false,
             beyond_quota: 1.0,
         }
@@ -266,6 +268,7 @@
         .or_else(|| share("rules.cold_share", file.rules.cold_share, 1.0))
         .or_else(|| share("rules.crossing", file.rules.crossing, 1.0))
         .or_else(|| share("rules.check", file.rules.check, 1.0))
+        .or_else(|| share("rules.handshake", file.rules.handshake, 1.0))
         .or_else(|| share("rules.peer", file.rules.peer, 1.0))
         .or_else(|| share("rules.beyond_quota", file.rules.beyond_quota, 1.0))
 }
@@ -389,7 +392,12 @@
             multiple: 3.0,
             window: Duration::from_secs(2),
         },
-        prices: Prices { crossing: rules.crossing, check: rules.check, peer: rules.peer },
+        prices: Prices {
+            crossing: rules.crossing,
+            check: rules.check,
+            peer: rules.peer,
+            handshake: rules.handshake,
+        },
         checks_tell: rules.checks_tell,
         goal: GoalWeights { worst_verb: 0.0 },
     }
