--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -4,6 +4,7 @@
 
 use crate::host::{Id, Listed};
 use crate::stats::Histogram;
+use crate::terms::ColdRule;
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -55,9 +56,8 @@
     pub credited: Duration,
     report: Option<(f64, Duration)>,
     pub sends: f64,
-    /// How busy it said it was, and when; what it can answer in a second by its own figures.
+    /// How busy it said it was, and when.
     pub util: Option<(f64, Duration)>,
-    pub capacity: Option<f64>,
     pub checking: bool,
     /// When a check last found nobody there.
     pub absent: Option<Duration>,
@@ -108,6 +108,20 @@
         self.mark.as_ref()
     }
 
+    /// Takes an answer's time, as a multiple of its verb's mean, into what is known of the server's slowness.
+    pub fn learn(&mut self, pace: f64) {
+        self.pace.add(pace, 32);
+        let known = self.pace.total >= 4;
+        self.slowness = if known { self.pace.mean().unwrap_or(1.0).clamp(0.2, 10.0) } else { 1.0 };
+    }
+
+    /// How much of its full share it gets: all of it unless it started or returned of late.
+    pub fn ramp(&self, cold: &ColdRule, now: Duration) -> f64 {
+        let Some(from) = self.ramp_from else { return 1.0 };
+        let done = now.saturating_sub(from).as_secs_f64() / cold.warm_after.as_secs_f64().max(1e-3);
+        (cold.share + (1.0 - cold.share) * done).min(1.0)
+    }
+
     /// A mark's own course; `Fleet` sets and takes marks.
     pub fn mark_mut(&mut self) -> Option<&mut Mark> {
         self.mark.as_mut()
--- a/crates/decisions/src/host.rs
+++ b/crates/decisions/src/host.rs
@@ -82,7 +82,6 @@
 pub struct Load {
     pub queue: Option<f64>,
     pub in_flight: Option<f64>,
-    /// How busy its cores are, and what it answers in a second.
+    /// How busy its cores are.
     pub util: Option<f64>,
-    pub qps: Option<f64>,
 }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,5 +1,6 @@
 //! Where a command goes, whether it goes again, and when it is given up.
 
+mod book;
 mod fleet;
 pub mod host;
 pub mod policy;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -6,12 +6,13 @@
 //! stand in `host.rs`, the settings in `terms.rs`, the servers and their sums in `fleet.rs`, the reasons in
 //! `docs/design.md`.
 
-use crate::fleet::{Fleet, Mark, Server, Slot, VerbAt, hash};
+use crate::book::{Asking, Cmd, Fate, Relay, VerbRecord};
+use crate::fleet::{Fleet, Mark, Server, Slot, VerbAt};
 use crate::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
-use crate::stats::Histogram;
-use crate::terms::{ColdRule, Group, Repeats, Terms};
+use crate::stats::{Histogram, Rate, chance};
+use crate::terms::{Group, Repeats, Terms};
 use crate::words::{self, Hearer, Words};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Straight failures that mark a server. The source's 50 never come together in a lower tier's trickle.
@@ -60,7 +61,9 @@
 const COME_BACK: f64 = 0.3;
 /// Each copy works with as many servers as give it so many answers a second each, and no fewer than this.
 const SEEN_EACH: f64 = 5.0;
-const SERVERS_LEAST: f64 = 3.0;
+const SERVERS_LEAST: f64 = 6.0;
+/// Where open connections are priced.
+const SERVERS_PRICED: f64 = 3.0;
 /// The part of them taken from the copy's own zone while it has as many.
 const NEAR: f64 = 0.7;
 const GOLDEN: f64 = 0.618_033_988_749_895;
@@ -72,7 +75,6 @@
 /// The part of the room that is for commands of any rank.
 const ROOM_FOR_ALL: f64 = 0.5;
 const SWEEP: Duration = Duration::from_millis(20);
-const RATE_SPAN: f64 = 4.0;
 /// What ends within this span is a jump when it is so many times the usual.
 const LATELY: f64 = 0.25;
 const JUMP: f64 = 2.0;
@@ -123,10 +125,6 @@
 /// Servers that say they are less busy than the first have room, as busy as the second are crowded.
 const BUSY_CALM: f64 = 0.95;
 const BUSY: f64 = 0.99;
-/// A server's own figures of what it can answer are taken in by this part, once it is busy enough to tell.
-const CAPACITY_GAIN: f64 = 0.2;
-const CAPACITY_FROM: f64 = 0.15;
-
 /// How many peers a copy tells its traffic at a time, how much each such word counts, and the least part that a copy
 /// takes itself to have of the usual copy's.
 const TELL_TRAFFIC: usize = 4;
@@ -135,124 +133,6 @@
 /// Reports older than this say nothing of how busy servers are: who sends nothing hears nothing.
 const BUSY_FOR: Duration = Duration::from_secs(2);
 
-/// A rate a second that forgets evenly over its span.
-#[derive(Clone, Debug)]
-struct Rate {
-    span: f64,
-    count: f64,
-    at: Duration,
-}
-
-impl Default for Rate {
-    fn default() -> Self {
-        Rate { span: RATE_SPAN, count: 0.0, at: Duration::ZERO }
-    }
-}
-
-impl Rate {
-    fn add(&mut self, now: Duration, amount: f64) {
-        self.count = self.count(now) + amount;
-        self.at = now;
-    }
-
-    fn count(&self, now: Duration) -> f64 {
-        self.count * (-now.saturating_sub(self.at).as_secs_f64() / self.span).exp()
-    }
-
-    fn per_s(&self, now: Duration) -> f64 {
-        self.count(now) / self.span
-    }
-}
-
-/// How much of its full share a server gets: all of it unless it started or returned of late.
-fn ramp(cold: &ColdRule, from: Option<Duration>, now: Duration) -> f64 {
-    let Some(from) = from else { return 1.0 };
-    let done = now.saturating_sub(from).as_secs_f64() / cold.warm_after.as_secs_f64().max(1e-3);
-    (cold.share + (1.0 - cold.share) * done).min(1.0)
-}
-
-/// Takes an answer's time, as a multiple of its verb's mean, into what is known of the server's slowness.
-fn learn(server: &mut Server, pace: f64) {
-    server.pace.add(pace, 32);
-    let known = server.pace.total >= 4;
-    server.slowness = if known { server.pace.mean().unwrap_or(1.0).clamp(0.2, 10.0) } else { 1.0 };
-}
-
-fn chance(seed: u64, draws: &mut u64) -> f64 {
-    *draws += 1;
-    (hash(&(seed, *draws)) >> 11) as f64 / (1u64 << 53) as f64
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Fate {
-    Out,
-    MayHaveRun,
-    NeverRan,
-}
-
-#[derive(Debug)]
-struct Relay {
-    server: Id,
-    slot: Slot,
-    zone: u32,
-    cell: u32,
-    sent: Duration,
-    fate: Fate,
-    overdue: bool,
-    /// For how long this copy had been silent towards the server.
-    idle: Duration,
-    /// What the server was said to hold when it was sent.
-    ahead: Option<f64>,
-}
-
-#[derive(Debug, Default)]
-struct Cmd {
-    verb: usize,
-    /// Past this an answer earns nothing.
-    good_until: Duration,
-    /// The work it is said to take, against the usual of its verb.
-    size: f64,
-    /// The servers that it chooses among, those of them whose checks are out, and how long it waits for them.
-    among: Vec<Slot>,
-    looks: Vec<Slot>,
-    look_until: Duration,
-    rounds: u32,
-    relays: Vec<Relay>,
-    finished: bool,
-    streaming: bool,
-    beyond: bool,
-}
-
-impl Cmd {
-    fn out(&self) -> usize {
-        self.relays.iter().filter(|relay| relay.fate == Fate::Out).count()
-    }
-
-    fn may_have_run(&self) -> bool {
-        self.relays.iter().any(|relay| relay.fate != Fate::NeverRan)
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct VerbRecord {
-    latency: Histogram,
-    /// The mean time to an answer when things went best, forgotten slowly.
-    calm: Option<f64>,
-    /// The work that its commands are usually said to take.
-    cost: Option<f64>,
-    asked: Rate,
-    answered: Rate,
-    /// Relays by the time they were sent, with their command and number, until they are over or overdue.
-    watched: VecDeque<(Duration, Id, u32)>,
-}
-
-#[derive(Debug, Default)]
-struct Asking {
-    /// When to call next; `None` while a call is out or the subscription stands.
-    next: Option<Duration>,
-    failures: u32,
-}
-
 pub struct Policy<H: Host> {
     host: H,
     terms: Terms,
@@ -370,7 +250,7 @@
     }
 
     fn tell_words(&mut self) {
-        let cost = self.terms.balancers * self.words.len().max(WORDS_LEAST) as f64 / words::MOST as f64;
+        let cost = self.terms.balancers * self.words.length().max(WORDS_LEAST) as f64 / words::MOST as f64;
         self.spare_words = self.spare_words.min(WORDS_SAVED * cost);
         if self.spare_words >= cost
             && let Some(words) = self.words.take()
@@ -445,7 +325,7 @@
         let server = &mut self.fleet[slot];
         server.verbs.iter_mut().for_each(|at| *at = VerbAt::default());
         (server.missed, server.absent) = (0, None);
-        (server.util, server.capacity) = (None, None);
+        server.util = None;
         server.sends = 0.0;
         (server.pace, server.slowness) = (Histogram::default(), 1.0);
         // It is cold, and many new ones with the usual bound would flood the tier behind them.
@@ -464,7 +344,8 @@
     fn choose_servers(&mut self) {
         self.choose_at = self.now + CHOOSE_EVERY;
         let asked: f64 = self.verbs.iter().map(|record| record.asked.per_s(self.now)).sum();
-        let wanted = (asked / SEEN_EACH).max(SERVERS_LEAST);
+        let priced = self.terms.prices.connection > 0.0;
+        let wanted = (asked / SEEN_EACH).max(if priced { SERVERS_PRICED } else { SERVERS_LEAST });
         let (near, ready) = (self.fleet.near() as f64, self.fleet.ready() as f64);
         let from_far = (wanted * (1.0 - NEAR)).max(wanted - near).min(ready - near);
         let start = (f64::from(self.terms.ordinal) * GOLDEN).fract();
@@ -472,7 +353,7 @@
         let takes = |server: &Server| match server.mark() {
             Some(_) => 0.0,
             None if server.verbs.iter().any(|at| at.mark.is_some()) => VERB_MARKED_TAKES,
-            None => ramp(cold, server.ramp_from(), now),
+            None => server.ramp(cold, now),
         };
         self.fleet.choose(start, wanted - from_far, from_far, takes);
         let chosen = self.fleet.window().len() as f64;
@@ -848,7 +729,7 @@
         if usual > 0.0 && (answered || overdue || ended.outcome == Outcome::Timeout) {
             let told = ahead.zip(self.turn.average()).map(|(ahead, turn)| turn * (size + ahead));
             let pace = ended.latency.as_secs_f64() / told.unwrap_or(usual * size);
-            learn(server, if answered { pace } else { pace.max(1.0) });
+            server.learn(if answered { pace } else { pace.max(1.0) });
         }
         if answered {
             if let Some(ahead) = ahead {
@@ -894,14 +775,7 @@
     }
 
     fn take_report(&mut self, slot: Slot, load: Load) {
-        if let (Some(util), Some(qps)) = (load.util, load.qps) {
-            let server = &mut self.fleet[slot];
-            server.util = Some((util, self.now));
-            if util >= CAPACITY_FROM {
-                let (can, gain) = (qps / util, CAPACITY_GAIN);
-                server.capacity = Some(server.capacity.map_or(can, |known| known + gain * (can - known)));
-            }
-        }
+        self.fleet[slot].util = load.util.map(|util| (util, self.now)).or(self.fleet[slot].util);
         let figure = if self.looks > 0 { load.in_flight } else { load.queue.or(load.in_flight) };
         if let Some(figure) = figure {
             self.fleet.set_report(slot, Some((figure, self.now)));
@@ -1177,7 +1051,7 @@
         self.fleet.each_ramping(now, |server| {
             let since = now.saturating_sub(server.credited).as_secs_f64().min(1.0);
             server.credited = now;
-            let share = ramp(cold, server.ramp_from(), now);
+            let share = server.ramp(cold, now);
             server.cold_credit = (server.cold_credit + since * usual * share).min(1.5);
             share >= 1.0
         });
@@ -1261,7 +1135,7 @@
         let held = self.told(server)?;
         let goal = self.terms.verbs.get(cmd.verb).map_or(0.0, |verb| verb.goal.as_secs_f64());
         let turn = self.turn.average().unwrap_or(goal / BOUND_START);
-        let slow = server.slowness.max(1.0) / ramp(&self.terms.cold, server.ramp_from(), self.now);
+        let slow = server.slowness.max(1.0) / server.ramp(&self.terms.cold, self.now);
         Some(turn * slow * (held + cmd.size))
     }
 
@@ -1402,7 +1276,7 @@
         // age its way back to an even share.
         let figure = figure.max(own) + f64::from(server.overdue) * self.sharers;
         let by_size = server.by_list * pace.powi(SHARPNESS);
-        let share = ramp(&self.terms.cold, server.ramp_from(), self.now) * price;
+        let share = server.ramp(&self.terms.cold, self.now) * price;
         share * by_size / (1.0 + figure / size).powi(SHARPNESS)
     }
 }
--- a/crates/decisions/src/stats.rs
+++ b/crates/decisions/src/stats.rs
@@ -1,5 +1,11 @@
 //! Figures that fade: few numbers for many answers. Nothing is decided here.
 
+use crate::fleet::hash;
+use std::time::Duration;
+
+/// Over how many seconds a rate forgets, where nothing else is said.
+const RATE_SPAN: f64 = 4.0;
+
 /// Few coarse bins, each 1.6 times as wide as the last; halved when full, so that the old fades.
 #[derive(Clone, Debug, Default)]
 pub struct Histogram {
@@ -54,3 +60,38 @@
         self.bins.iter().position(reached).map(Self::upper)
     }
 }
+
+/// A rate a second that forgets evenly over its span.
+#[derive(Clone, Debug)]
+pub struct Rate {
+    pub span: f64,
+    pub count: f64,
+    pub at: Duration,
+}
+
+impl Default for Rate {
+    fn default() -> Self {
+        Rate { span: RATE_SPAN, count: 0.0, at: Duration::ZERO }
+    }
+}
+
+impl Rate {
+    pub fn add(&mut self, now: Duration, amount: f64) {
+        self.count = self.count(now) + amount;
+        self.at = now;
+    }
+
+    pub fn count(&self, now: Duration) -> f64 {
+        self.count * (-now.saturating_sub(self.at).as_secs_f64() / self.span).exp()
+    }
+
+    pub fn per_s(&self, now: Duration) -> f64 {
+        self.count(now) / self.span
+    }
+}
+
+/// From 0 to 1, by the seed and how often it was drawn from.
+pub fn chance(seed: u64, draws: &mut u64) -> f64 {
+    *draws += 1;
+    (hash(&(seed, *draws)) >> 11) as f64 / (1u64 << 53) as f64
+}
--- a/crates/decisions/src/terms.rs
+++ b/crates/decisions/src/terms.rs
@@ -53,6 +53,7 @@
     pub check: f64,
     pub peer: f64,
     pub handshake: f64,
+    pub connection: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -235,6 +236,7 @@
                 check: pairs.figure("Costs.Probe", 0.0)?,
                 peer: pairs.figure("Costs.Peer", 0.0)?,
                 handshake: pairs.figure("Costs.Handshake", 0.0)?,
+                connection: pairs.figure("Costs.Connection", 0.0)?,
             },
             checks_tell: pairs.checks_tell()?,
             goal: GoalWeights { worst_verb: pairs.figure("Goal.WorstClass", 0.0)? },
--- a/crates/decisions/src/words.rs
+++ b/crates/decisions/src/words.rs
@@ -55,7 +55,8 @@
         self.add(&[TRAFFIC, tenths[0], tenths[1]]);
     }
 
-    pub fn len(&self) -> usize {
+    /// Bytes so far.
+    pub fn length(&self) -> usize {
         self.0.len()
     }
 
--- a/crates/sidecar/src/launch/file.rs
+++ b/crates/sidecar/src/launch/file.rs
@@ -153,6 +153,7 @@
     check: f64,
     peer: f64,
     handshake: f64,
+    connection: f64,
     checks_tell: bool,
     beyond_quota: f64,
 }
@@ -171,6 +172,7 @@
             check: 0.0,
             peer: 0.0,
             handshake: 0.0,
+            connection: 0.0,
             checks_tell: false,
             beyond_quota: 1.0,
         }
@@ -268,6 +270,7 @@
         .or_else(|| share("rules.cold_share", file.rules.cold_share, 1.0))
         .or_else(|| share("rules.crossing", file.rules.crossing, 1.0))
         .or_else(|| share("rules.check", file.rules.check, 1.0))
+        .or_else(|| share("rules.connection", file.rules.connection, 1.0))
         .or_else(|| share("rules.handshake", file.rules.handshake, 1.0))
         .or_else(|| share("rules.peer", file.rules.peer, 1.0))
         .or_else(|| share("rules.beyond_quota", file.rules.beyond_quota, 1.0))
@@ -397,6 +400,7 @@
             check: rules.check,
             peer: rules.peer,
             handshake: rules.handshake,
+            connection: rules.connection,
         },
         checks_tell: rules.checks_tell,
         goal: GoalWeights { worst_verb: 0.0 },
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -307,7 +307,6 @@
             "queue" | "waiting" => load.queue = value,
             "inflight" | "active" => load.in_flight = value,
             "util" | "cpu" => load.util = value,
-            "qps" | "rps" => load.qps = value,
             _ => {}
         }
     }
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -161,7 +161,6 @@
                 "waiting" => load.queue = value,
                 "active" => load.in_flight = value,
                 "cpu" => load.util = value,
-                "rps" => load.qps = value,
                 _ => {}
             }
         }
