--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -1,8 +1,9 @@
 //! What is open, and what was seen of each verb: plain records. Nothing is decided here.
 
-use crate::fleet::Slot;
+use crate::fleet::{Server, Slot};
 use crate::host::Id;
 use crate::stats::{Histogram, Rate};
+use crate::words::Words;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -75,3 +76,50 @@
     pub next: Option<Duration>,
     pub failures: u32,
 }
+
+/// What a copy has seen and heard that belongs to no one server or verb.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Answers' times as multiples of the calm mean of their verb.
+    pub strain: Histogram,
+    /// Seconds to an answer for each command that the server held, this one with them.
+    pub turn: Histogram,
+    pub tenants: Vec<Rate>,
+    pub sent: Rate,
+    pub ended: Rate,
+    pub lately: Rate,
+    pub words: Words,
+    /// What may still be told, in whole messages delivered.
+    pub spare_words: f64,
+    /// Idle connections that broke of late, and the shortest time that one had been idle.
+    pub breaks: Rate,
+    pub break_after: Duration,
+    /// What the usual copy is asked in a second, by its peers' words.
+    pub usual_traffic: Option<f64>,
+}
+
+impl Relay {
+    pub fn new(to: &Server, slot: Slot, sent: Duration, idle: Duration, ahead: Option<f64>) -> Relay {
+        let (server, zone, cell, fate) = (to.id.clone(), to.zone, to.cell, Fate::Out);
+        Relay { server, slot, zone, cell, sent, fate, overdue: false, idle, ahead }
+    }
+}
+
+impl VerbRecord {
+    /// A command's work against the usual of its verb; one where nothing is said of it.
+    pub fn size_of(&mut self, cost: Option<Duration>) -> f64 {
+        let Some(cost) = cost.map(|cost| cost.as_secs_f64()) else { return 1.0 };
+        let usual = self.cost.map_or(cost, |usual| usual + 0.05 * (cost - usual));
+        self.cost = Some(usual);
+        (cost / usual.max(1e-6)).clamp(0.1, 20.0)
+    }
+
+    /// Takes in an answer's time: how it stands against the mean of calm times, once that is known.
+    pub fn strain_of(&mut self, took: f64) -> Option<f64> {
+        self.latency.add(took, Histogram::FULL);
+        let mean = self.latency.mean().filter(|_| self.latency.total >= 100)?;
+        let calm = self.calm.map_or(mean, |calm| (calm * 1.0005).min(mean));
+        self.calm = Some(calm);
+        Some((took / calm).min(4.0))
+    }
+}
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -122,6 +122,23 @@
         (cold.share + (1.0 - cold.share) * done).min(1.0)
     }
 
+    /// What it holds by a report no older than `young`, with what was sent there since.
+    pub fn told(&self, now: Duration, young: Duration) -> Option<f64> {
+        self.report.filter(|(_, at)| now <= *at + young).map(|(figure, _)| figure + self.sends)
+    }
+
+    /// Whether this copy has a connection there, for all it knows, where idle ones are kept for so long.
+    pub fn warm(&self, now: Duration, kept: Duration) -> bool {
+        self.used.is_some_and(|used| now.saturating_sub(used) < kept)
+    }
+
+    /// What was learned of an earlier process.
+    pub fn forget(&mut self) {
+        self.verbs.iter_mut().for_each(|at| *at = VerbAt::default());
+        (self.missed, self.absent, self.util, self.sends) = (0, None, None, 0.0);
+        (self.pace, self.slowness) = (Histogram::default(), 1.0);
+    }
+
     /// A mark's own course; `Fleet` sets and takes marks.
     pub fn mark_mut(&mut self) -> Option<&mut Mark> {
         self.mark.as_mut()
@@ -226,6 +243,24 @@
         &self.window
     }
 
+    /// How busy the window's unmarked servers say they are, no longer than `young` ago; older words count less.
+    pub fn busy(&self, now: Duration, young: Duration, decay: f64) -> Option<f64> {
+        let (mut sum, mut all) = (0.0, 0.0);
+        for server in self.window.iter().map(|slot| &self[*slot]).filter(|server| server.mark.is_none()) {
+            if let Some((util, at)) = server.util.filter(|(_, at)| *at + young > now) {
+                let part = (-now.saturating_sub(at).as_secs_f64() / decay).exp();
+                (sum, all) = (sum + util * part, all + part);
+            }
+        }
+        (all > 0.0).then(|| sum / all)
+    }
+
+    /// What all copies may have out at the window's unmarked servers.
+    pub fn bounds(&self) -> f64 {
+        let servers = self.window.iter().map(|slot| &self[*slot]);
+        servers.filter(|server| server.mark.is_none()).map(|server| server.bound).sum()
+    }
+
     pub fn marked(&self) -> impl Iterator<Item = Slot> {
         self.marked.values().copied()
     }
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -1,17 +1,15 @@
 //! Every decision of landingspread: which server a command is relayed to, whether it is relayed again,
 //! how long it is held, and when it is given up.
 //!
-//! A front calls `Policy::start` once and then one method for each thing that happens, in the order in which
-//! it happened; each acts by calling the `Host` handed over at start. The host trait and the plain types
-//! stand in `host.rs`, the settings in `terms.rs`, the servers and their sums in `fleet.rs`, the reasons in
-//! `docs/design.md`.
+//! A front calls `Policy::start` once and then one method for each thing that happens, in its order; each acts by
+//! calling the `Host` handed over at start. The reasons stand in `docs/design.md`.
 
-use crate::book::{Asking, Cmd, Fate, Relay, VerbRecord};
-use crate::fleet::{Fleet, Mark, Server, Slot, VerbAt};
+use crate::book::{Asking, Cmd, Fate, Relay, Seen, VerbRecord};
+use crate::fleet::{Fleet, Mark, Server, Slot};
 use crate::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
-use crate::stats::{Histogram, Rate, chance};
+use crate::stats::{Average, Histogram, Rate, chance, drawn_from};
 use crate::terms::{Group, Repeats, Terms};
-use crate::words::{self, Hearer, Words};
+use crate::words::{self, Hearer};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -30,8 +28,7 @@
 const SHARPNESS: i32 = 4;
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
 const BOUND_START: f64 = 5.0;
-/// Strain brings a bound down to this, below the start: older copies were told too small a balancer count
-/// once a front has grown.
+/// Strain brings a bound down to this, below the start: older copies may know too small a balancer count.
 const BOUND_LEAST: f64 = 2.5;
 const BOUND_MOST: f64 = 64.0;
 const STRAIN_CUT: f64 = 0.002;
@@ -72,8 +69,8 @@
 const ROOM_STEADY: f64 = 16.0;
 /// So many times the room is there while servers say that they have some: what they say is seconds old.
 const ROOM_OPEN: f64 = 4.0;
-/// The part of the room that is for commands of any rank.
-const ROOM_FOR_ALL: f64 = 0.5;
+/// The part of the room that is for commands of high rank.
+const ROOM_KEPT: f64 = 0.5;
 const SWEEP: Duration = Duration::from_millis(20);
 /// What ends within this span is a jump when it is so many times the usual.
 const LATELY: f64 = 0.25;
@@ -83,14 +80,15 @@
 /// Where checks alone tell what a server holds, so many points of the goal may go into checks before a command's draw.
 const LOOKS_COST: f64 = 0.012;
 const LOOKS_MOST: f64 = 6.0;
-/// So many servers are looked at first, those with warm connections before others; if each holds something, more
-/// are, from what is left of all commands' checks so far.
+/// So many are looked at first, warm connections before others; if each holds something, more, as long as checks last.
 const FIRST_LOOKS: usize = 2;
 const LOOKS_SAVED: f64 = 60.0;
 const ROUNDS: u32 = 3;
 /// A report as young as this needs no check, and a command waits no longer than this for its checks.
 const FRESH: Duration = Duration::from_millis(4);
 const LOOK_WAIT: Duration = Duration::from_millis(10);
+/// As long counts a report that was fetched for a draw.
+const YOUNG: Duration = Duration::from_millis(34);
 /// Weights of reports fetched for the draw itself are raised to this power: they hardly age.
 const LOOK_SHARPNESS: i32 = 12;
 /// A command goes to a server only if it would be answered there within this share of the time left.
@@ -99,7 +97,7 @@
 /// A reset within this time, on a connection idle for so long, is the idle connection's and not the server's.
 const BREAK_WITHIN: Duration = Duration::from_millis(50);
 const IDLE_LEAST: Duration = Duration::from_millis(300);
-/// So many breaks of idle connections of late, own and told, and commands get new ones; past the second, no more is told.
+/// After so many breaks of late, own and told, commands get new connections; past the second, no more is told.
 const BREAKS: f64 = 1.5;
 const BREAKS_TOLD: f64 = 4.0;
 const BREAKS_SPAN: f64 = 6.0;
@@ -108,12 +106,10 @@
 
 /// A relay is lost after this many times what it would take by what the server was said to hold.
 const LOST: f64 = 2.5;
-/// A server that answers other verbs is marked for the one, at so many of the ready ones at most, and takes this
-/// part of its place in a window.
+/// At most so many of the ready servers are marked for one verb; one that is takes this part of a place in a window.
 const VERB_MARKED_AT_MOST: f64 = 0.75;
 const VERB_MARKED_TAKES: f64 = 0.3;
-/// How long it gets no trial of the verb, longer where a trial may cost a command; all copies together make one trial
-/// in the time in which its end is heard of.
+/// It gets no trial of the verb for so long, longer where that may cost a command; copies take turns so far apart.
 const VERB_TRIAL: Duration = Duration::from_secs(5);
 const EFFECTFUL_TRIAL: Duration = Duration::from_secs(12);
 const TRIAL_EACH: f64 = 0.3;
@@ -125,8 +121,7 @@
 /// Servers that say they are less busy than the first have room, as busy as the second are crowded.
 const BUSY_CALM: f64 = 0.95;
 const BUSY: f64 = 0.99;
-/// How many peers a copy tells its traffic at a time, how much each such word counts, and the least part that a copy
-/// takes itself to have of the usual copy's.
+/// So many peers are told a copy's traffic at a time; what such a word counts; the least part a copy takes for its own.
 const TELL_TRAFFIC: usize = 4;
 const TRAFFIC_GAIN: f64 = 0.03;
 const PART_LEAST: f64 = 0.5;
@@ -143,33 +138,17 @@
     cmds: BTreeMap<Id, Cmd>,
     held: Vec<Id>,
     verbs: Vec<VerbRecord>,
-    /// Answers' times as multiples of the calm mean of their verb.
-    strain: Histogram,
-    tenants: Vec<Rate>,
-    /// Seconds to an answer for each command that the server held, this one with them.
-    turn: Histogram,
+    seen: Seen,
     /// How many servers are checked before a command's draw.
     looks: usize,
     spare_looks: f64,
-    sent: Rate,
-    ended: Rate,
-    lately: Rate,
     spare_relays: f64,
-    words: Words,
-    /// What may still be told, in whole messages delivered.
-    spare_words: f64,
-    /// Idle connections that broke of late, and the shortest time that one had been idle.
-    breaks: Rate,
-    break_after: Duration,
     asking: Asking,
     /// How many copies work with each server, this one among them, by what they send.
     sharers: f64,
-    /// What the usual copy is asked in a second, by its peers' words.
-    usual_traffic: Option<f64>,
     choose_at: Duration,
-    /// What this copy has out on average of late, and when that was brought up to date.
-    mean_out: f64,
-    averaged: Duration,
+    /// What this copy has out on average of late.
+    mean_out: Average,
     /// When this copy last swept, and by how much it was late of late: that time is no server's.
     swept: Duration,
     late: Duration,
@@ -185,6 +164,7 @@
         let tenants = vec![Rate::default(); terms.quotas.len()];
         let looks = (LOOKS_COST / terms.prices.check.max(1e-9)).min(LOOKS_MOST) as usize;
         let looks = if terms.checks_tell && terms.allowed.checks && looks > 1 { looks } else { 0 };
+        let (lately, breaks) = (Rate::over(LATELY), Rate::over(BREAKS_SPAN));
         let mut policy = Policy {
             host,
             terms,
@@ -195,25 +175,14 @@
             cmds: BTreeMap::new(),
             held: Vec::new(),
             verbs,
-            strain: Histogram::default(),
-            tenants,
-            turn: Histogram::default(),
+            seen: Seen { tenants, lately, breaks, break_after: Duration::MAX, ..Seen::default() },
             looks,
             spare_looks: looks as f64,
-            sent: Rate::default(),
-            ended: Rate::default(),
-            lately: Rate { span: LATELY, ..Rate::default() },
             spare_relays: RELAY_BURST,
-            words: Words::default(),
-            spare_words: 0.0,
-            breaks: Rate { span: BREAKS_SPAN, ..Rate::default() },
-            break_after: Duration::MAX,
             asking: Asking::default(),
             sharers: 1.0,
-            usual_traffic: None,
             choose_at: now,
-            mean_out: 0.0,
-            averaged: now,
+            mean_out: Average { mean: 0.0, at: now },
             swept: now,
             late: Duration::ZERO,
             weights: Vec::new(),
@@ -250,12 +219,13 @@
     }
 
     fn tell_words(&mut self) {
-        let cost = self.terms.balancers * self.words.length().max(WORDS_LEAST) as f64 / words::MOST as f64;
-        self.spare_words = self.spare_words.min(WORDS_SAVED * cost);
-        if self.spare_words >= cost
-            && let Some(words) = self.words.take()
+        let cost =
+            self.terms.balancers * self.seen.words.length().max(WORDS_LEAST) as f64 / words::MOST as f64;
+        self.seen.spare_words = self.seen.spare_words.min(WORDS_SAVED * cost);
+        if self.seen.spare_words >= cost
+            && let Some(words) = self.seen.words.take()
         {
-            self.spare_words -= cost;
+            self.seen.spare_words -= cost;
             self.host.tell(None, &words);
         }
     }
@@ -323,29 +293,19 @@
         self.fleet.take_mark(slot);
         self.fleet.set_report(slot, None);
         let server = &mut self.fleet[slot];
-        server.verbs.iter_mut().for_each(|at| *at = VerbAt::default());
-        (server.missed, server.absent) = (0, None);
-        server.util = None;
-        server.sends = 0.0;
-        (server.pace, server.slowness) = (Histogram::default(), 1.0);
+        server.forget();
         // It is cold, and many new ones with the usual bound would flood the tier behind them.
         (server.bound, server.cold_credit) = (BOUND_LEAST, server.first_credit);
         self.fleet.set_ramp(slot, at);
     }
-}
-
-// The servers that this copy works with
 
-impl<H: Host> Policy<H> {
-    /// One of hundreds of copies meets each of a hundred servers too seldom for a run, a pace or a warm
-    /// connection. So each works with a window on the ring of servers, in an order that all copies share and
-    /// from a place that its number gives, so that every server gets about as many copies; what is marked or
-    /// still cold takes no place, or part of one, in the window.
+    /// One of hundreds of copies meets each server too seldom for a run, a pace or a warm connection. So each works
+    /// with a window on the ring of servers, in an order that all share, from a place that its number gives; what is
+    /// marked or still cold takes no place in it, or part of one.
     fn choose_servers(&mut self) {
         self.choose_at = self.now + CHOOSE_EVERY;
-        let asked: f64 = self.verbs.iter().map(|record| record.asked.per_s(self.now)).sum();
         let priced = self.terms.prices.connection > 0.0;
-        let wanted = (asked / SEEN_EACH).max(if priced { SERVERS_PRICED } else { SERVERS_LEAST });
+        let wanted = (self.asked() / SEEN_EACH).max(if priced { SERVERS_PRICED } else { SERVERS_LEAST });
         let (near, ready) = (self.fleet.near() as f64, self.fleet.ready() as f64);
         let from_far = (wanted * (1.0 - NEAR)).max(wanted - near).min(ready - near);
         let start = (f64::from(self.terms.ordinal) * GOLDEN).fract();
@@ -365,12 +325,14 @@
         self.fleet.size_up(self.crowding());
     }
 
-    /// What this copy is asked against the usual copy. Copies beside their callers differ by tens of times, and an
-    /// even part of a bound would be far too little for some.
+    fn asked(&self) -> f64 {
+        self.verbs.iter().map(|record| record.asked.per_s(self.now)).sum()
+    }
+
+    /// What this copy is asked against the usual one: copies beside their callers differ by tens of times.
     fn part(&self) -> f64 {
-        let asked: f64 = self.verbs.iter().map(|record| record.asked.per_s(self.now)).sum();
-        self.usual_traffic
-            .map_or(1.0, |usual| (asked / usual.max(0.01)).clamp(PART_LEAST, self.terms.balancers))
+        let part = |usual: f64| (self.asked() / usual.max(0.01)).clamp(PART_LEAST, self.terms.balancers);
+        self.seen.usual_traffic.map_or(1.0, part)
     }
 
     fn tell_traffic(&mut self) {
@@ -378,20 +340,13 @@
         if !self.terms.allowed.peers || peers < 2 {
             return;
         }
-        let mut words = Words::default();
-        words.traffic(self.verbs.iter().map(|record| record.asked.per_s(self.now)).sum());
-        let Some(words) = words.take() else { return };
+        let words = words::traffic(self.asked());
         for _ in 0..TELL_TRAFFIC {
             let on = 1 + (self.chance() * f64::from(peers - 1)) as u32;
             self.host.tell(Some((self.terms.ordinal + on) % peers), &words);
         }
     }
 
-    /// Whether this copy has a connection there, for all it knows.
-    fn warm(&self, server: &Server) -> bool {
-        server.used.is_some_and(|used| self.now.saturating_sub(used) < self.terms.conn_idle)
-    }
-
     fn crowding(&self) -> f64 {
         1.0 + f64::from(SHARPNESS - 1) * 4.0 / (3.0 + self.sharers)
     }
@@ -415,9 +370,9 @@
             if verb.overdue_utility > 0.0 { arrival.due } else { arrival.due.min(now + verb.goal) };
         self.verbs[arrival.verb].asked.add(now, 1.0);
         self.spare_relays = (self.spare_relays + RELAY_SHARE).min(RELAY_BURST);
-        self.spare_words += WORDS_COST / self.terms.prices.peer.max(WORDS_COST);
+        self.seen.spare_words += WORDS_COST / self.terms.prices.peer.max(WORDS_COST);
         let beyond = self.beyond_quota(arrival.tenant);
-        let size = self.size(arrival.verb, arrival.cost);
+        let size = self.verbs[arrival.verb].size_of(arrival.cost);
         let cmd = Cmd { verb: arrival.verb, good_until, beyond, size, ..Cmd::default() };
         self.cmds.insert(arrival.id.clone(), cmd);
         self.held.push(arrival.id.clone());
@@ -446,7 +401,8 @@
             return false;
         }
         let copies = self.terms.balancers / self.part();
-        let (Some(rate), Some(quota)) = (self.tenants.get_mut(tenant), self.terms.quotas.get(tenant)) else {
+        let (Some(rate), Some(quota)) = (self.seen.tenants.get_mut(tenant), self.terms.quotas.get(tenant))
+        else {
             return false;
         };
         rate.add(self.now, 1.0);
@@ -467,15 +423,6 @@
         self.expected(cmd.verb) * cmd.size
     }
 
-    /// A command's work against the usual of its verb; one where nothing is said of it.
-    fn size(&mut self, verb: usize, cost: Option<Duration>) -> f64 {
-        let (Some(cost), Some(record)) = (cost, self.verbs.get_mut(verb)) else { return 1.0 };
-        let cost = cost.as_secs_f64();
-        let usual = record.cost.map_or(cost, |usual| usual + 0.05 * (cost - usual));
-        record.cost = Some(usual);
-        (cost / usual.max(1e-6)).clamp(0.1, 20.0)
-    }
-
     /// What a command earns for each second that it keeps a place, the more the less of its verb is answered:
     /// part of the goal may go by the worst answered verb.
     fn rank(&self, cmd: &Cmd) -> f64 {
@@ -489,12 +436,9 @@
 
     /// Where few commands come to a copy at a time, what ranks low leaves a part of the room to what ranks high.
     fn part_of_room(&self, cmd: &Cmd) -> f64 {
-        if !self.terms.allowed.peers {
-            return 1.0;
-        }
         let ranks = (0..self.verbs.len()).map(|verb| self.rank(&Cmd { verb, ..Cmd::default() }));
-        let most = ranks.fold(1e-9, f64::max);
-        ROOM_FOR_ALL + (1.0 - ROOM_FOR_ALL) * (self.rank(cmd) / most).min(1.0)
+        let low = 1.0 - (self.rank(cmd) / ranks.fold(1e-9, f64::max)).min(1.0);
+        if self.terms.allowed.peers { 1.0 - ROOM_KEPT * low } else { 1.0 }
     }
 
     fn place_held(&mut self) {
@@ -509,8 +453,7 @@
         }
     }
 
-    /// Gives up at once what would most likely not be answered within its goal: waiting in vain costs more
-    /// than a quick word, so a newcomer must fit into less of its slack than what waits already.
+    /// Gives up at once what would hardly be answered within its goal: waiting in vain costs more than a quick word.
     fn thin_held(&mut self, newcomer: Option<&Id>) {
         let rate = self.turnover();
         let mut ahead = 0.0;
@@ -530,16 +473,15 @@
         }
     }
 
-    /// Places that come free in a second. After a lull, or in a copy that has just started, what has ended on
-    /// average is too little; before anything has ended, all places are taken to come free within what a
-    /// newcomer would wait.
+    /// Places that come free in a second. After a lull or a start what has ended on average is too little; before
+    /// anything has, all places are taken to come free within what a newcomer would wait.
     fn turnover(&self) -> f64 {
-        let (usual, lately) = (self.ended.per_s(self.now), self.lately.per_s(self.now));
+        let (usual, lately) = (self.seen.ended.per_s(self.now), self.seen.lately.per_s(self.now));
         if usual == 0.0 && self.room() >= ROOM_STEADY {
             let goals = self.terms.verbs.iter().map(|verb| verb.goal.as_secs_f64());
             return self.room() / (HOLD * goals.fold(f64::MAX, f64::min).max(1e-3));
         }
-        let jumps = lately > JUMP * usual && self.lately.count(self.now) >= JUMP_SEEN;
+        let jumps = lately > JUMP * usual && self.seen.lately.count(self.now) >= JUMP_SEEN;
         if jumps { lately } else { usual }.max(1.0)
     }
 
@@ -552,7 +494,10 @@
             return false;
         }
         let mut server = self.draw(id);
-        while !server.is_some_and(|slot| self.held_at(slot) < 1.0) && self.look(id) {
+        while !server
+            .is_some_and(|slot| self.fleet[slot].told(self.now, YOUNG).is_some_and(|held| held < 1.0))
+            && self.look(id)
+        {
             if self.cmds.get(id).is_some_and(|cmd| self.looking(cmd)) {
                 return false;
             }
@@ -569,8 +514,8 @@
         let server = &mut self.fleet[to];
         server.used = Some(self.now);
         let ahead = server.report().map(|(figure, _)| figure + server.sends).filter(|_| self.looks > 0);
-        let (zone, cell, sent, number) = (server.zone, server.cell, self.now, cmd.relays.len() as u32);
-        let (server_id, fate) = (server.id.clone(), Fate::Out);
+        let (number, server_id) = (cmd.relays.len() as u32, server.id.clone());
+        cmd.relays.push(Relay::new(server, to, self.now, idle, ahead));
         server.sends += 1.0;
         server.cold_credit = (server.cold_credit - 1.0).max(0.0);
         if let Some(mark) = server.mark_mut() {
@@ -580,22 +525,10 @@
             mark.next = self.now + VERB_TRIAL;
         }
         self.fleet.change_out(to, 1);
-        let relay = Relay {
-            server: server_id.clone(),
-            slot: to,
-            zone,
-            cell,
-            sent,
-            fate,
-            overdue: false,
-            idle,
-            ahead,
-        };
-        cmd.relays.push(relay);
         if let Some(record) = self.verbs.get_mut(cmd.verb) {
-            record.watched.push_back((sent, id.clone(), number));
+            record.watched.push_back((self.now, id.clone(), number));
         }
-        self.sent.add(self.now, 1.0);
+        self.seen.sent.add(self.now, 1.0);
         self.host.relay(id, &server_id, cmd.good_until);
     }
 
@@ -654,18 +587,14 @@
             }
         }
     }
-}
 
-// Idle connections that break
-
-impl<H: Host> Policy<H> {
-    /// For how long the connection to the server was idle. Where such ones break unseen it is let go of first:
-    /// what is sent on it may have run, for all that can be known.
+    /// For how long the connection was idle. Where such ones break unseen it is let go of: what is sent on it may run.
     fn renew_idle(&mut self, id: &Id, to: Slot) -> Duration {
         let server = &self.fleet[to];
         let used = server.used.filter(|_| server.out() == 0);
         let idle = used.map_or(Duration::ZERO, |at| self.now.saturating_sub(at));
-        let breaks = self.breaks.count(self.now) >= BREAKS && idle.mul_f64(1.25) >= self.break_after;
+        let breaks =
+            self.seen.breaks.count(self.now) >= BREAKS && idle.mul_f64(1.25) >= self.seen.break_after;
         let pure = self.cmds.get(id).is_some_and(|cmd| self.repeats(cmd) == Repeats::Pure);
         if !breaks || (pure && self.chance() < IDLE_TRIALS) {
             return idle;
@@ -677,26 +606,22 @@
 
 impl<H: Host> Hearer for Policy<H> {
     fn idle_broke(&mut self, idle: Duration) {
-        let none = self.breaks.count(self.now) < 0.3;
-        self.break_after = if none { idle } else { self.break_after.min(idle) };
-        self.breaks.add(self.now, 1.0);
+        let none = self.seen.breaks.count(self.now) < 0.3;
+        self.seen.break_after = if none { idle } else { self.seen.break_after.min(idle) };
+        self.seen.breaks.add(self.now, 1.0);
     }
 
-    fn verb_failed(&mut self, server: u32, verb: usize) {
-        if let Some(slot) = self.fleet.named(server) {
-            self.lengthen_run(slot, verb);
-        }
-    }
-
-    fn verb_answered(&mut self, server: u32, verb: usize) {
-        if let Some(slot) = self.fleet.named(server) {
-            self.answered_again(slot, verb);
+    fn verb_went(&mut self, server: u32, verb: usize, answered: bool) {
+        match self.fleet.named(server) {
+            Some(slot) if answered => self.answered_again(slot, verb),
+            Some(slot) => self.lengthen_run(slot, verb),
+            None => {}
         }
     }
 
     fn traffic(&mut self, per_s: f64) {
-        let usual = self.usual_traffic.map_or(per_s, |usual| usual + TRAFFIC_GAIN * (per_s - usual));
-        self.usual_traffic = Some(usual);
+        let usual = self.seen.usual_traffic.map_or(per_s, |usual| usual + TRAFFIC_GAIN * (per_s - usual));
+        self.seen.usual_traffic = Some(usual);
     }
 }
 
@@ -716,8 +641,8 @@
         let (verb, overdue, slot, size, ahead) = (cmd.verb, relay.overdue, relay.slot, cmd.size, relay.ahead);
         cmd.finished |= ended.closed;
         let in_time = now <= cmd.good_until;
-        self.ended.add(now, 1.0);
-        self.lately.add(now, 1.0);
+        self.seen.ended.add(now, 1.0);
+        self.seen.lately.add(now, 1.0);
         self.average_out();
         self.take_report(slot, ended.load);
         let (usual, answered) = (self.expected(verb), ended.outcome == Outcome::Ok);
@@ -727,18 +652,18 @@
         server.used = Some(now);
         // What is too slow to answer in time would otherwise be known by its quickest answers only.
         if usual > 0.0 && (answered || overdue || ended.outcome == Outcome::Timeout) {
-            let told = ahead.zip(self.turn.average()).map(|(ahead, turn)| turn * (size + ahead));
+            let told = ahead.zip(self.seen.turn.average()).map(|(ahead, turn)| turn * (size + ahead));
             let pace = ended.latency.as_secs_f64() / told.unwrap_or(usual * size);
             server.learn(if answered { pace } else { pace.max(1.0) });
         }
         if answered {
             if let Some(ahead) = ahead {
-                self.turn.add(ended.latency.as_secs_f64() / (size * (1.0 + ahead)), Histogram::FULL);
+                self.seen.turn.add(ended.latency.as_secs_f64() / (size * (1.0 + ahead)), Histogram::FULL);
             }
             self.count_answer(slot, verb, ended.latency, size, in_time);
         } else if broke {
-            if self.terms.allowed.peers && self.breaks.count(now) < BREAKS_TOLD {
-                self.words.idle_broke(idle);
+            if self.terms.allowed.peers && self.seen.breaks.count(now) < BREAKS_TOLD {
+                self.seen.words.idle_broke(idle);
             }
             self.idle_broke(idle);
             self.spare_relays += 1.0;
@@ -755,19 +680,15 @@
             self.held.retain(|held| held != id);
             self.close(id);
         } else if cmd.out() == 0 {
-            let repeated = cmd.may_have_run();
-            let left = self.left(cmd);
-            let hopeful = left > self.expected_of(cmd);
-            let may = hopeful && (!repeated || self.spare_relays >= 1.0);
-            if may && self.looks > 0 {
-                self.spare_relays -= if repeated { 1.0 } else { 0.0 };
-                if let Some(cmd) = self.cmds.get_mut(id) {
-                    (cmd.among, cmd.rounds) = (Vec::new(), 0);
-                }
+            let price = if cmd.may_have_run() { 1.0 } else { 0.0 };
+            if self.left(cmd) <= self.expected_of(cmd) || self.spare_relays < price {
+                self.give_up(id);
+            } else if self.looks > 0 {
+                self.spare_relays -= price;
                 self.held.push(id.clone());
-                self.look(id);
-            } else if may && self.place(id) {
-                self.spare_relays -= if repeated { 1.0 } else { 0.0 };
+                self.look_anew(id);
+            } else if self.place(id) {
+                self.spare_relays -= price;
             } else {
                 self.give_up(id);
             }
@@ -784,8 +705,8 @@
     }
 
     fn count_answer(&mut self, slot: Slot, verb: usize, latency: Duration, size: f64, in_time: bool) {
-        let (now, sharers, mean_out, room) = (self.now, self.sharers, self.mean_out, self.room());
-        let busy = self.busy();
+        let (now, sharers, mean_out, room) = (self.now, self.sharers, self.mean_out.mean, self.room());
+        let busy = self.fleet.busy(self.now, BUSY_FOR, DECAY);
         let heavy = busy.is_some_and(|busy| busy < BUSY);
         let server = &mut self.fleet[slot];
         let Some(record) = self.verbs.get_mut(verb) else { return };
@@ -794,20 +715,16 @@
         // A bound that rises while it is not reached would let a later jam in.
         let used =
             mean_out + 1.0 >= 0.8 * room || f64::from(server.out() + 1) >= (server.bound / sharers).max(2.0);
-        record.latency.add(took / size, Histogram::FULL);
-        if let Some(mean) = record.latency.mean().filter(|_| record.latency.total >= 100) {
-            let calm = record.calm.map_or(mean, |calm| (calm * 1.0005).min(mean));
-            record.calm = Some(calm);
-            self.strain.add((took / size / calm).min(4.0), 64);
-        }
-        // Where one zone is crowded and another is not, only what is seen of this server tells which it is.
-        // Of heavy commands one answer in twenty comes past its goal on an idle server, and a mean of few says nothing:
-        // where servers say how busy they are, that tells.
+        if let Some(strain) = record.strain_of(took / size) {
+            self.seen.strain.add(strain, 64);
+        }
+        // Where one zone is crowded and another is not, only what is seen of this server tells which it is. Of heavy
+        // commands one in twenty is late on an idle server: where servers say how busy they are, that tells.
         let strain = match busy {
             Some(busy) if busy < BUSY_CALM => 1.0,
             Some(busy) if busy < BUSY => (CALM + STRAINED) / 2.0,
             Some(_) => STRAINED + 0.1,
-            None => self.strain.mean().unwrap_or(1.0) * server.slowness,
+            None => self.seen.strain.mean().unwrap_or(1.0) * server.slowness,
         };
         if in_time {
             record.answered.add(now, 1.0);
@@ -821,8 +738,7 @@
             server.bound = (server.bound + BOUND_RISE * sharers / server.bound).min(BOUND_MOST);
         }
         if failing {
-            self.words_of(slot, verb, Words::verb_answered);
-            self.answered_again(slot, verb);
+            self.tell_verb(slot, verb, true);
         }
         self.pass(slot);
     }
@@ -836,9 +752,9 @@
         if matches!(outcome, Outcome::Moot | Outcome::Cancelled) {
             return;
         }
-        // Behind a crowded next tier errors are all that is seen of it; alone they say less than the rest.
-        // So does an answer that never comes while all others come as in calm times: it is lost, not late.
-        let calm = self.strain.mean().is_some_and(|strain| strain < CALM);
+        // Behind a crowded next tier errors are all that is seen of it, but say less than the rest; so does an answer
+        // that never comes while all others come as in calm times: it is lost, not late.
+        let calm = self.seen.strain.mean().is_some_and(|strain| strain < CALM);
         match outcome {
             Outcome::Timeout if calm => self.cut_bound(slot, ERROR_WEIGHS),
             Outcome::Timeout | Outcome::Full => self.cut_bound(slot, 1.0),
@@ -850,20 +766,16 @@
             Outcome::ConnectFailed if self.terms.allowed.peers => self.missed(slot),
             // By what it held, the server could not have answered yet.
             Outcome::Timeout if self.looks > 0 => {}
-            _ => self.fail_verb(slot, verb),
+            _ => self.tell_verb(slot, verb, false),
         }
     }
 
-    /// A failure that other copies hear of too, where they may: each alone sees too few of a verb at a server.
-    fn fail_verb(&mut self, slot: Slot, verb: usize) {
-        self.words_of(slot, verb, Words::verb_failed);
-        self.lengthen_run(slot, verb);
-    }
-
-    fn words_of(&mut self, slot: Slot, verb: usize, say: fn(&mut Words, u32, usize)) {
+    /// Other copies hear of it too, where they may: each alone sees too few of a verb at a server.
+    fn tell_verb(&mut self, slot: Slot, verb: usize, answered: bool) {
         if self.terms.allowed.peers {
-            say(&mut self.words, self.fleet[slot].name(), verb);
+            self.seen.words.verb_went(self.fleet[slot].name(), verb, answered);
         }
+        if answered { self.answered_again(slot, verb) } else { self.lengthen_run(slot, verb) }
     }
 
     /// The run is kept by verb: what a server answers of one verb must not hide that it fails another.
@@ -887,8 +799,7 @@
         }
     }
 
-    /// For this verb alone: what fails one verb may serve the others, and with half of the fleet out of them the rest
-    /// could not carry all.
+    /// For this verb alone: without what fails one verb and serves the others, the rest could not carry all.
     fn mark_verb(&mut self, slot: Slot, verb: usize) {
         let marked = |server: &&Server| server.verbs.get(verb).is_some_and(|at| at.mark.is_some());
         let count = self.fleet.ready_ones().filter(marked).count() as f64;
@@ -926,11 +837,10 @@
         }
     }
 
-    /// Relays that stay out far longer than measured count as failures before any time-out says so: a server
-    /// that answers nothing would otherwise go on taking its share until then.
+    /// Relays out far longer than measured count as failures: what answers nothing would keep its share until time-outs.
     fn watch_relays(&mut self) {
         let mut late: Vec<(Id, usize, Slot, u32)> = Vec::new();
-        let turn = self.turn.average().filter(|_| self.looks > 0);
+        let turn = self.seen.turn.average().filter(|_| self.looks > 0);
         for (verb, record) in self.verbs.iter_mut().enumerate() {
             let usual = record.latency.quantile(0.9);
             record.watched.retain(|(sent, id, number)| {
@@ -957,7 +867,7 @@
         late.sort();
         for (id, verb, slot, number) in late {
             self.fleet[slot].overdue += 1;
-            self.fail_verb(slot, verb);
+            self.tell_verb(slot, verb, false);
             self.second_relay(&id, number);
         }
     }
@@ -985,8 +895,7 @@
     fn mark(&mut self, slot: Slot) {
         let ready = self.fleet.ready() as f64;
         let marked = ready - self.fleet.clear() as f64;
-        // When most of the fleet fails, the cause is load or something shared: marking on would push all the
-        // traffic onto the rest.
+        // When most of the fleet fails, the cause is load or something shared, and the rest could not carry all.
         if marked + 1.0 > ready * MARKED_AT_MOST {
             return;
         }
@@ -1012,8 +921,7 @@
         }
     }
 
-    /// Its report counts only where each draw fetches its own: else it would be the last for long, and age into an
-    /// even share.
+    /// Its report counts only where each draw fetches its own: else it would be the last for long.
     pub fn check_ended(&mut self, now: Duration, outcome: Outcome, id: &Id, load: Load) {
         self.now = now;
         let Some(slot) = self.fleet.slot(id) else { return };
@@ -1042,11 +950,10 @@
         }
     }
 
-    /// Rule 4: while a server ramps, this copy sends it no more than the ramp's share of what it sends the
-    /// others on average, so that all copies together stay under what the server can do.
+    /// Rule 4: while a server ramps, each copy sends it no more than the ramp's share of what others get on average.
     fn credit_cold(&mut self) {
         let chosen = self.fleet.window().len().max(1) as f64;
-        let usual = (self.sent.per_s(self.now) / chosen).max(4.0 / self.sharers);
+        let usual = (self.seen.sent.per_s(self.now) / chosen).max(4.0 / self.sharers);
         let (cold, now) = (&self.terms.cold, self.now);
         self.fleet.each_ramping(now, |server| {
             let since = now.saturating_sub(server.credited).as_secs_f64().min(1.0);
@@ -1061,8 +968,7 @@
 // Looking before the draw
 
 impl<H: Host> Policy<H> {
-    /// Has what some servers hold told anew before the command's draw. One of hundreds of copies hears too little of
-    /// any server to go by what it heard last.
+    /// Asks anew what some servers hold before the command's draw: one of hundreds of copies hears too little of any.
     fn look(&mut self, id: &Id) -> bool {
         let Some(cmd) = self.cmds.get(id).filter(|cmd| self.looks > 0 && cmd.rounds < ROUNDS) else {
             return false;
@@ -1077,7 +983,7 @@
             let other = at + (self.chance() * (among.len() - at) as f64) as usize;
             among.swap(at, other);
         }
-        among.sort_by_key(|slot| !self.warm(&self.fleet[*slot]));
+        among.sort_by_key(|slot| !self.fleet[*slot].warm(now, self.terms.conn_idle));
         among.truncate(wanted);
         let stale = |server: &Server| server.report().is_none_or(|(_, at)| at + FRESH < now);
         let looks: Vec<Slot> = among.iter().filter(|slot| stale(&self.fleet[**slot])).copied().collect();
@@ -1095,6 +1001,13 @@
         found
     }
 
+    fn look_anew(&mut self, id: &Id) {
+        if let Some(cmd) = self.cmds.get_mut(id) {
+            (cmd.among, cmd.rounds) = (Vec::new(), 0);
+        }
+        self.look(id);
+    }
+
     fn looking(&self, cmd: &Cmd) -> bool {
         !cmd.looks.is_empty() && self.now < cmd.look_until
     }
@@ -1116,25 +1029,11 @@
         self.thin_held(None);
     }
 
-    /// What it holds, by a report fetched for a draw that goes on.
-    fn told(&self, server: &Server) -> Option<f64> {
-        server.report().filter(|(_, at)| self.young(*at)).map(|(figure, _)| figure + server.sends)
-    }
-
-    fn held_at(&self, slot: Slot) -> f64 {
-        self.told(&self.fleet[slot]).unwrap_or(f64::MAX)
-    }
-
-    /// Fetched for a draw that goes on.
-    fn young(&self, at: Duration) -> bool {
-        self.now <= at + FRESH + ROUNDS * LOOK_WAIT
-    }
-
     /// Seconds to an answer by what the server is said to hold; none where no report for this draw says it.
     fn takes(&self, cmd: &Cmd, server: &Server) -> Option<f64> {
-        let held = self.told(server)?;
+        let held = server.told(self.now, YOUNG)?;
         let goal = self.terms.verbs.get(cmd.verb).map_or(0.0, |verb| verb.goal.as_secs_f64());
-        let turn = self.turn.average().unwrap_or(goal / BOUND_START);
+        let turn = self.seen.turn.average().unwrap_or(goal / BOUND_START);
         let slow = server.slowness.max(1.0) / server.ramp(&self.terms.cold, self.now);
         Some(turn * slow * (held + cmd.size))
     }
@@ -1142,7 +1041,7 @@
     /// Whether it would most likely answer in time.
     fn in_time(&self, cmd: &Cmd, server: &Server) -> bool {
         let Some(takes) = self.takes(cmd, server) else { return true };
-        let part = if self.told(server) < Some(1.0) { 1.0 } else { IN_TIME };
+        let part = if server.told(self.now, YOUNG) < Some(1.0) { 1.0 } else { IN_TIME };
         takes <= part * self.left(cmd)
     }
 }
@@ -1150,42 +1049,21 @@
 // The draw
 
 impl<H: Host> Policy<H> {
-    /// Its part of all bounds. The part of one server's bound can be less than one relay: without the sum,
-    /// many copies would each have one out at every server.
+    /// Its part of all bounds: of one server's it can be less than a relay, and many copies would each have one out.
     fn room(&self) -> f64 {
-        let servers = self.fleet.window().iter().map(|slot| &self.fleet[*slot]);
-        let bounds = servers.filter(|server| server.mark().is_none()).map(|server| server.bound);
-        (bounds.sum::<f64>() / self.sharers).max(0.1)
-    }
-
-    /// How busy the window's servers say they are, the older their word the less it counts.
-    fn busy(&self) -> Option<f64> {
-        let (mut sum, mut all) = (0.0, 0.0);
-        for slot in self.fleet.window() {
-            let server = &self.fleet[*slot];
-            let young = |(_, at): &(f64, Duration)| *at + BUSY_FOR > self.now;
-            if let Some((util, at)) = server.util.filter(young).filter(|_| server.mark().is_none()) {
-                let part = (-self.now.saturating_sub(at).as_secs_f64() / DECAY).exp();
-                (sum, all) = (sum + util * part, all + part);
-            }
-        }
-        (all > 0.0).then(|| sum / all)
+        (self.fleet.bounds() / self.sharers).max(0.1)
     }
 
     /// Servers' own word that there is room goes before a copy's even part of what it believes that all may have out.
     fn has_room(&self) -> bool {
-        self.busy().is_some_and(|busy| busy < BUSY_CALM)
+        self.fleet.busy(self.now, BUSY_FOR, DECAY).is_some_and(|busy| busy < BUSY_CALM)
     }
 
-    /// Brings the mean of what is out up to date, before that changes. Where the copy's room is a few relays,
-    /// holding to it at every moment would turn away chance clusters that all copies together have room for.
+    /// Where the copy's room is a few relays, holding to it at every moment would turn away chance clusters that all
+    /// copies together have room for.
     fn average_out(&mut self) {
-        let out = self.fleet.clear_out() as f64;
         let span = 0.1 * (ROOM_STEADY / self.room() - 1.0);
-        let since = self.now.saturating_sub(self.averaged).as_secs_f64();
-        self.averaged = self.now;
-        let kept = if span > 0.0 { (-since / span).exp() } else { 0.0 };
-        self.mean_out = out + (self.mean_out - out) * kept;
+        self.mean_out.bring(self.now, self.fleet.clear_out() as f64, span);
     }
 
     fn draw(&mut self, id: &Id) -> Option<Slot> {
@@ -1194,7 +1072,7 @@
         let drawn = self.chance();
         let cmd = self.cmds.get(id)?;
         let open = if self.has_room() { ROOM_OPEN } else { 1.0 };
-        if self.looks == 0 && self.mean_out >= self.room() * self.part_of_room(cmd) * open {
+        if self.looks == 0 && self.mean_out.mean >= self.room() * self.part_of_room(cmd) * open {
             return None;
         }
         let repeats = self.repeats(cmd);
@@ -1211,20 +1089,17 @@
         weights.clear();
         let (all_marked, report) = (self.fleet.clear() == 0, self.fleet.mean_report());
         let among = if cmd.among.is_empty() { self.fleet.window() } else { &cmd.among };
-        let any_told = self.looks > 0 && among.iter().any(|slot| self.told(&self.fleet[*slot]).is_some());
+        let any_told =
+            self.looks > 0 && among.iter().any(|slot| self.fleet[*slot].told(self.now, YOUNG).is_some());
         for slot in bound_to.as_deref().unwrap_or(among) {
             let server = &self.fleet[*slot];
-            if (!any_told || self.told(server).is_some()) && self.fits(cmd, repeats, server, all_marked) {
+            if (!any_told || server.told(self.now, YOUNG).is_some())
+                && self.fits(cmd, repeats, server, all_marked)
+            {
                 weights.push((*slot, self.weight(cmd, server, report)));
             }
         }
-        let total: f64 = weights.iter().map(|(_, weight)| weight).sum();
-        let mut left = drawn * total;
-        let reached = |(_, weight): &&(Slot, f64)| {
-            left -= weight;
-            left <= 0.0
-        };
-        let slot = weights.iter().find(reached).or(weights.last()).map(|(slot, _)| *slot);
+        let slot = drawn_from(&weights, drawn);
         self.weights = weights;
         slot
     }
@@ -1261,7 +1136,8 @@
             return price * takes.max(1e-3).powi(-LOOK_SHARPNESS);
         }
         let (listed, pace) = (server.listed, 1.0 / server.slowness);
-        let dial = if self.warm(server) { 0.0 } else { self.terms.prices.handshake };
+        let dial =
+            if server.warm(self.now, self.terms.conn_idle) { 0.0 } else { self.terms.prices.handshake };
         let price = price * (-dial * DIAL_AVERSION).exp();
         let size = listed * pace;
         let own = f64::from(server.out()) * self.sharers;
@@ -1272,8 +1148,7 @@
             }
             None => mean + own,
         };
-        // A report that hides what this copy itself has out there, or whose server answers nothing, must not
-        // age its way back to an even share.
+        // A report that hides this copy's own, or whose server answers nothing, must not age back to an even share.
         let figure = figure.max(own) + f64::from(server.overdue) * self.sharers;
         let by_size = server.by_list * pace.powi(SHARPNESS);
         let share = server.ramp(&self.terms.cold, self.now) * price;
--- a/crates/decisions/src/stats.rs
+++ b/crates/decisions/src/stats.rs
@@ -76,6 +76,10 @@
 }
 
 impl Rate {
+    pub fn over(span: f64) -> Rate {
+        Rate { span, ..Rate::default() }
+    }
+
     pub fn add(&mut self, now: Duration, amount: f64) {
         self.count = self.count(now) + amount;
         self.at = now;
@@ -95,3 +99,29 @@
     *draws += 1;
     (hash(&(seed, *draws)) >> 11) as f64 / (1u64 << 53) as f64
 }
+
+/// A mean that forgets evenly over a span which may change.
+#[derive(Debug)]
+pub struct Average {
+    pub mean: f64,
+    pub at: Duration,
+}
+
+impl Average {
+    /// Up to now the figure stood at `figure`.
+    pub fn bring(&mut self, now: Duration, figure: f64, span: f64) {
+        let since = now.saturating_sub(self.at).as_secs_f64();
+        let kept = if span > 0.0 { (-since / span).exp() } else { 0.0 };
+        (self.mean, self.at) = (figure + (self.mean - figure) * kept, now);
+    }
+}
+
+/// The one that a chance from 0 to 1 falls on.
+pub fn drawn_from<T: Copy>(weights: &[(T, f64)], drawn: f64) -> Option<T> {
+    let mut left = drawn * weights.iter().map(|(_, weight)| weight).sum::<f64>();
+    let reached = |(_, weight): &&(T, f64)| {
+        left -= weight;
+        left <= 0.0
+    };
+    weights.iter().find(reached).or(weights.last()).map(|(one, _)| *one)
+}
--- a/crates/decisions/src/words.rs
+++ b/crates/decisions/src/words.rs
@@ -14,8 +14,7 @@
 /// Who hears a peer's words, one method for each.
 pub trait Hearer {
     fn idle_broke(&mut self, idle: Duration);
-    fn verb_failed(&mut self, server: u32, verb: usize);
-    fn verb_answered(&mut self, server: u32, verb: usize);
+    fn verb_went(&mut self, server: u32, verb: usize, answered: bool);
     fn traffic(&mut self, per_s: f64);
 }
 
@@ -35,26 +34,14 @@
         self.add(&[IDLE_BROKE, ms[0], ms[1]]);
     }
 
-    pub fn verb_failed(&mut self, server: u32, verb: usize) {
-        self.of_verb(VERB_FAILED, server, verb);
-    }
-
-    pub fn verb_answered(&mut self, server: u32, verb: usize) {
-        self.of_verb(VERB_ANSWERED, server, verb);
-    }
-
-    fn of_verb(&mut self, kind: u8, server: u32, verb: usize) {
+    /// That a server failed a verb, or answered it.
+    pub fn verb_went(&mut self, server: u32, verb: usize, answered: bool) {
+        let kind = if answered { VERB_ANSWERED } else { VERB_FAILED };
         let Some(verb) = u8::try_from(verb).ok().filter(|verb| *verb < VERBS) else { return };
         let [_, a, b, c] = server.to_be_bytes();
         self.add(&[kind + verb, a, b, c]);
     }
 
-    /// In tenths of a command a second.
-    pub fn traffic(&mut self, per_s: f64) {
-        let tenths = ((per_s * 10.0).clamp(0.0, 65535.0) as u16).to_be_bytes();
-        self.add(&[TRAFFIC, tenths[0], tenths[1]]);
-    }
-
     /// Bytes so far.
     pub fn length(&self) -> usize {
         self.0.len()
@@ -65,6 +52,12 @@
     }
 }
 
+/// A message of its own, in tenths of a command a second.
+pub fn traffic(per_s: f64) -> [u8; 3] {
+    let [a, b] = ((per_s * 10.0).clamp(0.0, 65535.0) as u16).to_be_bytes();
+    [TRAFFIC, a, b]
+}
+
 /// Reads a message up to its end or to the first word that this version doesn't know.
 pub fn read(mut bytes: &[u8], hearer: &mut impl Hearer) {
     loop {
@@ -74,11 +67,11 @@
                 rest
             }
             [kind @ VERB_FAILED..VERB_ANSWERED, a, b, c, rest @ ..] => {
-                hearer.verb_failed(u32::from_be_bytes([0, *a, *b, *c]), (kind - VERB_FAILED).into());
+                hearer.verb_went(u32::from_be_bytes([0, *a, *b, *c]), (kind - VERB_FAILED).into(), false);
                 rest
             }
             [kind @ VERB_ANSWERED..192, a, b, c, rest @ ..] => {
-                hearer.verb_answered(u32::from_be_bytes([0, *a, *b, *c]), (kind - VERB_ANSWERED).into());
+                hearer.verb_went(u32::from_be_bytes([0, *a, *b, *c]), (kind - VERB_ANSWERED).into(), true);
                 rest
             }
             [TRAFFIC, a, b, rest @ ..] => {
@@ -101,11 +94,8 @@
         fn idle_broke(&mut self, idle: Duration) {
             self.0.push(format!("broke {idle:?}"));
         }
-        fn verb_failed(&mut self, server: u32, verb: usize) {
-            self.0.push(format!("failed {server} {verb}"));
-        }
-        fn verb_answered(&mut self, server: u32, verb: usize) {
-            self.0.push(format!("answered {server} {verb}"));
+        fn verb_went(&mut self, server: u32, verb: usize, answered: bool) {
+            self.0.push(format!("{server} {verb} {answered}"));
         }
         fn traffic(&mut self, per_s: f64) {
             self.0.push(format!("traffic {per_s}"));
@@ -116,15 +106,15 @@
     fn words_are_heard_as_they_were_said_and_no_message_is_too_long() {
         let mut words = Words::default();
         words.idle_broke(Duration::from_millis(1100));
-        words.verb_failed(77, 2);
-        words.verb_answered(0xff_ffff, 63);
-        words.verb_answered(1, 64);
-        words.traffic(2.5);
+        words.verb_went(77, 2, false);
+        words.verb_went(0xff_ffff, 63, true);
+        words.verb_went(1, 64, true);
         let (mut heard, bytes) = (Heard::default(), words.take().expect("there are words"));
         read(&bytes, &mut heard);
-        assert_eq!(heard.0, ["broke 1.1s", "failed 77 2", "answered 16777215 63", "traffic 2.5"]);
+        read(&traffic(2.5), &mut heard);
+        assert_eq!(heard.0, ["broke 1.1s", "77 2 false", "16777215 63 true", "traffic 2.5"]);
         assert!(words.take().is_none());
-        (0..100).for_each(|server| words.verb_failed(server, 1));
+        (0..100).for_each(|server| words.verb_went(server, 1, false));
         let bytes = words.take().expect("there are words");
         assert_eq!(bytes.len(), MOST / 4 * 4);
         // Cut anywhere, or followed by what a later version says, the words before it are heard.
