--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -243,7 +243,7 @@
         &self.window
     }
 
-    /// How busy the window's unmarked servers say they are, no longer than `young` ago; older words count less.
+    /// How busy the window's unmarked servers say they are, not long ago; older words count less.
     pub fn busy(&self, now: Duration, young: Duration, decay: f64) -> Option<f64> {
         let (mut sum, mut all) = (0.0, 0.0);
         for server in self.window.iter().map(|slot| &self[*slot]).filter(|server| server.mark.is_none()) {
@@ -265,8 +265,10 @@
         self.marked.values().copied()
     }
 
-    pub fn ready_ones(&self) -> impl Iterator<Item = &Server> {
-        self.near.iter().chain(&self.far).map(|(_, slot)| &self[*slot])
+    /// How many ready servers are marked for one verb.
+    pub fn marked_for(&self, verb: usize) -> usize {
+        let ready = self.near.iter().chain(&self.far).map(|(_, slot)| &self[*slot]);
+        ready.filter(|server| server.verbs.get(verb).is_some_and(|at| at.mark.is_some())).count()
     }
 
     /// The ready server that peers call by this name.
@@ -505,6 +507,13 @@
         }
     }
 
+    /// The servers of a cell, which may lie outside of the window, their sizes as its weights count them.
+    pub fn sized_cell(&mut self, zone: u32, cell: u32, power: f64) -> Vec<Slot> {
+        let (slots, mean) = (self.in_cell(zone, cell).collect::<Vec<_>>(), self.mean_nominal().max(1e-9));
+        slots.iter().for_each(|slot| self.size_one(*slot, power, mean));
+        slots
+    }
+
     pub fn size_one(&mut self, slot: Slot, power: f64, mean: f64) {
         let server = &mut self[slot];
         server.listed = server.nominal / mean;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -1,13 +1,13 @@
 //! Every decision of landingspread: which server a command is relayed to, whether it is relayed again,
 //! how long it is held, and when it is given up.
 //!
-//! A front calls `Policy::start` once and then one method for each thing that happens, in its order; each acts by
-//! calling the `Host` handed over at start. The reasons stand in `docs/design.md`.
+//! A front calls `Policy::start` and then one method for each thing that happens, in its order; each acts by
+//! calling the `Host`. The reasons stand in `docs/design.md`.
 
 use crate::book::{Asking, Cmd, Fate, Relay, Seen, VerbRecord};
 use crate::fleet::{Fleet, Mark, Server, Slot};
 use crate::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
-use crate::stats::{Average, Histogram, Rate, chance, drawn_from};
+use crate::stats::{Average, Histogram, Rate, chance, drawn_from, shuffle};
 use crate::terms::{Group, Repeats, Terms};
 use crate::words::{self, Hearer};
 use std::collections::BTreeMap;
@@ -52,8 +52,6 @@
 const OVERDUE: f64 = 4.0;
 /// How steeply the price of a crossing lowers a far server's weight.
 const CROSSING_AVERSION: f64 = 60.0;
-/// And the price of a new connection that of a server without one.
-const DIAL_AVERSION: f64 = 30.0;
 /// Clients come back after this share of the response goal: later, nothing could be earned any more.
 const COME_BACK: f64 = 0.3;
 /// Each copy works with as many servers as give it so many answers a second each, and no fewer than this.
@@ -77,10 +75,10 @@
 const JUMP: f64 = 2.0;
 const JUMP_SEEN: f64 = 8.0;
 
-/// Where checks alone tell what a server holds, so many points of the goal may go into checks before a command's draw.
+/// Where checks alone tell what servers hold, this much of the goal may go into checks before a draw.
 const LOOKS_COST: f64 = 0.012;
 const LOOKS_MOST: f64 = 6.0;
-/// So many are looked at first, warm connections before others; if each holds something, more, as long as checks last.
+/// So many are looked at first, warm ones before others; if each holds something, more, while checks last.
 const FIRST_LOOKS: usize = 2;
 const LOOKS_SAVED: f64 = 60.0;
 const ROUNDS: u32 = 3;
@@ -97,7 +95,7 @@
 /// A reset within this time, on a connection idle for so long, is the idle connection's and not the server's.
 const BREAK_WITHIN: Duration = Duration::from_millis(50);
 const IDLE_LEAST: Duration = Duration::from_millis(300);
-/// After so many breaks of late, own and told, commands get new connections; past the second, no more is told.
+/// After so many breaks, own and told, commands get new connections; past the second no more is told.
 const BREAKS: f64 = 1.5;
 const BREAKS_TOLD: f64 = 4.0;
 const BREAKS_SPAN: f64 = 6.0;
@@ -106,22 +104,20 @@
 
 /// A relay is lost after this many times what it would take by what the server was said to hold.
 const LOST: f64 = 2.5;
-/// At most so many of the ready servers are marked for one verb; one that is takes this part of a place in a window.
+/// At most this share is marked for one verb; one that is takes this part of a place in a window.
 const VERB_MARKED_AT_MOST: f64 = 0.75;
 const VERB_MARKED_TAKES: f64 = 0.3;
-/// It gets no trial of the verb for so long, longer where that may cost a command; copies take turns so far apart.
+/// It gets no trial of the verb for so long, and then copies take turns so far apart.
 const VERB_TRIAL: Duration = Duration::from_secs(5);
-const EFFECTFUL_TRIAL: Duration = Duration::from_secs(12);
 const TRIAL_EACH: f64 = 0.3;
 
 /// Words to peers may cost so many points of the goal a command, each message counted as this long at least.
 const WORDS_COST: f64 = 0.005;
 const WORDS_LEAST: usize = 16;
 const WORDS_SAVED: f64 = 3.0;
-/// Servers that say they are less busy than the first have room, as busy as the second are crowded.
-const BUSY_CALM: f64 = 0.95;
-const BUSY: f64 = 0.99;
-/// So many peers are told a copy's traffic at a time; what such a word counts; the least part a copy takes for its own.
+/// Servers that say they are less busy than this have room.
+const BUSY: f64 = 0.95;
+/// So many peers are told of traffic at a time; what such a word counts; the least part of the usual.
 const TELL_TRAFFIC: usize = 4;
 const TRAFFIC_GAIN: f64 = 0.03;
 const PART_LEAST: f64 = 0.5;
@@ -139,7 +135,6 @@
     held: Vec<Id>,
     verbs: Vec<VerbRecord>,
     seen: Seen,
-    /// How many servers are checked before a command's draw.
     looks: usize,
     spare_looks: f64,
     spare_relays: f64,
@@ -152,7 +147,6 @@
     /// When this copy last swept, and by how much it was late of late: that time is no server's.
     swept: Duration,
     late: Duration,
-    /// The last draw's, kept for its memory.
     weights: Vec<(Slot, f64)>,
 }
 
@@ -233,11 +227,9 @@
     fn chance(&mut self) -> f64 {
         chance(self.seed, &mut self.draws)
     }
-}
 
-// The list of servers
+    // The list of servers
 
-impl<H: Host> Policy<H> {
     pub fn list_cached(&mut self, now: Duration, entries: &[Listed]) {
         self.now = now;
         self.fleet.only_listed(entries);
@@ -288,7 +280,6 @@
         }
     }
 
-    /// A process that started anew has nothing to do with what was learned of the old one.
     fn restarted(&mut self, slot: Slot, at: Duration) {
         self.fleet.take_mark(slot);
         self.fleet.set_report(slot, None);
@@ -299,9 +290,9 @@
         self.fleet.set_ramp(slot, at);
     }
 
-    /// One of hundreds of copies meets each server too seldom for a run, a pace or a warm connection. So each works
-    /// with a window on the ring of servers, in an order that all share, from a place that its number gives; what is
-    /// marked or still cold takes no place in it, or part of one.
+    /// One of hundreds of copies meets each server too seldom for a run, a pace or a warm connection. So each
+    /// works with a window on the ring of servers, from a place that its number gives; what is marked or cold
+    /// takes no place in it, or part of one.
     fn choose_servers(&mut self) {
         self.choose_at = self.now + CHOOSE_EVERY;
         let priced = self.terms.prices.connection > 0.0;
@@ -329,7 +320,6 @@
         self.verbs.iter().map(|record| record.asked.per_s(self.now)).sum()
     }
 
-    /// What this copy is asked against the usual one: copies beside their callers differ by tens of times.
     fn part(&self) -> f64 {
         let part = |usual: f64| (self.asked() / usual.max(0.01)).clamp(PART_LEAST, self.terms.balancers);
         self.seen.usual_traffic.map_or(1.0, part)
@@ -350,11 +340,9 @@
     fn crowding(&self) -> f64 {
         1.0 + f64::from(SHARPNESS - 1) * 4.0 / (3.0 + self.sharers)
     }
-}
 
-// Commands
+    // Commands
 
-impl<H: Host> Policy<H> {
     pub fn peer_said(&mut self, now: Duration, _peer: u32, said: &[u8]) {
         self.now = now;
         words::read(said, self);
@@ -410,7 +398,6 @@
         asked > quota && self.chance() > quota / asked
     }
 
-    /// Seconds in which an answer still earns something.
     fn left(&self, cmd: &Cmd) -> f64 {
         cmd.good_until.saturating_sub(self.now).as_secs_f64()
     }
@@ -434,7 +421,7 @@
         verb.utility * short * if cmd.beyond { self.terms.beyond_quota } else { 1.0 } / time
     }
 
-    /// Where few commands come to a copy at a time, what ranks low leaves a part of the room to what ranks high.
+    /// Where few commands come to a copy at a time, low ranks leave a part of the room to high ones.
     fn part_of_room(&self, cmd: &Cmd) -> f64 {
         let ranks = (0..self.verbs.len()).map(|verb| self.rank(&Cmd { verb, ..Cmd::default() }));
         let low = 1.0 - (self.rank(cmd) / ranks.fold(1e-9, f64::max)).min(1.0);
@@ -453,7 +440,7 @@
         }
     }
 
-    /// Gives up at once what would hardly be answered within its goal: waiting in vain costs more than a quick word.
+    /// Gives up at once what would hardly be answered in time: waiting in vain costs more than a quick word.
     fn thin_held(&mut self, newcomer: Option<&Id>) {
         let rate = self.turnover();
         let mut ahead = 0.0;
@@ -473,8 +460,8 @@
         }
     }
 
-    /// Places that come free in a second. After a lull or a start what has ended on average is too little; before
-    /// anything has, all places are taken to come free within what a newcomer would wait.
+    /// Places that come free in a second. After a lull what has ended on average is too little; before that, all
+    /// places are taken to come free within what a newcomer would wait.
     fn turnover(&self) -> f64 {
         let (usual, lately) = (self.seen.ended.per_s(self.now), self.seen.lately.per_s(self.now));
         if usual == 0.0 && self.room() >= ROOM_STEADY {
@@ -485,9 +472,7 @@
         if jumps { lately } else { usual }.max(1.0)
     }
 
-    /// Relays the command now if some server has room for it.
     fn place(&mut self, id: &Id) -> bool {
-        // Work that starts with less time left than half of what it usually takes is mostly done for nothing.
         let Some(cmd) = self.cmds.get(id) else { return false };
         let hopeless = self.left(cmd) < HOPELESS * self.expected_of(cmd);
         if hopeless || self.looking(cmd) {
@@ -515,6 +500,7 @@
         server.used = Some(self.now);
         let ahead = server.report().map(|(figure, _)| figure + server.sends).filter(|_| self.looks > 0);
         let (number, server_id) = (cmd.relays.len() as u32, server.id.clone());
+        (cmd.among, cmd.rounds) = (Vec::new(), 0);
         cmd.relays.push(Relay::new(server, to, self.now, idle, ahead));
         server.sends += 1.0;
         server.cold_credit = (server.cold_credit - 1.0).max(0.0);
@@ -536,7 +522,6 @@
         self.terms.verbs.get(cmd.verb).map_or(Repeats::Effectful, |verb| verb.repeats)
     }
 
-    /// The final answer of a command that will not be answered.
     fn give_up(&mut self, id: &Id) {
         let Some(cmd) = self.cmds.get(id).filter(|cmd| !cmd.finished) else { return };
         let harmless = matches!(self.repeats(cmd), Repeats::Pure | Repeats::Receipted(Group::All));
@@ -563,7 +548,6 @@
         }
     }
 
-    /// Rule 2, for a further relay to a server in this zone and cell.
     fn may_relay(&self, cmd: &Cmd, zone: u32, cell: u32) -> bool {
         if cmd.finished || cmd.streaming || cmd.relays.len() as u32 >= self.terms.allowed.relays {
             return false;
@@ -588,7 +572,7 @@
         }
     }
 
-    /// For how long the connection was idle. Where such ones break unseen it is let go of: what is sent on it may run.
+    /// For how long the connection was idle. Where such ones break unseen it is let go of.
     fn renew_idle(&mut self, id: &Id, to: Slot) -> Duration {
         let server = &self.fleet[to];
         let used = server.used.filter(|_| server.out() == 0);
@@ -652,8 +636,7 @@
         server.used = Some(now);
         // What is too slow to answer in time would otherwise be known by its quickest answers only.
         if usual > 0.0 && (answered || overdue || ended.outcome == Outcome::Timeout) {
-            let told = ahead.zip(self.seen.turn.average()).map(|(ahead, turn)| turn * (size + ahead));
-            let pace = ended.latency.as_secs_f64() / told.unwrap_or(usual * size);
+            let pace = ended.latency.as_secs_f64() / (usual * size);
             server.learn(if answered { pace } else { pace.max(1.0) });
         }
         if answered {
@@ -686,7 +669,7 @@
             } else if self.looks > 0 {
                 self.spare_relays -= price;
                 self.held.push(id.clone());
-                self.look_anew(id);
+                self.look(id);
             } else if self.place(id) {
                 self.spare_relays -= price;
             } else {
@@ -706,8 +689,7 @@
 
     fn count_answer(&mut self, slot: Slot, verb: usize, latency: Duration, size: f64, in_time: bool) {
         let (now, sharers, mean_out, room) = (self.now, self.sharers, self.mean_out.mean, self.room());
-        let busy = self.fleet.busy(self.now, BUSY_FOR, DECAY);
-        let heavy = busy.is_some_and(|busy| busy < BUSY);
+        let roomy = self.says_room();
         let server = &mut self.fleet[slot];
         let Some(record) = self.verbs.get_mut(verb) else { return };
         let Some(goal) = self.terms.verbs.get(verb).map(|verb| verb.goal.as_secs_f64()) else { return };
@@ -718,23 +700,22 @@
         if let Some(strain) = record.strain_of(took / size) {
             self.seen.strain.add(strain, 64);
         }
-        // Where one zone is crowded and another is not, only what is seen of this server tells which it is. Of heavy
-        // commands one in twenty is late on an idle server: where servers say how busy they are, that tells.
-        let strain = match busy {
-            Some(busy) if busy < BUSY_CALM => 1.0,
-            Some(busy) if busy < BUSY => (CALM + STRAINED) / 2.0,
-            Some(_) => STRAINED + 0.1,
+        // Where one zone is crowded and another not, only this server's answers tell which it is. Of heavy
+        // commands one in twenty is late on an idle server: there servers' own word tells.
+        let strain = match roomy {
+            Some(true) => 1.0,
+            Some(false) => STRAINED + 0.1,
             None => self.seen.strain.mean().unwrap_or(1.0) * server.slowness,
         };
         if in_time {
             record.answered.add(now, 1.0);
         }
         let failing = server.verbs.get(verb).is_some_and(|at| at.run > 0 || at.mark.is_some());
-        if (took > goal || !in_time) && !heavy {
+        if (took > goal || !in_time) && roomy != Some(true) {
             self.cut_bound(slot, 1.0);
         } else if strain > STRAINED && server.bound > BOUND_LEAST {
             server.bound = (server.bound * (-STRAIN_CUT * sharers).exp()).max(BOUND_LEAST);
-        } else if used && strain < CALM && busy.is_none() {
+        } else if used && strain < CALM && roomy.is_none() {
             server.bound = (server.bound + BOUND_RISE * sharers / server.bound).min(BOUND_MOST);
         }
         if failing {
@@ -749,24 +730,21 @@
     }
 
     fn count_failure(&mut self, slot: Slot, verb: usize, outcome: Outcome, counted: bool) {
-        if matches!(outcome, Outcome::Moot | Outcome::Cancelled) {
-            return;
-        }
-        // Behind a crowded next tier errors are all that is seen of it, but say less than the rest; so does an answer
-        // that never comes while all others come as in calm times: it is lost, not late.
+        // Behind a crowded next tier errors are all that is seen of it, but say less than the rest; so does what
+        // never comes while all others come as in calm times: it is lost, not late.
         let calm = self.seen.strain.mean().is_some_and(|strain| strain < CALM);
         match outcome {
+            Outcome::Moot | Outcome::Cancelled => return,
             Outcome::Timeout if calm => self.cut_bound(slot, ERROR_WEIGHS),
             Outcome::Timeout | Outcome::Full => self.cut_bound(slot, 1.0),
             Outcome::Error | Outcome::Reset => self.cut_bound(slot, ERROR_WEIGHS),
             _ => {}
         }
-        match outcome {
-            _ if counted => {}
-            Outcome::ConnectFailed if self.terms.allowed.peers => self.missed(slot),
-            // By what it held, the server could not have answered yet.
-            Outcome::Timeout if self.looks > 0 => {}
-            _ => self.tell_verb(slot, verb, false),
+        if outcome == Outcome::ConnectFailed && self.terms.allowed.peers {
+            self.missed(slot);
+        } else if !counted && (outcome != Outcome::Timeout || self.looks == 0) {
+            // Of a time-out after a look: by what it held, the server could not have answered yet.
+            self.tell_verb(slot, verb, false);
         }
     }
 
@@ -801,16 +779,13 @@
 
     /// For this verb alone: without what fails one verb and serves the others, the rest could not carry all.
     fn mark_verb(&mut self, slot: Slot, verb: usize) {
-        let marked = |server: &&Server| server.verbs.get(verb).is_some_and(|at| at.mark.is_some());
-        let count = self.fleet.ready_ones().filter(marked).count() as f64;
+        let count = self.fleet.marked_for(verb) as f64;
         let known = self.fleet[slot].verbs[verb].mark.is_some();
         if !known && count + 1.0 > VERB_MARKED_AT_MOST * self.fleet.ready() as f64 {
             return;
         }
-        let pure = self.terms.verbs[verb].repeats == Repeats::Pure;
-        let wait = if pure { VERB_TRIAL } else { EFFECTFUL_TRIAL };
         let turn = Duration::from_secs_f64(self.chance() * TRIAL_EACH * self.sharers);
-        let next = self.now + wait + turn;
+        let next = self.now + VERB_TRIAL + turn;
         self.fleet[slot].verbs[verb].mark = Some(Mark { passes: 0, next, trying: false });
         if !known {
             self.host.note(&format!("mark {} for verb {verb}", self.fleet[slot].id));
@@ -819,7 +794,7 @@
 
     fn answered_again(&mut self, slot: Slot, verb: usize) {
         let Some(at) = self.fleet[slot].verbs.get_mut(verb) else { return };
-        // What is lost by chance comes between answers: of many copies' words an answer makes good half a failure.
+        // Losses by chance come between answers: of many copies' words an answer makes good half a failure.
         at.run = if self.terms.allowed.peers { at.run.saturating_sub(1) } else { 0 };
         if let Some(mark) = &mut at.mark {
             mark.passes += 1;
@@ -837,7 +812,7 @@
         }
     }
 
-    /// Relays out far longer than measured count as failures: what answers nothing would keep its share until time-outs.
+    /// Relays out far longer than measured count as failures, or what answers nothing would keep its share.
     fn watch_relays(&mut self) {
         let mut late: Vec<(Id, usize, Slot, u32)> = Vec::new();
         let turn = self.seen.turn.average().filter(|_| self.looks > 0);
@@ -872,7 +847,6 @@
         }
     }
 
-    /// Within the budget, what is overdue at one server is tried at another while the goal can still be met.
     fn second_relay(&mut self, id: &Id, number: u32) {
         let Some(cmd) = self.cmds.get(id) else { return };
         if cmd.finished || self.spare_relays < 1.0 || self.left(cmd) < 1.5 * self.expected_of(cmd) {
@@ -887,15 +861,13 @@
             self.host.cancel(id, number);
         }
     }
-}
 
-// Marks, checks and the ramp
+    // Marks, checks and the ramp
 
-impl<H: Host> Policy<H> {
     fn mark(&mut self, slot: Slot) {
         let ready = self.fleet.ready() as f64;
         let marked = ready - self.fleet.clear() as f64;
-        // When most of the fleet fails, the cause is load or something shared, and the rest could not carry all.
+        // When most of the fleet fails, the cause is load or shared, and the rest could not carry all.
         if marked + 1.0 > ready * MARKED_AT_MOST {
             return;
         }
@@ -904,7 +876,6 @@
         self.host.note(&format!("mark {}", self.fleet[slot].id));
     }
 
-    /// How long a marked server gets neither check nor trial.
     fn wait_marked(&self) -> Duration {
         if self.terms.allowed.checks { CHECK_EVERY } else { TRIAL_AFTER }
     }
@@ -950,7 +921,7 @@
         }
     }
 
-    /// Rule 4: while a server ramps, each copy sends it no more than the ramp's share of what others get on average.
+    /// Rule 4: while a server ramps, a copy sends it at most the ramp's share of what others get on average.
     fn credit_cold(&mut self) {
         let chosen = self.fleet.window().len().max(1) as f64;
         let usual = (self.seen.sent.per_s(self.now) / chosen).max(4.0 / self.sharers);
@@ -963,12 +934,10 @@
             share >= 1.0
         });
     }
-}
 
-// Looking before the draw
+    // Looking before the draw
 
-impl<H: Host> Policy<H> {
-    /// Asks anew what some servers hold before the command's draw: one of hundreds of copies hears too little of any.
+    /// Asks anew what some servers hold: one of hundreds of copies hears too little of any.
     fn look(&mut self, id: &Id) -> bool {
         let Some(cmd) = self.cmds.get(id).filter(|cmd| self.looks > 0 && cmd.rounds < ROUNDS) else {
             return false;
@@ -979,10 +948,7 @@
         let mut among: Vec<Slot> = self.fleet.window().iter().filter(fits).copied().collect();
         let most = if cmd.rounds == 0 { FIRST_LOOKS } else { self.looks };
         let wanted = most.min(self.spare_looks as usize).min(among.len());
-        for at in 0..among.len() {
-            let other = at + (self.chance() * (among.len() - at) as f64) as usize;
-            among.swap(at, other);
-        }
+        shuffle(&mut among, || self.chance());
         among.sort_by_key(|slot| !self.fleet[*slot].warm(now, self.terms.conn_idle));
         among.truncate(wanted);
         let stale = |server: &Server| server.report().is_none_or(|(_, at)| at + FRESH < now);
@@ -1001,13 +967,6 @@
         found
     }
 
-    fn look_anew(&mut self, id: &Id) {
-        if let Some(cmd) = self.cmds.get_mut(id) {
-            (cmd.among, cmd.rounds) = (Vec::new(), 0);
-        }
-        self.look(id);
-    }
-
     fn looking(&self, cmd: &Cmd) -> bool {
         !cmd.looks.is_empty() && self.now < cmd.look_until
     }
@@ -1038,29 +997,25 @@
         Some(turn * slow * (held + cmd.size))
     }
 
-    /// Whether it would most likely answer in time.
     fn in_time(&self, cmd: &Cmd, server: &Server) -> bool {
         let Some(takes) = self.takes(cmd, server) else { return true };
         let part = if server.told(self.now, YOUNG) < Some(1.0) { 1.0 } else { IN_TIME };
         takes <= part * self.left(cmd)
     }
-}
 
-// The draw
+    // The draw
 
-impl<H: Host> Policy<H> {
-    /// Its part of all bounds: of one server's it can be less than a relay, and many copies would each have one out.
+    /// Its part of all bounds: of one server's it can be less than a relay, and each copy would have one out.
     fn room(&self) -> f64 {
         (self.fleet.bounds() / self.sharers).max(0.1)
     }
 
-    /// Servers' own word that there is room goes before a copy's even part of what it believes that all may have out.
-    fn has_room(&self) -> bool {
-        self.fleet.busy(self.now, BUSY_FOR, DECAY).is_some_and(|busy| busy < BUSY_CALM)
+    /// What servers themselves say, where they do: it goes before an even part of what all may have out.
+    fn says_room(&self) -> Option<bool> {
+        self.fleet.busy(self.now, BUSY_FOR, DECAY).map(|busy| busy < BUSY)
     }
 
-    /// Where the copy's room is a few relays, holding to it at every moment would turn away chance clusters that all
-    /// copies together have room for.
+    /// Held to at every moment, a room of few relays would turn away chance clusters that all have room for.
     fn average_out(&mut self) {
         let span = 0.1 * (ROOM_STEADY / self.room() - 1.0);
         self.mean_out.bring(self.now, self.fleet.clear_out() as f64, span);
@@ -1071,7 +1026,7 @@
         self.average_out();
         let drawn = self.chance();
         let cmd = self.cmds.get(id)?;
-        let open = if self.has_room() { ROOM_OPEN } else { 1.0 };
+        let open = if self.says_room() == Some(true) { ROOM_OPEN } else { 1.0 };
         if self.looks == 0 && self.mean_out.mean >= self.room() * self.part_of_room(cmd) * open {
             return None;
         }
@@ -1079,11 +1034,9 @@
         // The servers that drop a repeat may all lie outside of the window.
         let first = cmd.relays.iter().find(|relay| relay.fate != Fate::NeverRan);
         let first = first.filter(|_| repeats == Repeats::Receipted(Group::Cell));
-        let bound_to: Option<Vec<Slot>> = first.map(|at| self.fleet.in_cell(at.zone, at.cell).collect());
-        if let Some(cell) = &bound_to {
-            let (power, mean) = (self.crowding(), self.fleet.mean_nominal().max(1e-9));
-            cell.iter().for_each(|slot| self.fleet.size_one(*slot, power, mean));
-        }
+        let power = self.crowding();
+        let bound_to =
+            first.map(|at| (at.zone, at.cell)).map(|(zone, cell)| self.fleet.sized_cell(zone, cell, power));
         let cmd = self.cmds.get(id)?;
         let mut weights = std::mem::take(&mut self.weights);
         weights.clear();
@@ -1124,7 +1077,10 @@
             }
             _ if server.absent.is_some_and(|at| self.now < at + CHECK_EVERY) => false,
             _ if self.looks > 0 => self.in_time(cmd, server),
-            _ => self.has_room() || f64::from(server.out()) < (server.bound / self.sharers).max(1.0),
+            _ => {
+                self.says_room() == Some(true)
+                    || f64::from(server.out()) < (server.bound / self.sharers).max(1.0)
+            }
         }
     }
 
@@ -1136,9 +1092,6 @@
             return price * takes.max(1e-3).powi(-LOOK_SHARPNESS);
         }
         let (listed, pace) = (server.listed, 1.0 / server.slowness);
-        let dial =
-            if server.warm(self.now, self.terms.conn_idle) { 0.0 } else { self.terms.prices.handshake };
-        let price = price * (-dial * DIAL_AVERSION).exp();
         let size = listed * pace;
         let own = f64::from(server.out()) * self.sharers;
         let figure = match server.report() {
@@ -1148,7 +1101,7 @@
             }
             None => mean + own,
         };
-        // A report that hides this copy's own, or whose server answers nothing, must not age back to an even share.
+        // A report that hides this copy's own, or whose server is silent, must not age to an even share.
         let figure = figure.max(own) + f64::from(server.overdue) * self.sharers;
         let by_size = server.by_list * pace.powi(SHARPNESS);
         let share = server.ramp(&self.terms.cold, self.now) * price;
--- a/crates/decisions/src/stats.rs
+++ b/crates/decisions/src/stats.rs
@@ -125,3 +125,9 @@
     };
     weights.iter().find(reached).or(weights.last()).map(|(one, _)| *one)
 }
+
+pub fn shuffle<T>(all: &mut [T], mut chance: impl FnMut() -> f64) {
+    for at in 0..all.len() {
+        all.swap(at, at + (chance() * (all.len() - at) as f64) as usize);
+    }
+}
--- a/crates/decisions/src/words.rs
+++ b/crates/decisions/src/words.rs
@@ -1,4 +1,4 @@
-//! What copies tell each other, as bytes. Nothing is decided here: what is heard, and what it is worth, is `policy.rs`'s.
+//! What copies tell each other, as bytes. Nothing is decided here.
 
 use std::time::Duration;
 
