--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -15,16 +15,13 @@
 
 /// Straight failures that mark a server. The source's 50 never come together in a lower tier's trickle.
 const MARK_AFTER: u32 = 4;
-/// No more than this share of the ready servers is marked: past it the cause is not a server (nbsrv cut-off).
 const MARKED_AT_MOST: f64 = 0.5;
 const CHECK_EVERY: Duration = Duration::from_secs(1);
 const TRIAL_AFTER: Duration = Duration::from_secs(5);
 const RISE: u32 = 2;
 /// Straight checks before draws that find nobody mark a server.
 const MISSES: u32 = 2;
-/// A report counts for e^(-age/DECAY).
 const DECAY: f64 = 1.0;
-/// The draw's weights are raised to this power.
 const SHARPNESS: i32 = 4;
 /// What all copies together may have out at a server of which nothing is known yet, and the most ever.
 const BOUND_START: f64 = 5.0;
@@ -33,7 +30,6 @@
 const BOUND_MOST: f64 = 64.0;
 const STRAIN_CUT: f64 = 0.002;
 const BOUND_CUT: f64 = 0.02;
-/// What an error cuts, against a time-out.
 const ERROR_WEIGHS: f64 = 0.4;
 const BOUND_RISE: f64 = 0.08;
 /// Answers this many times as slow as in calm times are a sign of crowding: bounds rise below, fall above.
@@ -42,7 +38,6 @@
 /// Further relays of commands that may have run, as a share of the commands taken.
 const RELAY_SHARE: f64 = 0.1;
 const RELAY_BURST: f64 = 8.0;
-/// How strongly the goal's part for the worst answered verb raises the rank of one that falls short.
 const WORST_VERB: f64 = 20.0;
 /// A relay is not worth starting with less time left than this part of the usual.
 const HOPELESS: f64 = 0.5;
@@ -50,20 +45,16 @@
 const HOLD: f64 = 0.25;
 /// A relay is overdue at this many times the time in which nine of ten are answered.
 const OVERDUE: f64 = 4.0;
-/// How steeply the price of a crossing lowers a far server's weight.
 const CROSSING_AVERSION: f64 = 60.0;
 /// Clients come back after this share of the response goal: later, nothing could be earned any more.
 const COME_BACK: f64 = 0.3;
 /// Each copy works with as many servers as give it so many answers a second each, and no fewer than this.
 const SEEN_EACH: f64 = 5.0;
 const SERVERS_LEAST: f64 = 6.0;
-/// Where open connections are priced.
 const SERVERS_PRICED: f64 = 3.0;
-/// The part of them taken from the copy's own zone while it has as many.
 const NEAR: f64 = 0.7;
 const GOLDEN: f64 = 0.618_033_988_749_895;
 const CHOOSE_EVERY: Duration = Duration::from_millis(500);
-/// A copy whose part of all bounds is at least this holds to it at every moment, a smaller one on average.
 const ROOM_STEADY: f64 = 16.0;
 /// So many times the room is there while servers say that they have some: what they say is seconds old.
 const ROOM_OPEN: f64 = 4.0;
@@ -139,10 +130,8 @@
     spare_looks: f64,
     spare_relays: f64,
     asking: Asking,
-    /// How many copies work with each server, this one among them, by what they send.
     sharers: f64,
     choose_at: Duration,
-    /// What this copy has out on average of late.
     mean_out: Average,
     /// When this copy last swept, and by how much it was late of late: that time is no server's.
     swept: Duration,
@@ -354,8 +343,8 @@
             self.host.terminate(&arrival.id);
             return;
         };
-        let good_until =
-            if verb.overdue_utility > 0.0 { arrival.due } else { arrival.due.min(now + verb.goal) };
+        let earns_late = verb.overdue_utility > 0.0;
+        let good_until = if earns_late { arrival.due } else { arrival.due.min(now + verb.goal) };
         self.verbs[arrival.verb].asked.add(now, 1.0);
         self.spare_relays = (self.spare_relays + RELAY_SHARE).min(RELAY_BURST);
         self.seen.spare_words += WORDS_COST / self.terms.prices.peer.max(WORDS_COST);
@@ -385,14 +374,9 @@
 
     /// Traffic past a tenant's share earns little: that part of it, by chance, ranks lower.
     fn beyond_quota(&mut self, tenant: usize) -> bool {
-        if self.terms.tier > 0 {
-            return false;
-        }
         let copies = self.terms.balancers / self.part();
-        let (Some(rate), Some(quota)) = (self.seen.tenants.get_mut(tenant), self.terms.quotas.get(tenant))
-        else {
-            return false;
-        };
+        let known = self.seen.tenants.get_mut(tenant).zip(self.terms.quotas.get(tenant));
+        let Some((rate, quota)) = known.filter(|_| self.terms.tier == 0) else { return false };
         rate.add(self.now, 1.0);
         let (asked, quota) = (rate.per_s(self.now) * copies, *quota);
         asked > quota && self.chance() > quota / asked
@@ -410,8 +394,7 @@
         self.expected(cmd.verb) * cmd.size
     }
 
-    /// What a command earns for each second that it keeps a place, the more the less of its verb is answered:
-    /// part of the goal may go by the worst answered verb.
+    /// What a command earns for each second that it keeps a place, more where its verb falls short.
     fn rank(&self, cmd: &Cmd) -> f64 {
         let Some(verb) = self.terms.verbs.get(cmd.verb) else { return 0.0 };
         let record = &self.verbs[cmd.verb];
@@ -460,7 +443,7 @@
         }
     }
 
-    /// Places that come free in a second. After a lull what has ended on average is too little; before that, all
+    /// Places that come free in a second. After a lull what has ended is too little; before anything has, all
     /// places are taken to come free within what a newcomer would wait.
     fn turnover(&self) -> f64 {
         let (usual, lately) = (self.seen.ended.per_s(self.now), self.seen.lately.per_s(self.now));
@@ -604,8 +587,8 @@
     }
 
     fn traffic(&mut self, per_s: f64) {
-        let usual = self.seen.usual_traffic.map_or(per_s, |usual| usual + TRAFFIC_GAIN * (per_s - usual));
-        self.seen.usual_traffic = Some(usual);
+        let usual = self.seen.usual_traffic.get_or_insert(per_s);
+        *usual += TRAFFIC_GAIN * (per_s - *usual);
     }
 }
 
@@ -620,8 +603,8 @@
             return;
         }
         relay.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        let (idle, quick) = (relay.idle, ended.latency <= BREAK_WITHIN);
-        let broke = ended.outcome == Outcome::Reset && idle >= IDLE_LEAST && quick;
+        let (idle, reset) = (relay.idle, ended.outcome == Outcome::Reset);
+        let broke = reset && idle >= IDLE_LEAST && ended.latency <= BREAK_WITHIN;
         let (verb, overdue, slot, size, ahead) = (cmd.verb, relay.overdue, relay.slot, cmd.size, relay.ahead);
         cmd.finished |= ended.closed;
         let in_time = now <= cmd.good_until;
@@ -664,16 +647,14 @@
             self.close(id);
         } else if cmd.out() == 0 {
             let price = if cmd.may_have_run() { 1.0 } else { 0.0 };
-            if self.left(cmd) <= self.expected_of(cmd) || self.spare_relays < price {
-                self.give_up(id);
-            } else if self.looks > 0 {
-                self.spare_relays -= price;
+            let may = self.left(cmd) > self.expected_of(cmd) && self.spare_relays >= price;
+            if !may || (self.looks == 0 && !self.place(id)) {
+                return self.give_up(id);
+            }
+            self.spare_relays -= price;
+            if self.looks > 0 {
                 self.held.push(id.clone());
                 self.look(id);
-            } else if self.place(id) {
-                self.spare_relays -= price;
-            } else {
-                self.give_up(id);
             }
         }
     }
@@ -695,8 +676,8 @@
         let Some(goal) = self.terms.verbs.get(verb).map(|verb| verb.goal.as_secs_f64()) else { return };
         let took = latency.as_secs_f64();
         // A bound that rises while it is not reached would let a later jam in.
-        let used =
-            mean_out + 1.0 >= 0.8 * room || f64::from(server.out() + 1) >= (server.bound / sharers).max(2.0);
+        let here = f64::from(server.out() + 1) >= (server.bound / sharers).max(2.0);
+        let used = here || mean_out + 1.0 >= 0.8 * room;
         if let Some(strain) = record.strain_of(took / size) {
             self.seen.strain.add(strain, 64);
         }
@@ -730,7 +711,7 @@
     }
 
     fn count_failure(&mut self, slot: Slot, verb: usize, outcome: Outcome, counted: bool) {
-        // Behind a crowded next tier errors are all that is seen of it, but say less than the rest; so does what
+        // Behind a crowded next tier errors are all that is seen of it, but say less; so does what
         // never comes while all others come as in calm times: it is lost, not late.
         let calm = self.seen.strain.mean().is_some_and(|strain| strain < CALM);
         match outcome {
@@ -787,9 +768,6 @@
         let turn = Duration::from_secs_f64(self.chance() * TRIAL_EACH * self.sharers);
         let next = self.now + VERB_TRIAL + turn;
         self.fleet[slot].verbs[verb].mark = Some(Mark { passes: 0, next, trying: false });
-        if !known {
-            self.host.note(&format!("mark {} for verb {verb}", self.fleet[slot].id));
-        }
     }
 
     fn answered_again(&mut self, slot: Slot, verb: usize) {
@@ -857,7 +835,6 @@
                 self.spare_relays -= 1.0;
             }
         } else if self.terms.allowed.cancel && self.repeats(cmd) == Repeats::Pure {
-            // Its outcome brings the command back to `go_on`, which pays for the next relay.
             self.host.cancel(id, number);
         }
     }
@@ -865,10 +842,9 @@
     // Marks, checks and the ramp
 
     fn mark(&mut self, slot: Slot) {
-        let ready = self.fleet.ready() as f64;
-        let marked = ready - self.fleet.clear() as f64;
+        let (ready, clear) = (self.fleet.ready() as f64, self.fleet.clear() as f64);
         // When most of the fleet fails, the cause is load or shared, and the rest could not carry all.
-        if marked + 1.0 > ready * MARKED_AT_MOST {
+        if ready - clear + 1.0 > ready * MARKED_AT_MOST {
             return;
         }
         let next = self.now + self.wait_marked();
@@ -939,13 +915,11 @@
 
     /// Asks anew what some servers hold: one of hundreds of copies hears too little of any.
     fn look(&mut self, id: &Id) -> bool {
-        let Some(cmd) = self.cmds.get(id).filter(|cmd| self.looks > 0 && cmd.rounds < ROUNDS) else {
-            return false;
-        };
+        let may = |cmd: &&Cmd| self.looks > 0 && cmd.rounds < ROUNDS;
+        let Some(cmd) = self.cmds.get(id).filter(may) else { return false };
         let (repeats, now) = (self.repeats(cmd), self.now);
-        let fits =
-            |slot: &&Slot| !cmd.among.contains(slot) && self.fits(cmd, repeats, &self.fleet[**slot], false);
-        let mut among: Vec<Slot> = self.fleet.window().iter().filter(fits).copied().collect();
+        let new = self.fleet.window().iter().copied().filter(|slot| !cmd.among.contains(slot));
+        let mut among: Vec<Slot> = new.filter(|s| self.fits(cmd, repeats, &self.fleet[*s], false)).collect();
         let most = if cmd.rounds == 0 { FIRST_LOOKS } else { self.looks };
         let wanted = most.min(self.spare_looks as usize).min(among.len());
         shuffle(&mut among, || self.chance());
@@ -1031,7 +1005,6 @@
             return None;
         }
         let repeats = self.repeats(cmd);
-        // The servers that drop a repeat may all lie outside of the window.
         let first = cmd.relays.iter().find(|relay| relay.fate != Fate::NeverRan);
         let first = first.filter(|_| repeats == Repeats::Receipted(Group::Cell));
         let power = self.crowding();
@@ -1087,7 +1060,6 @@
     fn weight(&self, cmd: &Cmd, server: &Server, mean: f64) -> f64 {
         let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
         let price = (-far * CROSSING_AVERSION).exp();
-        // A report fetched for this draw has all copies' relays in it, and hardly ages.
         if let Some(takes) = self.takes(cmd, server) {
             return price * takes.max(1e-3).powi(-LOOK_SHARPNESS);
         }
