--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -48,7 +48,6 @@
 const CROSSING_AVERSION: f64 = 60.0;
 /// Clients come back after this share of the response goal: later, nothing could be earned any more.
 const COME_BACK: f64 = 0.3;
-/// Each copy works with as many servers as give it so many answers a second each, and no fewer than this.
 const SEEN_EACH: f64 = 5.0;
 const SERVERS_LEAST: f64 = 6.0;
 const SERVERS_PRICED: f64 = 3.0;
@@ -66,7 +65,7 @@
 const JUMP: f64 = 2.0;
 const JUMP_SEEN: f64 = 8.0;
 
-/// Where checks alone tell what servers hold, this much of the goal may go into checks before a draw.
+/// So much of the goal may go into checks before a draw, where they alone tell what servers hold.
 const LOOKS_COST: f64 = 0.012;
 const LOOKS_MOST: f64 = 6.0;
 /// So many are looked at first, warm ones before others; if each holds something, more, while checks last.
@@ -429,12 +428,14 @@
         let mut ahead = 0.0;
         for id in self.held.clone() {
             let Some(cmd) = self.cmds.get(&id) else { continue };
-            if self.looking(cmd) {
+            // The next sweep may come too late for a final answer.
+            let ends = self.left(cmd) <= 2.0 * self.sweep_span().as_secs_f64();
+            if self.looking(cmd) && !ends {
                 continue;
             }
             let slack = self.left(cmd) - self.expected_of(cmd);
             let part = if newcomer == Some(&id) { HOLD } else { 2.0 * HOLD };
-            if (ahead + 1.0) / rate > part * slack {
+            if ends || (ahead + 1.0) / rate > part * slack {
                 self.held.retain(|held| *held != id);
                 self.give_up(&id);
             } else {
@@ -652,9 +653,10 @@
                 return self.give_up(id);
             }
             self.spare_relays -= price;
-            if self.looks > 0 {
+            if self.looks > 0 && !self.look(id) {
+                return self.give_up(id);
+            } else if self.looks > 0 {
                 self.held.push(id.clone());
-                self.look(id);
             }
         }
     }
@@ -793,7 +795,7 @@
     /// Relays out far longer than measured count as failures, or what answers nothing would keep its share.
     fn watch_relays(&mut self) {
         let mut late: Vec<(Id, usize, Slot, u32)> = Vec::new();
-        let turn = self.seen.turn.average().filter(|_| self.looks > 0);
+        let turn = self.seen.turn.average().filter(|_| self.looks > 0 && self.seen.turn.total >= 8);
         for (verb, record) in self.verbs.iter_mut().enumerate() {
             let usual = record.latency.quantile(0.9);
             record.watched.retain(|(sent, id, number)| {
--- a/crates/decisions/tests/decisions/moved.rs
+++ b/crates/decisions/tests/decisions/moved.rs
@@ -86,6 +86,28 @@
     assert!(server_of(&scene, &second).is_some());
 }
 
+#[test]
+fn a_command_that_may_go_nowhere_any_more_has_its_final_answer_at_once() {
+    let mut scene = looking(6);
+    let id = scene.give(0, ms(300));
+    for number in 0..4 {
+        while scene.out().is_empty() {
+            looks(&mut scene, |_| Some(0.0));
+        }
+        scene.pass(ms(20));
+        assert_eq!(scene.ended(&id), None);
+        scene.end(&id, number, Outcome::Full, Load::default());
+    }
+    assert_eq!(scene.ended(&id), Some(Final::Declined), "no relay is left to it");
+}
+
+#[test]
+fn a_command_due_before_the_next_sweep_does_not_wait_for_looks() {
+    let mut scene = looking(6);
+    let id = scene.give(2, ms(15));
+    assert_eq!(scene.ended(&id), Some(Final::Declined));
+}
+
 /// One command to the one server, which is idle; how it ends.
 fn one(scene: &mut Scene, verb: usize, outcome: Outcome) {
     let id = scene.give(verb, ms(1000));
