--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -654,7 +654,7 @@
             }
             self.spare_relays -= price;
             if self.looks > 0 && !self.look(id) {
-                return self.give_up(id);
+                self.give_up(id);
             } else if self.looks > 0 {
                 self.held.push(id.clone());
             }
