Peers' words and the learnt file bounded; settings that nothing reads taken out

A flood of datagrams would have starved the executor and filled the owner's queue, which had no bound; each save had a thread of its own, so a hanging disk would have piled them up; a learnt file had no version and no longest size; three keys that came with the move (handshake, cold_multiple, cold_window) were read by nothing.

Change: 256 peers' words wait at most and each leaves others a turn; one save at a time; version 1, 8 MB at most, no more than 60 s away either way, each with its log line; the keys are gone. Tests: the queue's bound, another version passed over.

--- a/crates/decisions/src/terms.rs
+++ b/crates/decisions/src/terms.rs
@@ -52,7 +52,6 @@
     pub crossing: f64,
     pub check: f64,
     pub peer: f64,
-    pub handshake: f64,
     pub connection: f64,
 }
 
@@ -235,7 +234,6 @@
                 crossing: pairs.figure("Costs.CrossZone", 0.0)?,
                 check: pairs.figure("Costs.Probe", 0.0)?,
                 peer: pairs.figure("Costs.Peer", 0.0)?,
-                handshake: pairs.figure("Costs.Handshake", 0.0)?,
                 connection: pairs.figure("Costs.Connection", 0.0)?,
             },
             checks_tell: pairs.checks_tell()?,
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -313,7 +313,7 @@
             multiple: tier.cold.multiple,
             window: span(tier.cold.window),
         },
-        prices: Prices { crossing: rules.crossing, check: 0.0, peer: 0.0, handshake: 0.0, connection: 0.0 },
+        prices: Prices { crossing: rules.crossing, check: 0.0, peer: 0.0, connection: 0.0 },
         checks_tell: false,
         goal: GoalWeights { worst_verb: 0.0 },
     }
--- a/crates/sidecar/src/launch/file.rs
+++ b/crates/sidecar/src/launch/file.rs
@@ -157,12 +157,8 @@
     crossing: f64,
     utility_by_work: bool,
     worst_verb: f64,
-    cold_multiple: f64,
-    #[serde(with = "humantime_serde")]
-    cold_window: Duration,
     check: f64,
     peer: f64,
-    handshake: f64,
     connection: f64,
     checks_tell: bool,
     beyond_quota: f64,
@@ -181,11 +177,8 @@
             crossing: 0.0,
             utility_by_work: false,
             worst_verb: 0.0,
-            cold_multiple: 3.0,
-            cold_window: Duration::from_secs(2),
             check: 0.0,
             peer: 0.0,
-            handshake: 0.0,
             connection: 0.0,
             checks_tell: false,
             beyond_quota: 1.0,
@@ -291,10 +284,8 @@
         .or_else(|| share("rules.cold_share", file.rules.cold_share, 1.0))
         .or_else(|| share("rules.crossing", file.rules.crossing, 1.0))
         .or_else(|| share("rules.worst_verb", file.rules.worst_verb, 1.0))
-        .or_else(|| share("rules.cold_multiple", file.rules.cold_multiple, 100.0))
         .or_else(|| share("rules.check", file.rules.check, 1.0))
         .or_else(|| share("rules.connection", file.rules.connection, 1.0))
-        .or_else(|| share("rules.handshake", file.rules.handshake, 1.0))
         .or_else(|| share("rules.peer", file.rules.peer, 1.0))
         .or_else(|| share("rules.beyond_quota", file.rules.beyond_quota, 1.0))
 }
@@ -418,14 +409,13 @@
         cold: ColdRule {
             share: rules.cold_share,
             warm_after: rules.warm_after,
-            multiple: rules.cold_multiple,
-            window: rules.cold_window,
+            multiple: 3.0,
+            window: Duration::from_secs(2),
         },
         prices: Prices {
             crossing: rules.crossing,
             check: rules.check,
             peer: rules.peer,
-            handshake: rules.handshake,
             connection: rules.connection,
         },
         checks_tell: rules.checks_tell,
@@ -509,11 +499,11 @@
         let peers = told("# peers = []", "peers = [\"127.0.0.1:1\", \"127.0.0.1:2\"]");
         assert!(peers.contains("peers: 2 addresses for 1 copies"), "{peers}");
         assert!(told("# cost_header = \"x-cost-ms\"", "cost_header = \"a b\"").contains("cost_header: "));
-        assert!(told("# handshake = 0.0", "handshake = -1.0").contains("rules.handshake: -1 does not lie"));
+        assert!(told("# check = 0.0", "check = -1.0").contains("rules.check: -1 does not lie"));
     }
 
     #[test]
-    fn every_setting_that_the_module_reads_can_be_given() {
+    fn what_the_module_reads_of_prices_peers_and_checks_can_be_given() {
         let mut text = EXAMPLE.to_string();
         for (key, value) in [
             ("peers", "[\"127.0.0.1:1\", \"127.0.0.1:2\"]"),
@@ -522,12 +512,9 @@
             ("checks_tell", "true"),
             ("check", "0.002"),
             ("peer", "0.01"),
-            ("handshake", "0.05"),
             ("connection", "0.04"),
             ("utility_by_work", "true"),
             ("worst_verb", "0.3"),
-            ("cold_multiple", "4.0"),
-            ("cold_window", "\"1500ms\""),
         ] {
             let line =
                 text.lines().find(|line| line.starts_with(&format!("# {key} = "))).expect(key).to_string();
@@ -538,11 +525,7 @@
         let terms = taken(&text).expect("it can be read").terms;
         assert!(terms.allowed.peers && terms.checks_tell && terms.utility_by_work);
         let prices = &terms.prices;
-        assert_eq!(
-            (prices.check, prices.peer, prices.handshake, prices.connection),
-            (0.002, 0.01, 0.05, 0.04)
-        );
-        assert_eq!((terms.goal.worst_verb, terms.cold.multiple), (0.3, 4.0));
-        assert_eq!((terms.cold.window, terms.ordinal), (Duration::from_millis(1500), 1));
+        assert_eq!((prices.check, prices.peer, prices.connection), (0.002, 0.01, 0.04));
+        assert_eq!((terms.goal.worst_verb, terms.ordinal), (0.3, 1));
     }
 }
--- a/crates/sidecar/src/net/learnt.rs
+++ b/crates/sidecar/src/net/learnt.rs
@@ -4,7 +4,10 @@
 use crate::clock::Clock;
 use landingspread_decisions::carried::Learnt;
 use serde::{Deserialize, Serialize};
+use std::io::Read;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime};
 
 /// Later than this the endpoints' figures say little.
@@ -13,8 +16,14 @@
 /// A sidecar that is killed outright loses no more than this.
 pub const SAVE_EVERY: Duration = Duration::from_secs(5);
 
+/// Another form of the file would have another.
+const VERSION: u32 = 1;
+/// A longer file is none of ours: some 60,000 servers.
+const LONGEST: u64 = 8 << 20;
+
 #[derive(Serialize, Deserialize)]
 struct Saved {
+    version: u32,
     saved_unix_ms: u64,
     servers: Vec<Server>,
 }
@@ -32,19 +41,32 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
+fn usable(path: &Path) -> Result<Saved, String> {
+    let mut text = Vec::new();
+    let file = std::fs::File::open(path).map_err(|wrong| wrong.to_string())?;
+    file.take(LONGEST + 1).read_to_end(&mut text).map_err(|wrong| wrong.to_string())?;
+    if text.len() as u64 > LONGEST {
+        return Err(format!("it is longer than {LONGEST} bytes"));
+    }
+    let saved: Saved = serde_json::from_slice(&text).map_err(|wrong| wrong.to_string())?;
+    if saved.version != VERSION {
+        return Err(format!("version: {} is not {VERSION}", saved.version));
+    }
+    // One from the future was written by another clock.
+    if unix_ms().abs_diff(saved.saved_unix_ms) > FRESH_FOR.as_millis() as u64 {
+        return Err(format!("saved_unix_ms: {} lies more than {FRESH_FOR:?} away", saved.saved_unix_ms));
+    }
+    Ok(saved)
+}
+
 pub fn read(path: &Path, clock: &Clock) -> Vec<Learnt> {
-    let saved = match std::fs::read(path).map(|text| serde_json::from_slice::<Saved>(&text)) {
-        Ok(Ok(saved)) => saved,
-        Ok(Err(wrong)) => {
-            tracing::warn!("{}: {wrong}; endpoints start afresh", path.display());
+    let saved = match usable(path) {
+        Ok(saved) => saved,
+        Err(why) => {
+            tracing::warn!("{}: {why}; endpoints start afresh", path.display());
             return Vec::new();
         }
-        Err(_) => return Vec::new(),
     };
-    if unix_ms().saturating_sub(saved.saved_unix_ms) > FRESH_FOR.as_millis() as u64 {
-        tracing::info!("{}: too old; endpoints start afresh", path.display());
-        return Vec::new();
-    }
     let learnt = |server: Server| Learnt {
         up_since: clock.of_unix_ms(server.started_unix_ms),
         server: server.id.into(),
@@ -54,21 +76,35 @@
     saved.servers.into_iter().map(learnt).collect()
 }
 
-/// Written aside and then named, so that no reader finds a half. A thread of its own: a slow disk holds up no command.
-pub fn save(path: PathBuf, learnt: &[Learnt], clock: &Clock) {
+/// Writes one file at a time: where a disk hangs, the next ones are not written.
+#[derive(Default)]
+pub struct Saving(Arc<AtomicBool>);
+
+impl Saving {
+    /// Written aside and then named, so that no reader finds a half, by a thread: a slow disk holds up no command.
+    pub fn save(&self, path: PathBuf, learnt: &[Learnt], clock: &Clock) {
+        if self.0.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let (saved, busy) = (saved(learnt, clock), self.0.clone());
+        std::thread::spawn(move || {
+            let aside = path.with_extension("new");
+            let written = serde_json::to_vec(&saved).map_err(std::io::Error::other);
+            let written = written.and_then(|text| std::fs::write(&aside, text));
+            if let Err(wrong) = written.and_then(|()| std::fs::rename(&aside, &path)) {
+                tracing::warn!("{}: {wrong}", path.display());
+            }
+            busy.store(false, Ordering::Release);
+        });
+    }
+}
+
+fn saved(learnt: &[Learnt], clock: &Clock) -> Saved {
     let server = |one: &Learnt| Server {
         id: one.server.to_string(),
         started_unix_ms: one.up_since.map_or(0, |at| clock.unix_ms(at)),
         slowness: one.slowness,
         marked: one.marked,
     };
-    let saved = Saved { saved_unix_ms: unix_ms(), servers: learnt.iter().map(server).collect() };
-    std::thread::spawn(move || {
-        let aside = path.with_extension("new");
-        let written = serde_json::to_vec(&saved).map_err(std::io::Error::other);
-        let written = written.and_then(|text| std::fs::write(&aside, text));
-        if let Err(wrong) = written.and_then(|()| std::fs::rename(&aside, &path)) {
-            tracing::warn!("{}: {wrong}", path.display());
-        }
-    });
+    Saved { version: VERSION, saved_unix_ms: unix_ms(), servers: learnt.iter().map(server).collect() }
 }
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -5,7 +5,7 @@
 
 use super::endpoints::{End, Endpoints, Outgoing, Stage, Target};
 use super::http::Message;
-use super::learnt::{self, SAVE_EVERY, SAVE_FIRST};
+use super::learnt::{self, SAVE_EVERY, SAVE_FIRST, Saving};
 use super::peers::Peers;
 use crate::catalog::{Catalog, Entry};
 use crate::clock::Clock;
@@ -63,11 +63,15 @@
 }
 
 /// The sending side of the owner's queue. It has no bound of its own: each open socket has at most one word
-/// in it, and sockets are budgeted.
+/// in it, and sockets are budgeted; peers' words stop at a bound of `peers.rs`.
 #[derive(Clone)]
 pub struct Queue(Sender<Word>);
 
 impl Queue {
+    pub fn waiting(&self) -> usize {
+        self.0.len()
+    }
+
     pub fn tell(&self, word: Word) {
         let taken = self.0.try_send(word).is_ok();
         must_hold!(taken, "the owner hears every word");
@@ -251,6 +255,7 @@
     before: Vec<Learnt>,
     save_to: Option<PathBuf>,
     save_at: Duration,
+    saving: Saving,
 }
 
 pub async fn own(
@@ -274,7 +279,7 @@
     let policy = Policy::start(Hand(desk.clone()), launch.terms, launch.seed, clock.now());
     let before = launch.learnt.as_ref().map(|path| learnt::read(path, &clock)).unwrap_or_default();
     let (save_at, save_to) = (clock.now() + SAVE_FIRST, launch.learnt);
-    let mut owner = Owner { desk, policy, clock, before, save_to, save_at };
+    let mut owner = Owner { desk, policy, clock, before, save_to, save_at, saving: Saving::default() };
     let known = owner.note_addresses(launch.known);
     let now = owner.clock.now();
     owner.policy.list_cached(now, &known);
@@ -309,7 +314,7 @@
     fn save(&mut self, now: Duration) {
         if let Some(path) = self.save_to.clone().filter(|_| self.save_at <= now) {
             self.save_at = now + SAVE_EVERY;
-            learnt::save(path, &self.policy.learnt(), &self.clock);
+            self.saving.save(path, &self.policy.learnt(), &self.clock);
         }
     }
 
--- a/crates/sidecar/src/net/peers.rs
+++ b/crates/sidecar/src/net/peers.rs
@@ -2,12 +2,13 @@
 
 use super::owner::{Queue, Word};
 use async_io::Async;
+use landingspread_decisions::words::MOST;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 
-/// The longest datagram that is a peer's.
-const MOST: usize = 256;
+/// So many of them wait for the owner at most; a flood's others are lost.
+const WAITING_MOST: usize = 256;
 
 pub struct Peers {
     /// Every copy's address by its number, this one's among them.
@@ -39,9 +40,11 @@
     pub async fn hear(self: Rc<Self>, queue: Queue) {
         let mut bytes = [0; MOST + 1];
         loop {
+            // A flood is always ready to be read: the owner and the callers must have their turns.
+            futures_lite::future::yield_now().await;
             let Ok((length, from)) = self.socket.recv_from(&mut bytes).await else { continue };
             let peer = self.addresses.iter().position(|address| *address == from);
-            if let Some(peer) = peer.filter(|_| length <= MOST) {
+            if let Some(peer) = peer.filter(|_| length <= MOST && queue.waiting() < WAITING_MOST) {
                 queue.tell(Word::Peer(peer as u32, bytes[..length].into()));
             }
         }
@@ -91,5 +94,13 @@
         let heard = async_io::block_on(executor.run(or(heard, late)));
         assert_eq!(heard, [(0, b"one".to_vec()), (2, b"two".to_vec())]);
         assert!(words.is_empty());
+        // Nobody takes them off the queue: no more than its bound wait there.
+        for _ in 0..2 * WAITING_MOST {
+            first.tell(Some(1), b"again");
+            async_io::block_on(executor.run(futures_lite::future::yield_now()));
+        }
+        let soon = async_io::Timer::after(std::time::Duration::from_millis(200));
+        async_io::block_on(executor.run(soon));
+        assert_eq!(words.len(), WAITING_MOST);
     }
 }
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -657,7 +657,7 @@
     let unix =
         std::time::SystemTime::now().duration_since(std::time::SystemTime::UNIX_EPOCH).expect("a time");
     let saved = |age_ms: u128| {
-        json!({"saved_unix_ms": (unix.as_millis() - age_ms) as u64, "servers": [
+        json!({"version": 1, "saved_unix_ms": (unix.as_millis() - age_ms) as u64, "servers": [
             {"id": "s1", "started_unix_ms": 0, "slowness": 2.0, "marked": true},
             {"id": "s2", "started_unix_ms": 0, "slowness": 1.0, "marked": false}]})
     };
@@ -665,7 +665,6 @@
         std::fs::write(&kept, text).expect("a file");
         let sidecar = Sidecar::start_as(&known, discovery.address, |config| {
             moved(config);
-            // Two copies: the other is not there, and no word from it changes anything.
             config["settings"]["Report"] = json!({"How": "none"});
             config["learnt"] = json!(kept);
         });
@@ -686,8 +685,9 @@
         })
     });
     drop(_sidecar);
-    // What is old, or no such file, is passed over.
-    for text in [saved(120_000).to_string(), "{".to_string()] {
+    // What is old, of another version, or half written is passed over.
+    let other = saved(1000).to_string().replace("\"version\":1", "\"version\":2");
+    for text in [saved(120_000).to_string(), other, "{".to_string()] {
         let ((first, second), _sidecar) = play(&text);
         assert!(first > 0 && second > 0, "both are new: {first} and {second}");
     }
