--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -44,6 +44,8 @@
     pub relays: Vec<Relay>,
     pub finished: bool,
     pub streaming: bool,
+    /// What was sent of it cannot be sent again.
+    pub spent: bool,
     pub beyond: bool,
 }
 
@@ -77,6 +79,11 @@
     pub failures: u32,
 }
 
+/// What ends within this span is a jump when it is so many times the usual.
+pub const LATELY: f64 = 0.25;
+const JUMP: f64 = 2.0;
+const JUMP_SEEN: f64 = 8.0;
+
 /// What a copy has seen and heard that belongs to no one server or verb.
 #[derive(Debug, Default)]
 pub struct Seen {
@@ -98,6 +105,19 @@
     pub usual_traffic: Option<f64>,
 }
 
+impl Seen {
+    /// Places that come free in a second. After a lull what has ended is too little; before anything has, `at_first`
+    /// stands for all places coming free within what a newcomer would wait.
+    pub fn turnover(&self, now: Duration, at_first: Option<f64>) -> f64 {
+        let (usual, lately) = (self.ended.per_s(now), self.lately.per_s(now));
+        if let Some(at_first) = at_first.filter(|_| usual == 0.0) {
+            return at_first;
+        }
+        let jumps = lately > JUMP * usual && self.lately.count(now) >= JUMP_SEEN;
+        if jumps { lately } else { usual }.max(1.0)
+    }
+}
+
 impl Relay {
     pub fn new(to: &Server, slot: Slot, sent: Duration, idle: Duration, ahead: Option<f64>) -> Relay {
         let (server, zone, cell, fate) = (to.id.clone(), to.zone, to.cell, Fate::Out);
--- a/crates/decisions/src/carried.rs
+++ b/crates/decisions/src/carried.rs
@@ -30,6 +30,16 @@
         self.fleet.ready_ones().map(of).collect()
     }
 
+    /// The ids that lists have told of, gone ones too, up to a bound.
+    pub fn named(&self) -> impl Iterator<Item = &Id> {
+        self.aside.named()
+    }
+
+    /// Lists told an earlier process of it: operators may name it still.
+    pub fn named_before(&mut self, server: &Id) {
+        self.aside.name(server);
+    }
+
     /// Takes over what was learnt of the processes that still run. A marked server is checked at once; where most were
     /// marked the cause was no server, and none is.
     pub fn recall(&mut self, now: Duration, learnt: &[Learnt]) {
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -2,7 +2,7 @@
 //! cost goes by the window and not by the fleet. It owns the numbers of servers, the rings and the sums; it decides
 //! nothing: what a server is told to be, and what it counts, is `policy.rs`'s.
 
-use crate::host::{Id, Listed};
+use crate::host::{Id, Listed, State};
 use crate::stats::Histogram;
 use crate::terms::ColdRule;
 use std::collections::BTreeMap;
@@ -335,6 +335,15 @@
         }
     }
 
+    /// A server's own word came with an answer; what it does not say leaves the older word.
+    pub fn reported(&mut self, slot: Slot, util: Option<f64>, figure: Option<f64>, now: Duration) {
+        self[slot].util = util.map(|util| (util, now)).or(self[slot].util);
+        if let Some(figure) = figure {
+            self.set_report(slot, Some((figure, now)));
+            self[slot].sends = 0.0;
+        }
+    }
+
     pub fn take_mark(&mut self, slot: Slot) {
         self.recounted(slot, |server| server.mark = None);
         let id = self[slot].id.clone();
@@ -414,6 +423,13 @@
         (slot, known.is_none())
     }
 
+    /// The entry by which a ready server was last told.
+    pub fn listed(&self, id: &Id) -> Option<Listed> {
+        let server = self.slot(id).map(|slot| &self[slot]).filter(|server| server.ready)?;
+        let Server { zone, cell, nominal, up_since, .. } = *server;
+        Some(Listed { server: id.clone(), zone, cell, state: State::Ready, nominal, up_since })
+    }
+
     /// A list tells that a server is not ready.
     pub fn leave(&mut self, id: &Id) {
         if let Some(slot) = self.slot(id) {
@@ -536,7 +552,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::host::State;
     use proptest::prelude::*;
     use proptest::test_runner::{Config as Cases, RngSeed, TestRunner};
 
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,5 +1,6 @@
 //! Where a command goes, whether it goes again, and when it is given up.
 
+mod aside;
 mod book;
 pub mod carried;
 mod fleet;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -4,6 +4,7 @@
 //! A front calls `Policy::start` and then one method for each thing that happens, in its order; each acts by
 //! calling the `Host`. The reasons stand in `docs/design.md`.
 
+use crate::aside::Aside;
 use crate::book::{Asking, Cmd, Fate, Relay, Seen, VerbRecord};
 use crate::fleet::{Fleet, Mark, Server, Slot};
 use crate::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
@@ -60,10 +61,6 @@
 /// The part of the room that is for commands of high rank.
 const ROOM_KEPT: f64 = 0.5;
 const SWEEP: Duration = Duration::from_millis(20);
-/// What ends within this span is a jump when it is so many times the usual.
-const LATELY: f64 = 0.25;
-const JUMP: f64 = 2.0;
-const JUMP_SEEN: f64 = 8.0;
 
 /// So much of the goal may go into checks before a draw, where they alone tell what servers hold.
 const LOOKS_COST: f64 = 0.012;
@@ -121,6 +118,7 @@
     seed: u64,
     draws: u64,
     pub(crate) fleet: Fleet,
+    pub(crate) aside: Aside,
     cmds: BTreeMap<Id, Cmd>,
     held: Vec<Id>,
     verbs: Vec<VerbRecord>,
@@ -146,7 +144,7 @@
         let tenants = vec![Rate::default(); terms.quotas.len()];
         let looks = (LOOKS_COST / terms.prices.check.max(1e-9)).min(LOOKS_MOST) as usize;
         let looks = if terms.checks_tell && terms.allowed.checks && looks > 1 { looks } else { 0 };
-        let (lately, breaks) = (Rate::over(LATELY), Rate::over(BREAKS_SPAN));
+        let (lately, breaks) = (Rate::over(crate::book::LATELY), Rate::over(BREAKS_SPAN));
         let mut policy = Policy {
             host,
             terms,
@@ -154,6 +152,7 @@
             seed,
             draws: 0,
             fleet: Fleet::default(),
+            aside: Aside::default(),
             cmds: BTreeMap::new(),
             held: Vec::new(),
             verbs,
@@ -221,6 +220,7 @@
     pub fn list_cached(&mut self, now: Duration, entries: &[Listed]) {
         self.now = now;
         self.fleet.only_listed(entries);
+        self.aside.only_listed(entries);
         self.take_entries(entries);
     }
 
@@ -252,7 +252,7 @@
     }
 
     fn take_entry(&mut self, entry: &Listed) {
-        if entry.state != State::Ready {
+        if self.aside.told(entry) || entry.state != State::Ready {
             self.fleet.leave(&entry.server);
             return;
         }
@@ -268,6 +268,25 @@
         }
     }
 
+    /// Operators leave a server out, whatever the list says of it. `false`: no list ever named it.
+    pub fn leave_out(&mut self, now: Duration, id: &Id) -> bool {
+        self.now = now;
+        self.aside.leave_out_if_known(id, self.fleet.listed(id));
+        self.fleet.leave(id);
+        self.take_entries(&[]);
+        self.aside.knows(id)
+    }
+
+    /// They use it again since then. It was restarted meanwhile, whether the list says so or not.
+    pub fn use_again(&mut self, now: Duration, id: &Id, since: Duration) -> bool {
+        self.now = now;
+        if let Some(last) = self.aside.use_again(id) {
+            self.take_entries(&[last]);
+            self.fleet.slot(id).into_iter().for_each(|slot| self.restarted(slot, since));
+        }
+        self.aside.knows(id)
+    }
+
     fn restarted(&mut self, slot: Slot, at: Duration) {
         self.fleet.take_mark(slot);
         self.fleet.set_report(slot, None);
@@ -424,8 +443,9 @@
 
     /// Gives up at once what would hardly be answered in time: waiting in vain costs more than a quick word.
     fn thin_held(&mut self, newcomer: Option<&Id>) {
-        let rate = self.turnover();
-        let mut ahead = 0.0;
+        let (rate, mut ahead) = (self.turnover(), 0.0);
+        // Operators took out the last server: a call back is minutes off.
+        let nobody = self.fleet.ready() == 0 && self.aside.any();
         for id in self.held.clone() {
             let Some(cmd) = self.cmds.get(&id) else { continue };
             // The next sweep may come too late for a final answer.
@@ -435,7 +455,7 @@
             }
             let slack = self.left(cmd) - self.expected_of(cmd);
             let part = if newcomer == Some(&id) { HOLD } else { 2.0 * HOLD };
-            if ends || (ahead + 1.0) / rate > part * slack {
+            if ends || nobody || (ahead + 1.0) / rate > part * slack {
                 self.held.retain(|held| *held != id);
                 self.give_up(&id);
             } else {
@@ -444,16 +464,10 @@
         }
     }
 
-    /// Places that come free in a second. After a lull what has ended is too little; before anything has, all
-    /// places are taken to come free within what a newcomer would wait.
     fn turnover(&self) -> f64 {
-        let (usual, lately) = (self.seen.ended.per_s(self.now), self.seen.lately.per_s(self.now));
-        if usual == 0.0 && self.room() >= ROOM_STEADY {
-            let goals = self.terms.verbs.iter().map(|verb| verb.goal.as_secs_f64());
-            return self.room() / (HOLD * goals.fold(f64::MAX, f64::min).max(1e-3));
-        }
-        let jumps = lately > JUMP * usual && self.seen.lately.count(self.now) >= JUMP_SEEN;
-        if jumps { lately } else { usual }.max(1.0)
+        let goals = self.terms.verbs.iter().map(|verb| verb.goal.as_secs_f64());
+        let at_first = self.room() / (HOLD * goals.fold(f64::MAX, f64::min).max(1e-3));
+        self.seen.turnover(self.now, (self.room() >= ROOM_STEADY).then_some(at_first))
     }
 
     fn place(&mut self, id: &Id) -> bool {
@@ -463,10 +477,8 @@
             return false;
         }
         let mut server = self.draw(id);
-        while !server
-            .is_some_and(|slot| self.fleet[slot].told(self.now, YOUNG).is_some_and(|held| held < 1.0))
-            && self.look(id)
-        {
+        let held = |policy: &Self, slot: Slot| policy.fleet[slot].told(policy.now, YOUNG);
+        while server.and_then(|slot| held(self, slot)).is_none_or(|held| held >= 1.0) && self.look(id) {
             if self.cmds.get(id).is_some_and(|cmd| self.looking(cmd)) {
                 return false;
             }
@@ -533,10 +545,9 @@
     }
 
     fn may_relay(&self, cmd: &Cmd, zone: u32, cell: u32) -> bool {
-        if cmd.finished || cmd.streaming || cmd.relays.len() as u32 >= self.terms.allowed.relays {
-            return false;
-        }
-        if cmd.good_until <= self.now || (cmd.out() > 0 && !self.terms.allowed.parallel) {
+        let over = cmd.finished || cmd.streaming || cmd.spent || cmd.good_until <= self.now;
+        let most = self.terms.allowed.relays as usize;
+        if over || cmd.relays.len() >= most || (cmd.out() > 0 && !self.terms.allowed.parallel) {
             return false;
         }
         let memory = self.terms.verbs.get(cmd.verb).map_or(Duration::ZERO, |verb| verb.memory);
@@ -662,12 +673,8 @@
     }
 
     fn take_report(&mut self, slot: Slot, load: Load) {
-        self.fleet[slot].util = load.util.map(|util| (util, self.now)).or(self.fleet[slot].util);
         let figure = if self.looks > 0 { load.in_flight } else { load.queue.or(load.in_flight) };
-        if let Some(figure) = figure {
-            self.fleet.set_report(slot, Some((figure, self.now)));
-            self.fleet[slot].sends = 0.0;
-        }
+        self.fleet.reported(slot, load.util, figure, self.now);
     }
 
     fn count_answer(&mut self, slot: Slot, verb: usize, latency: Duration, size: f64, in_time: bool) {
@@ -803,20 +810,19 @@
                 let size = cmd.as_ref().map_or(1.0, |cmd| cmd.size);
                 let relay = cmd.and_then(|cmd| cmd.relays.get_mut(*number as usize));
                 // A later command may have the id of one that is over.
-                if let Some(relay) = relay.filter(|r| r.fate == Fate::Out && r.sent == *sent) {
-                    // A copy that was itself held up has not read the answers that came meanwhile.
-                    let since = self.now.saturating_sub(*sent + self.late).as_secs_f64();
-                    let takes = match (relay.ahead, turn) {
-                        (Some(ahead), Some(turn)) => Some(LOST * turn * (size + ahead)),
-                        _ => usual.map(|usual| OVERDUE * usual),
-                    };
-                    if takes.is_none_or(|takes| since <= takes) {
-                        return true;
-                    }
-                    relay.overdue = true;
+                let out = relay.filter(|r| r.fate == Fate::Out && r.sent == *sent);
+                let Some(relay) = out else { return false };
+                // A copy that was itself held up has not read the answers that came meanwhile.
+                let since = self.now.saturating_sub(*sent + self.late).as_secs_f64();
+                let takes = match (relay.ahead, turn) {
+                    (Some(ahead), Some(turn)) => Some(LOST * turn * (size + ahead)),
+                    _ => usual.map(|usual| OVERDUE * usual),
+                };
+                relay.overdue = takes.is_some_and(|takes| since > takes);
+                if relay.overdue {
                     late.push((id.clone(), verb, relay.slot, *number));
                 }
-                false
+                !relay.overdue
             });
         }
         late.sort();
@@ -832,12 +838,11 @@
         if cmd.finished || self.spare_relays < 1.0 || self.left(cmd) < 1.5 * self.expected_of(cmd) {
             return;
         }
-        if self.terms.allowed.parallel {
-            if cmd.out() == 1 && self.place(id) {
-                self.spare_relays -= 1.0;
-            }
-        } else if self.terms.allowed.cancel && self.repeats(cmd) == Repeats::Pure {
+        let (parallel, pure) = (self.terms.allowed.parallel, self.repeats(cmd) == Repeats::Pure);
+        if !parallel && self.terms.allowed.cancel && pure {
             self.host.cancel(id, number);
+        } else if parallel && cmd.out() == 1 && self.place(id) {
+            self.spare_relays -= 1.0;
         }
     }
 
@@ -1037,12 +1042,9 @@
         let within = server.chosen() || !ramps;
         let cold = ramps && server.cold_credit < 1.0;
         let met = cmd.relays.iter().any(|relay| relay.server == server.id);
-        if !server.ready() || !within || cold || met || !self.may_relay(cmd, server.zone, server.cell) {
-            return false;
-        }
-        if let Some(mark) = server.verbs.get(cmd.verb).and_then(|at| at.mark.as_ref())
-            && mark.next > self.now
-        {
+        let of_verb = server.verbs.get(cmd.verb).and_then(|at| at.mark.as_ref());
+        let barred = cold || met || of_verb.is_some_and(|mark| mark.next > self.now);
+        if !server.ready() || !within || barred || !self.may_relay(cmd, server.zone, server.cell) {
             return false;
         }
         match server.mark() {
--- a/crates/decisions/tests/decisions/main.rs
+++ b/crates/decisions/tests/decisions/main.rs
@@ -1,4 +1,5 @@
 mod copies;
+mod maintenance;
 mod moved;
 mod plain;
 mod rules;
--- /dev/null
+++ b/crates/decisions/tests/decisions/maintenance.rs
@@ -0,0 +1,92 @@
+//! What operators say of single servers, against every order in which the list may speak meanwhile.
+
+use crate::scripted::{Scene, entry, ms, terms};
+use landingspread_decisions::host::{Listed, Outcome, State};
+
+fn scene() -> Scene {
+    Scene::new(terms("all", ""), "all", 7, 3)
+}
+
+fn play(scene: &mut Scene, cmds: usize) {
+    for _ in 0..cmds {
+        scene.play(0, |_| Outcome::Ok);
+    }
+}
+
+fn sent(scene: &Scene, server: &str) -> usize {
+    scene.script.0.borrow().sent_to(server)
+}
+
+#[test]
+fn a_server_left_out_gets_nothing_whatever_the_list_says_and_is_used_again_by_one_call() {
+    let mut scene = scene();
+    play(&mut scene, 30);
+    assert!(scene.operators("s1", true) && scene.operators("s1", true));
+    let before = sent(&scene, "s1");
+    let restarted = Listed { up_since: Some(scene.now()), ..entry("s1", State::Ready) };
+    let all = [entry("s0", State::Ready), restarted.clone(), entry("s2", State::Ready)];
+    for entries in
+        [vec![entry("s1", State::Gone)], vec![restarted.clone()], vec![entry("s1", State::Draining)]]
+    {
+        scene.change(&entries);
+        play(&mut scene, 10);
+    }
+    // A whole list without it, and one that has it again.
+    for entries in [[&all[..1], &all[2..]].concat(), all.to_vec()] {
+        scene.told(&entries);
+        scene.policy.list_told(scene.now(), &entries);
+        play(&mut scene, 10);
+    }
+    assert_eq!(sent(&scene, "s1"), before);
+    assert!(scene.operators("s1", false));
+    play(&mut scene, 100);
+    assert!(sent(&scene, "s1") > before, "used again within two seconds");
+}
+
+#[test]
+fn it_comes_back_cold_though_the_list_never_says_that_it_restarted() {
+    let mut scene = scene();
+    play(&mut scene, 200);
+    scene.operators("s1", true);
+    scene.pass(ms(10_000));
+    scene.operators("s1", false);
+    let before = [sent(&scene, "s0"), sent(&scene, "s1")];
+    play(&mut scene, 60);
+    let [warm, cold] = [sent(&scene, "s0") - before[0], sent(&scene, "s1") - before[1]];
+    assert!(cold > 0 && 2 * cold <= warm, "{cold} against {warm}");
+}
+
+#[test]
+fn only_an_id_that_no_list_ever_named_is_a_no() {
+    let mut scene = scene();
+    assert!(!scene.operators("s7", true) && !scene.operators("s7", false));
+    assert!(scene.operators("s2", false), "a call back with none out");
+    scene.change(&[entry("s2", State::Gone)]);
+    assert!(scene.operators("s2", true), "once listed and now gone");
+    scene.change(&[entry("s2", State::Ready)]);
+    let before = sent(&scene, "s2");
+    play(&mut scene, 20);
+    assert_eq!(sent(&scene, "s2"), before);
+    scene.change(&[entry("s2", State::Gone)]);
+    assert!(scene.operators("s2", false));
+    play(&mut scene, 20);
+    assert_eq!(sent(&scene, "s2"), before, "the list says that it is gone");
+    scene.policy.named_before(&"s8".into());
+    assert!(scene.operators("s8", true));
+}
+
+#[test]
+fn with_all_servers_left_out_commands_are_declined_at_once() {
+    let mut scene = scene();
+    play(&mut scene, 20);
+    for server in ["s0", "s1", "s2"] {
+        scene.operators(server, true);
+    }
+    let id = scene.give(2, ms(3000));
+    scene.pass(ms(500));
+    assert_eq!(scene.ended(&id), Some(crate::scripted::Final::Declined));
+    scene.operators("s0", false);
+    scene.pass(ms(1000));
+    let id = scene.play(2, |_| Outcome::Ok);
+    assert_eq!(scene.ended(&id), Some(crate::scripted::Final::Answered));
+}
--- a/crates/decisions/tests/decisions/rules.rs
+++ b/crates/decisions/tests/decisions/rules.rs
@@ -77,6 +77,9 @@
             );
             scene.policy.client_left(now, &"never-given".into());
         }
+        15 => {
+            scene.operators(&server, how % 3 > 0);
+        }
         _ => {
             let entries: Vec<_> = (0..which % 9).map(|at| entry(&format!("s{at}"), State::Ready)).collect();
             let gone: Vec<_> = (which % 9..9).map(|at| entry(&format!("s{at}"), State::Gone)).collect();
@@ -102,7 +105,7 @@
         balancers in prop::sample::select(vec![1u32, 2, 5, 40, 300]),
         ordinal in 0u32..300,
         seed: u64,
-        steps in prop::collection::vec((0u8..16, any::<u16>(), any::<u16>()), 1..160),
+        steps in prop::collection::vec((0u8..17, any::<u16>(), any::<u16>()), 1..160),
     ) {
         let discovery = if subscribe { "subscribe" } else { "automatic" };
         let extra = format!(
--- a/crates/decisions/tests/decisions/scripted.rs
+++ b/crates/decisions/tests/decisions/scripted.rs
@@ -63,6 +63,8 @@
     pub now: Duration,
     pub listed: BTreeMap<Id, Listed>,
     pub off_since: BTreeMap<Id, Duration>,
+    /// By operators' word.
+    pub out_since: BTreeMap<Id, Duration>,
     pub cmds: BTreeMap<Id, Taken>,
     pub checks: Vec<Id>,
     pub notes: Vec<String>,
@@ -111,6 +113,8 @@
         assert_eq!(cmd.ended, None, "rule 1: a relay after the final answer");
         let off = world.off_since.get(to);
         assert!(off.is_none_or(|at| world.now <= *at + GRACE), "rule 3: a relay to a server that is off");
+        let out = world.out_since.get(to);
+        assert!(out.is_none_or(|at| world.now <= *at + GRACE), "rule 3: a relay to a server left out");
         for earlier in &cmd.relays {
             assert!(earlier.outcome.is_some() || world.parallel, "rule 2: two relays at once");
             if earlier.outcome.is_none_or(|outcome| !outcome.never_ran()) {
@@ -144,6 +148,8 @@
     }
 
     fn check(&mut self, server: &Id) {
+        let out = self.0.borrow().out_since.contains_key(server);
+        assert!(!out, "a check of a server left out");
         self.0.borrow_mut().checks.push(server.clone());
     }
 
@@ -218,6 +224,20 @@
         self.policy.list_changed(self.now(), entries);
     }
 
+    /// Operators leave the server out, or use it again.
+    pub fn operators(&mut self, server: &str, out: bool) -> bool {
+        let (now, id) = (self.now(), Id::from(server));
+        if !out {
+            self.script.0.borrow_mut().out_since.remove(&id);
+            return self.policy.use_again(now, &id, now);
+        }
+        let known = self.policy.leave_out(now, &id);
+        if known {
+            self.script.0.borrow_mut().out_since.entry(id).or_insert(now);
+        }
+        known
+    }
+
     pub fn give(&mut self, verb: usize, due_in: Duration) -> Id {
         self.given += 1;
         let id: Id = format!("c{:05}", self.given).into();
--- /dev/null
+++ b/crates/sidecar/src/console/calls.rs
@@ -0,0 +1,110 @@
+//! The console's calls as text: what a message asks for, and what is said to it. No sockets.
+
+use crate::net::http;
+
+const ID_MOST: usize = 256;
+
+#[derive(Debug, PartialEq)]
+pub enum Call {
+    Status,
+    WhoIsOut,
+    Maintenance { server: String, out: bool },
+}
+
+#[derive(Debug, PartialEq)]
+pub struct Said {
+    pub status: u16,
+    pub text: String,
+    /// What a wrong method could have been.
+    allow: Option<&'static str>,
+}
+
+pub fn said(status: u16, text: &str) -> Said {
+    Said { status, text: text.to_string(), allow: None }
+}
+
+pub fn turned(status: u16, why: &str) -> Said {
+    said(status, &format!("no: {why}\n"))
+}
+
+impl Said {
+    pub fn head(&self) -> Vec<u8> {
+        let reason = match self.status {
+            200 => "OK",
+            400 => "Bad Request",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            408 => "Request Timeout",
+            413 => "Content Too Large",
+            500 => "Internal Server Error",
+            507 => "Insufficient Storage",
+            _ => "Service Unavailable",
+        };
+        let allow = self.allow.map(|allow| format!("Allow: {allow}\r\n")).unwrap_or_default();
+        let (status, length) = (self.status, self.text.len());
+        format!(
+            "HTTP/1.1 {status} {reason}\r\n{allow}Content-Type: text/plain\r\nContent-Length: {length}\r\n\
+             Connection: close\r\n\r\n"
+        )
+        .into_bytes()
+    }
+}
+
+pub fn understand(head: &[u8], body: &[u8]) -> Result<Call, Said> {
+    let mut headers = http::no_headers();
+    let mut cmd = httparse::Request::new(&mut headers);
+    if cmd.parse(head).is_err() {
+        return Err(turned(400, "this is no HTTP/1.1 message"));
+    }
+    let method = cmd.method.unwrap_or("");
+    let path = http::path_of(cmd.path.unwrap_or(""));
+    let path = path.split('?').next().unwrap_or("");
+    let allow = match path {
+        "/status" | "/maintenance" => "GET",
+        "/maintenance/enter" | "/maintenance/exit" => "PUT",
+        _ => return Err(turned(404, "no such call")),
+    };
+    if method != allow {
+        return Err(Said { allow: Some(allow), ..turned(405, "the call takes another method") });
+    }
+    match path {
+        "/status" => Ok(Call::Status),
+        "/maintenance" => Ok(Call::WhoIsOut),
+        path => maintenance(body, path == "/maintenance/enter"),
+    }
+}
+
+fn maintenance(body: &[u8], out: bool) -> Result<Call, Said> {
+    let server = std::str::from_utf8(body).map(str::trim).unwrap_or("");
+    let plain = (1..=ID_MOST).contains(&server.len()) && !server.chars().any(char::is_control);
+    if !plain {
+        return Err(turned(400, "the body is no endpoint's id"));
+    }
+    Ok(Call::Maintenance { server: server.to_string(), out })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn told(line: &str, body: &str) -> Result<Call, u16> {
+        understand(format!("{line} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes(), body.as_bytes())
+            .map_err(|said| said.status)
+    }
+
+    #[test]
+    fn calls_are_understood_and_others_are_a_no() {
+        let out = |server: &str, out| Ok(Call::Maintenance { server: server.into(), out });
+        assert_eq!(told("GET /status", ""), Ok(Call::Status));
+        assert_eq!(told("GET http://a:1/status?x", ""), Ok(Call::Status));
+        assert_eq!(told("PUT /maintenance/enter", "s1\r\n"), out("s1", true));
+        assert_eq!(told("PUT /maintenance/exit", " s1 "), out("s1", false));
+        assert_eq!(told("PUT /maintenance/exit", "\n"), Err(400));
+        assert_eq!(told("PUT /maintenance/exit", &"s".repeat(257)), Err(400));
+        assert_eq!(told("PUT /maintenance", ""), Err(405));
+        assert_eq!(told("POST /maintenance/enter", "s1"), Err(405));
+        assert_eq!(told("GET /", ""), Err(404));
+        let wrong = understand(b"GET /maintenance/exit HTTP/1.1\r\n\r\n", b"").expect_err("a no");
+        assert!(String::from_utf8_lossy(&wrong.head()).contains("Allow: PUT\r\n"));
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/console/mod.rs
@@ -0,0 +1,234 @@
+//! The operators' door: a thread with a listener, buffers and time of its own. It parses a call, asks the owner, has the
+//! word recorded and answers. It must never wait for the data path but for the owner's word, nor decide anything.
+
+mod calls;
+
+use crate::handover::LOOK_EVERY;
+use crate::handover::record::{Record, WORDS_MOST, Word, Words, unix_ms};
+use crate::net::buffers::Stock;
+use crate::net::http;
+use crate::net::within::within;
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use calls::Call;
+use futures_lite::AsyncReadExt;
+use futures_lite::future::or;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// Callers at a time; past that the one that has waited longest goes.
+pub const CALLERS: usize = 16;
+/// A call has so long to come whole.
+const CALL_WITHIN: Duration = Duration::from_secs(5);
+const ANSWER_WITHIN: Duration = Duration::from_secs(1);
+const LINGER: Duration = Duration::from_millis(200);
+/// The owner takes an operator's word before all that waits; one that takes longer does not run.
+const OWNER_WITHIN: Duration = Duration::from_millis(800);
+const BIND_AGAIN: Duration = Duration::from_millis(200);
+
+/// What an operator says of one endpoint, for the owner.
+pub struct Order {
+    pub server: String,
+    pub out: bool,
+    /// For how long it has been so, where it was said to another process and recorded.
+    pub recorded: Option<Duration>,
+    /// Told whether a list ever named the endpoint.
+    pub known: Sender<bool>,
+}
+
+pub struct Console {
+    /// Whether this process can serve.
+    pub serving: Arc<AtomicBool>,
+    pub orders: Sender<Order>,
+    /// None where nothing outlives the process.
+    pub record: Option<Record>,
+}
+
+struct Door {
+    serving: Arc<AtomicBool>,
+    orders: Sender<Order>,
+    record: RefCell<Option<Record>>,
+    /// What this process goes by.
+    words: RefCell<Words>,
+    stock: Rc<Stock>,
+    /// Those who have not finished a call, each with the word that closes it.
+    waiting: RefCell<BTreeMap<u64, Sender<()>>>,
+    callers: Cell<usize>,
+    numbers: Cell<u64>,
+}
+
+impl Console {
+    pub fn open(self, at: SocketAddr) -> io::Result<()> {
+        let serve = move || {
+            let executor = Rc::new(LocalExecutor::new());
+            let Console { serving, orders, record } = self;
+            let words = record.as_ref().map(|record| record.words.clone()).unwrap_or_default();
+            let door = Rc::new(Door {
+                serving,
+                orders,
+                record: RefCell::new(record),
+                words: RefCell::new(words),
+                stock: Stock::small(CALLERS),
+                waiting: RefCell::default(),
+                callers: Cell::new(0),
+                numbers: Cell::new(0),
+            });
+            executor.spawn(door.clone().follow_record()).detach();
+            async_io::block_on(executor.run(door.accept(at, executor.clone())));
+        };
+        std::thread::Builder::new().name("console".into()).spawn(serve).map(drop)
+    }
+}
+
+impl Door {
+    async fn accept(self: Rc<Self>, at: SocketAddr, executor: Rc<LocalExecutor<'static>>) {
+        let listener = bind(at).await;
+        tracing::info!("operators are heard at {at}");
+        loop {
+            while self.callers.get() >= CALLERS {
+                let longest = self.waiting.borrow_mut().pop_first();
+                if let Some((_, close)) = longest {
+                    let _ = close.try_send(());
+                }
+                Timer::after(Duration::from_millis(1)).await;
+            }
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    self.callers.set(self.callers.get() + 1);
+                    let door = self.clone();
+                    let one = async move {
+                        door.one_call(stream).await;
+                        door.callers.set(door.callers.get() - 1);
+                    };
+                    executor.spawn(one).detach();
+                }
+                Err(wrong) => {
+                    tracing::warn!("console: {wrong}");
+                    Timer::after(BIND_AGAIN).await;
+                }
+            }
+        }
+    }
+
+    async fn one_call(&self, stream: Async<TcpStream>) {
+        let number = self.numbers.replace(self.numbers.get() + 1);
+        let (close, closed): (Sender<()>, Receiver<()>) = async_channel::bounded(1);
+        self.waiting.borrow_mut().insert(number, close);
+        let Some(buffer) = self.stock.buffer() else { return };
+        let comes = async { Some(http::read_command(&stream, buffer).await) };
+        let ends = async {
+            let _ = closed.recv().await;
+            None
+        };
+        let message = within(CALL_WITHIN, or(comes, ends)).await.flatten();
+        self.waiting.borrow_mut().remove(&number);
+        let said = match message {
+            None => calls::turned(408, "the call did not come whole in time"),
+            Some(Err(http::Bad::Ended | http::Bad::Broken)) => return,
+            Some(Err(http::Bad::TooLarge)) => calls::turned(413, "the call is too large"),
+            Some(Err(http::Bad::Malformed)) => calls::turned(400, "this is no HTTP/1.1 message"),
+            Some(Ok(message)) => match calls::understand(message.head(), message.body()) {
+                Err(said) => said,
+                Ok(call) => self.answer(call).await,
+            },
+        };
+        tracing::debug!(status = said.status, "console: {}", said.text.trim_end());
+        let _ = within(ANSWER_WITHIN, http::write(&stream, &said.head(), said.text.as_bytes())).await;
+        linger(&stream).await;
+    }
+
+    async fn answer(&self, call: Call) -> calls::Said {
+        match call {
+            Call::Status if self.serving.load(Ordering::Acquire) => calls::said(200, "serving\n"),
+            Call::Status => calls::said(503, "not serving\n"),
+            Call::WhoIsOut => {
+                let words = self.words.borrow();
+                let out = words.iter().filter(|(_, word)| word.out).map(|(server, _)| format!("{server}\n"));
+                calls::said(200, &out.collect::<String>())
+            }
+            Call::Maintenance { server, out } => self.maintenance(server, out).await,
+        }
+    }
+
+    async fn maintenance(&self, server: String, out: bool) -> calls::Said {
+        if out && self.words.borrow().len() >= WORDS_MOST {
+            return calls::turned(507, "too many endpoints are out");
+        }
+        match self.tell(&server, out, None).await {
+            None => return calls::turned(503, "the sidecar does not answer"),
+            Some(false) => return calls::turned(404, "no list ever named this endpoint"),
+            Some(true) => {}
+        }
+        if let Some(record) = &mut *self.record.borrow_mut()
+            && let Err(wrong) = record.say(&server, out)
+        {
+            tracing::error!("console: {wrong}");
+            return calls::turned(500, "it holds for this process alone: it could not be recorded");
+        }
+        tracing::info!("operators {} {server}", if out { "leave out" } else { "use again" });
+        let at_unix_ms = unix_ms();
+        let mut words = self.words.borrow_mut();
+        words.insert(server, Word { out, at_unix_ms });
+        words.retain(|_, word| word.counts());
+        calls::said(200, "yes\n")
+    }
+
+    /// Whether a list ever named the endpoint; None where the owner does not answer.
+    async fn tell(&self, server: &str, out: bool, recorded: Option<Duration>) -> Option<bool> {
+        let (known, heard) = async_channel::bounded(1);
+        let order = Order { server: server.to_string(), out, recorded, known };
+        self.orders.send(order).await.ok()?;
+        within(OWNER_WITHIN, heard.recv()).await?.ok()
+    }
+
+    /// What was said to the other process of an upgrade counts here too.
+    async fn follow_record(self: Rc<Self>) {
+        loop {
+            Timer::after(LOOK_EVERY).await;
+            let new = {
+                let mut record = self.record.borrow_mut();
+                let Some(record) = &mut *record else { return };
+                if !record.look() {
+                    continue;
+                }
+                record.words.clone()
+            };
+            let old = std::mem::replace(&mut *self.words.borrow_mut(), new.clone());
+            for (server, word) in new {
+                if old.get(&server).is_none_or(|old| old.out != word.out) {
+                    let _ = self.tell(&server, word.out, Some(word.age())).await;
+                }
+            }
+        }
+    }
+}
+
+/// The process that this one takes over from may have the address still.
+async fn bind(at: SocketAddr) -> Async<TcpListener> {
+    let mut told = false;
+    loop {
+        match Async::<TcpListener>::bind(at) {
+            Ok(listener) => return listener,
+            Err(wrong) if !std::mem::replace(&mut told, true) => {
+                tracing::warn!("console: {at}: {wrong}; trying again");
+            }
+            Err(_) => {}
+        }
+        Timer::after(BIND_AGAIN).await;
+    }
+}
+
+/// Closing on bytes that nobody read resets the connection, and with it the answer on its way.
+async fn linger(mut stream: &Async<TcpStream>) {
+    let _ = stream.get_ref().shutdown(Shutdown::Write);
+    let mut bytes = [0; 1024];
+    let read_off = async { while matches!(stream.read(&mut bytes).await, Ok(1..)) {} };
+    within(LINGER, read_off).await;
+}
--- a/crates/sidecar/src/launch/checked.rs
+++ b/crates/sidecar/src/launch/checked.rs
@@ -5,6 +5,7 @@
 use landingspread_decisions::terms::Terms;
 use std::fmt;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -30,6 +31,15 @@
     Fault(format!("{key}: {wrong}"))
 }
 
+/// NODE_FD names the descriptor of the listening socket that this process inherits, where it does.
+pub fn inherited(told: &dyn Fn(&str) -> Option<String>) -> Result<Option<RawFd>, Fault> {
+    let number = |text: String| {
+        let fd = text.parse().ok().filter(|fd: &RawFd| *fd >= 0);
+        fd.ok_or_else(|| fault("NODE_FD", format_args!("{text:?} is no descriptor's number")))
+    };
+    told("NODE_FD").map(number).transpose()
+}
+
 /// What a front must know of a verb to read its commands; the rest of it is the module's.
 #[derive(Clone)]
 pub struct Verb {
@@ -62,6 +72,12 @@
     pub cost_header: Option<String>,
     /// The file through which what was learnt of endpoints outlives the process.
     pub learnt: Option<PathBuf>,
+    /// Where operators call.
+    pub console: Option<SocketAddr>,
+    /// The descriptor of the listening socket that the platform holds for every process of this sidecar.
+    pub inherited: Option<RawFd>,
+    /// The folder through which a process hands over to the next.
+    pub state: Option<PathBuf>,
 }
 
 impl fmt::Display for Launch {
@@ -72,6 +88,9 @@
             Some(discovery) => writeln!(f, "follows discovery at {discovery}")?,
             None => writeln!(f, "goes by the servers that its configuration lists")?,
         }
+        if let Some(console) = self.console {
+            writeln!(f, "operators call at {console}")?;
+        }
         writeln!(
             f,
             "at most {sockets} sockets and {memory_mb} MB; {} servers known",
--- a/crates/sidecar/src/launch/file.rs
+++ b/crates/sidecar/src/launch/file.rs
@@ -3,6 +3,7 @@
 
 use super::checked::{
     CONN_IDLE, DIAL_TIMEOUT, Fault, Launch, MAX_OPEN, MEMORY_MB, MEMORY_MB_LEAST, SOCKETS, SOCKETS_LEAST,
+    inherited,
 };
 use crate::catalog::{Catalog, Entry};
 use crate::clock::Clock;
@@ -42,6 +43,8 @@
     peers: Vec<SocketAddr>,
     cost_header: Option<String>,
     learnt: Option<PathBuf>,
+    console: Option<SocketAddr>,
+    state: Option<PathBuf>,
     discovery: Option<Discovered>,
     #[serde(default)]
     servers: Vec<Server>,
@@ -216,6 +219,9 @@
             *into = parsed(variable, &address)?;
         }
     }
+    if let Some(address) = told("NODE_CONSOLE") {
+        file.console = Some(parsed("NODE_CONSOLE", &address)?);
+    }
     if let Some(address) = told("NODE_DISCOVERY") {
         let begins = file.discovery.take().map_or(Begins::Automatic, |discovery| discovery.begins);
         file.discovery = Some(Discovered { address: parsed("NODE_DISCOVERY", &address)?, begins });
@@ -224,7 +230,7 @@
     if let Some((key, what)) = first_fault(&file) {
         return Err(Wrong::at_key(name, text, &key, what).into());
     }
-    Ok(launch(file))
+    Ok(Launch { inherited: inherited(told)?, ..launch(file) })
 }
 
 fn parsed(variable: &str, text: &str) -> Result<SocketAddr, Fault> {
@@ -369,6 +375,9 @@
         peers: file.peers,
         cost_header: file.cost_header,
         learnt: file.learnt,
+        console: file.console,
+        inherited: None,
+        state: file.state,
         name: file.name,
         zones: file.zones,
     }
--- a/crates/sidecar/src/launch/platform.rs
+++ b/crates/sidecar/src/launch/platform.rs
@@ -3,7 +3,7 @@
 
 use super::checked::{
     CONN_IDLE, DIAL_TIMEOUT, Fault, Launch, MAX_OPEN, MEMORY_MB, MEMORY_MB_LEAST, SOCKETS, SOCKETS_LEAST,
-    Verb, fault,
+    Verb, fault, inherited,
 };
 use crate::catalog::Catalog;
 use crate::clock::Clock;
@@ -30,6 +30,10 @@
         text.parse().map_err(|_| fault(key, format_args!("{text:?} is no address with a port")))
     };
     let clock = Clock::start();
+    let console = match told("NODE_CONSOLE") {
+        None if at(root, "console").is_none() => None,
+        _ => Some(address("NODE_CONSOLE", "console")?),
+    };
     let zones = names(root, "settings.Localities", None)?;
     let known = match at(root, "known") {
         None => Catalog::default(),
@@ -64,6 +68,10 @@
             .transpose()?
             .map(str::to_string),
         learnt: at(root, "learnt").map(|_| string(root, "learnt")).transpose()?.map(Into::into),
+        console,
+        inherited: inherited(told)?,
+        // The platform's own is private to the sidecar.
+        state: told("TMPDIR").map(Into::into),
     })
 }
 
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -3,6 +3,8 @@
 
 mod catalog;
 mod clock;
+mod console;
+mod handover;
 mod holds;
 mod launch;
 mod net;
--- a/crates/sidecar/src/net/buffers.rs
+++ b/crates/sidecar/src/net/buffers.rs
@@ -1,6 +1,7 @@
 //! What is scarce: the buffers, all of one size and used again, and the places for sockets. It owns how many
 //! of each there may be; it must never wait for one, so that whoever goes without can say so at once.
 
+use crate::launch::Launch;
 use std::cell::{Cell, RefCell};
 use std::ops::Range;
 use std::rc::Rc;
@@ -13,6 +14,12 @@
 /// Descriptors for all that is neither a caller nor an endpoint: standard streams, the reactor's own, the
 /// signal pipe, the listener, discovery.
 const SET_ASIDE: usize = 24;
+/// What the console takes of them besides: its listener, its callers, its thread's own.
+const FOR_CONSOLE: usize = 24;
+/// What a process that takes over opens before this one has made room.
+const FOR_THE_NEXT: usize = 24;
+/// With the least of sockets that can be set there are so many places still.
+const PLACES_LEAST: usize = 16;
 /// Places kept for callers who come when all others are taken, so that they hear a word at least: so many,
 /// but a small part of what there is.
 const SPARE: usize = 16;
@@ -21,37 +28,76 @@
 pub struct Stock {
     idle: RefCell<Vec<Box<[u8]>>>,
     buffers_out: Cell<usize>,
-    buffers_most: usize,
+    buffers_most: Cell<usize>,
     size: usize,
+    whole: Whole,
     pub for_callers: Rc<Places>,
     pub for_endpoints: Rc<Places>,
 }
 
+/// What there is for the whole sidecar, of which two processes may each have a part for a while.
+struct Whole {
+    places: usize,
+    buffers: usize,
+    all: Rc<Shared>,
+}
+
 impl Stock {
-    pub fn new(sockets: usize, memory_mb: usize) -> Rc<Stock> {
-        let places = sockets.saturating_sub(SET_ASIDE);
-        let all = Rc::new(Cell::new(places));
+    pub fn new(launch: &Launch) -> Rc<Stock> {
+        let console = if launch.console.is_some() { FOR_CONSOLE } else { 0 };
+        let next = if launch.inherited.is_some() { FOR_THE_NEXT } else { 0 };
+        Stock::with(launch.sockets.saturating_sub(console + next), launch.memory_mb)
+    }
+
+    pub fn with(sockets: usize, memory_mb: usize) -> Rc<Stock> {
+        let places = sockets.saturating_sub(SET_ASIDE).max(PLACES_LEAST);
         let memory = memory_mb * 1024 * 1024 / 2;
         let size = (memory / BUFFERS).max(HEAD_MOST + BODY_MOST);
-        Rc::new(Stock {
+        // The other half is for all else.
+        Stock::of(places, memory / size, size)
+    }
+
+    /// Buffers alone, for who has sockets of its own.
+    pub fn small(buffers: usize) -> Rc<Stock> {
+        Stock::of(0, buffers, 2 * HEAD_MOST)
+    }
+
+    fn of(places: usize, buffers: usize, size: usize) -> Rc<Stock> {
+        let all = Rc::new(Shared::default());
+        let stock = Stock {
             idle: RefCell::default(),
             buffers_out: Cell::new(0),
-            // The other half is for all else.
-            buffers_most: memory / size,
+            buffers_most: Cell::new(buffers),
             size,
-            // Neither side can take the last two fifths from the other, nor leave them unused.
-            for_callers: Places::new(places * 3 / 5, &all),
-            for_endpoints: Places::new(places * 3 / 5, &all),
-        })
+            for_callers: Places::new(&all),
+            for_endpoints: Places::new(&all),
+            whole: Whole { places, buffers, all },
+        };
+        stock.take_part(1);
+        Rc::new(stock)
+    }
+
+    /// One of so many processes that share what there is. What is out past the part comes back as it ends.
+    pub fn take_part(&self, processes: usize) {
+        let places = self.whole.places / processes;
+        self.buffers_most.set((self.whole.buffers / processes).max(1));
+        self.whole.all.most.set(places);
+        // Neither side can take the last two fifths from the other, nor leave them unused.
+        self.for_callers.most.set(places * 3 / 5);
+        self.for_endpoints.most.set(places * 3 / 5);
+    }
+
+    pub fn over_its_part(&self) -> bool {
+        self.whole.all.taken.get() > self.whole.all.most.get()
     }
 
     /// Read, a list takes several times the memory of its text: at 32 MB there is room for some 5,000 servers.
     pub fn buffers_for_a_list(&self) -> usize {
-        (self.buffers_most / 16).max(1)
+        (self.buffers_most.get() / 16).max(1)
     }
 
     pub fn buffer(self: &Rc<Self>) -> Option<Buffer> {
-        if self.buffers_out.get() >= self.buffers_most {
+        if self.buffers_out.get() >= self.buffers_most.get() {
             return None;
         }
         self.buffers_out.set(self.buffers_out.get() + 1);
@@ -106,25 +152,32 @@
     }
 }
 
+/// Places of all kinds.
+#[derive(Default)]
+struct Shared {
+    most: Cell<usize>,
+    taken: Cell<usize>,
+}
+
 /// Places for sockets of one kind.
 pub struct Places {
-    most: usize,
+    most: Cell<usize>,
     taken: Cell<usize>,
-    /// Free ones, whatever the kind.
-    free: Rc<Cell<usize>>,
+    all: Rc<Shared>,
 }
 
 impl Places {
-    fn new(most: usize, free: &Rc<Cell<usize>>) -> Rc<Places> {
-        Rc::new(Places { most, taken: Cell::new(0), free: free.clone() })
+    fn new(all: &Rc<Shared>) -> Rc<Places> {
+        Rc::new(Places { most: Cell::new(0), taken: Cell::new(0), all: all.clone() })
     }
 
     fn left(&self) -> usize {
-        (self.most - self.taken.get()).min(self.free.get())
+        let free = self.all.most.get().saturating_sub(self.all.taken.get());
+        self.most.get().saturating_sub(self.taken.get()).min(free)
     }
 
     pub fn only_spare_ones_left(&self) -> bool {
-        self.left() < SPARE.min(self.most / SPARE_PART)
+        self.left() < SPARE.min(self.most.get() / SPARE_PART)
     }
 
     pub fn taken(&self) -> usize {
@@ -136,7 +189,7 @@
             return None;
         }
         self.taken.set(self.taken.get() + 1);
-        self.free.set(self.free.get() - 1);
+        self.all.taken.set(self.all.taken.get() + 1);
         Some(Place(self.clone()))
     }
 }
@@ -147,6 +200,6 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.0.taken.set(self.0.taken.get() - 1);
-        self.0.free.set(self.0.free.get() + 1);
+        self.0.all.taken.set(self.0.all.taken.get() - 1);
     }
 }
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -161,6 +161,16 @@
         longest.is_some_and(|(_, close)| close.try_send(()).is_ok())
     }
 
+    /// Another process of this sidecar shares what there is: what waits past this one's part goes.
+    pub fn make_room(&self) {
+        while self.stock.over_its_part() && self.close_longest_idle() {}
+    }
+
+    /// Each answer is its connection's last from now on.
+    pub fn part(&self) {
+        self.parting.set(true);
+    }
+
     /// Commands are taken as before, but each is due within this span.
     pub fn begin_to_end(&self, within: Duration) {
         self.all_due.set(Some(self.clock.now() + within));
@@ -168,7 +178,7 @@
 
     /// Closes what waits, makes each answer its connection's last and comes back when nobody is left.
     pub async fn ended(&self) {
-        self.parting.set(true);
+        self.part();
         while self.stock.for_callers.taken() > 0 {
             while self.close_longest_idle() {}
             Timer::after(NO_ROOM_YET).await;
@@ -271,7 +281,7 @@
         if head.parse(message.head()).is_err() {
             return Err(Turned(400, "this is no HTTP/1.1 message"));
         }
-        let (method, path) = (head.method.unwrap_or(""), head.path.unwrap_or(""));
+        let (method, path) = (head.method.unwrap_or(""), http::path_of(head.path.unwrap_or("")));
         let first = path.trim_start_matches('/').split(['/', '?']).next().unwrap_or("");
         if method == "GET" && path == "/_health" {
             return Ok(Asked::Health);
--- a/crates/sidecar/src/net/discovery.rs
+++ b/crates/sidecar/src/net/discovery.rs
@@ -42,7 +42,9 @@
     pub fn new(launch: &Launch, stock: Rc<Stock>, queue: Queue) -> Option<Discovery> {
         let address = launch.discovery?;
         let (zones, clock) = (launch.zones.clone(), launch.clock.clone());
-        let generation = Some(launch.known.generation);
+        // A process that takes over is told the whole list at once, and need not wait for a change to know that it
+        // stands.
+        let generation = Some(launch.known.generation).filter(|_| launch.inherited.is_none());
         let share = Duration::from_secs_f64(launch.terms.balancers / CALLS_A_SECOND);
         let wait = share.clamp(WATCH_LEAST, WATCH_MOST);
         Some(Discovery { address, generation, wait, zones, clock, stock, queue })
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -268,6 +268,10 @@
         oldest.map(|all| all.remove(0)).is_some()
     }
 
+    pub fn make_room(&self) {
+        while self.stock.over_its_part() && self.close_longest_kept() {}
+    }
+
     pub async fn reap(self: Rc<Self>) {
         loop {
             Timer::after(REAP_EVERY).await;
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -86,6 +86,14 @@
     !OURS.iter().any(|ours| name.eq_ignore_ascii_case(ours))
 }
 
+/// The path of a command's target, which may name the whole address.
+pub fn path_of(target: &str) -> &str {
+    match target.split_once("://") {
+        Some((scheme, rest)) if !scheme.contains('/') => rest.find('/').map_or("/", |at| &rest[at..]),
+        _ => target,
+    }
+}
+
 /// What a head says of the rest of its message.
 struct Shape {
     head: usize,
@@ -410,7 +418,7 @@
                 let _ = near.write_all(piece);
             }
         });
-        let buffer = Stock::new(64, 16).buffer().expect("a buffer");
+        let buffer = Stock::with(64, 16).buffer().expect("a buffer");
         let read = async {
             if of_command { read_command(&far, buffer).await } else { read_answer(&far, buffer).await }
         };
@@ -487,7 +495,7 @@
             let (near, far) = pair();
             let bytes = bytes.clone();
             let writer = std::thread::spawn(move || (&near).write_all(&bytes).is_ok());
-            let buffer = Stock::new(64, memory_mb).buffer().expect("a buffer");
+            let buffer = Stock::with(64, memory_mb).buffer().expect("a buffer");
             let answer = block_on(read_answer(&far, buffer));
             assert_eq!(answer.is_ok_and(|answer| answer.body().len() == 390_000), carried);
             drop(far);
@@ -537,7 +545,7 @@
                 let (near, far) = pair();
                 let bytes = bytes.clone();
                 let writer = std::thread::spawn(move || (&near).write_all(&bytes).is_ok());
-                let stock = Stock::new(64, 16);
+                let stock = Stock::with(64, 16);
                 match block_on(read_long(&far, &stock, most)) {
                     Ok(mut long) => {
                         let mut heard = Vec::new();
--- a/crates/sidecar/src/net/learnt.rs
+++ b/crates/sidecar/src/net/learnt.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::Clock;
 use landingspread_decisions::carried::Learnt;
+use landingspread_decisions::host::Id;
 use serde::{Deserialize, Serialize};
 use std::io::Read;
 use std::path::{Path, PathBuf};
@@ -26,6 +27,16 @@
     version: u32,
     saved_unix_ms: u64,
     servers: Vec<Server>,
+    /// Ids that lists have told of: operators may still name those that are gone.
+    #[serde(default)]
+    named: Vec<String>,
+}
+
+/// What an earlier process left.
+#[derive(Default)]
+pub struct Before {
+    pub learnt: Vec<Learnt>,
+    pub named: Vec<Id>,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -59,12 +70,12 @@
     Ok(saved)
 }
 
-pub fn read(path: &Path, clock: &Clock) -> Vec<Learnt> {
+pub fn read(path: &Path, clock: &Clock) -> Before {
     let saved = match usable(path) {
         Ok(saved) => saved,
         Err(why) => {
             tracing::warn!("{}: {why}; endpoints start afresh", path.display());
-            return Vec::new();
+            return Before::default();
         }
     };
     let learnt = |server: Server| Learnt {
@@ -73,7 +84,8 @@
         slowness: server.slowness,
         marked: server.marked,
     };
-    saved.servers.into_iter().map(learnt).collect()
+    let named = saved.named.into_iter().map(Id::from).collect();
+    Before { learnt: saved.servers.into_iter().map(learnt).collect(), named }
 }
 
 /// Writes one file at a time: where a disk hangs, the next ones are not written.
@@ -82,11 +94,11 @@
 
 impl Saving {
     /// Written aside and then named, so that no reader finds a half, by a thread: a slow disk holds up no command.
-    pub fn save(&self, path: PathBuf, learnt: &[Learnt], clock: &Clock) {
+    pub fn save(&self, path: PathBuf, learnt: &[Learnt], named: Vec<String>, clock: &Clock) {
         if self.0.swap(true, Ordering::AcqRel) {
             return;
         }
-        let (saved, busy) = (saved(learnt, clock), self.0.clone());
+        let (saved, busy) = (saved(learnt, named, clock), self.0.clone());
         std::thread::spawn(move || {
             let aside = path.with_extension("new");
             let written = serde_json::to_vec(&saved).map_err(std::io::Error::other);
@@ -99,12 +111,12 @@
     }
 }
 
-fn saved(learnt: &[Learnt], clock: &Clock) -> Saved {
+fn saved(learnt: &[Learnt], named: Vec<String>, clock: &Clock) -> Saved {
     let server = |one: &Learnt| Server {
         id: one.server.to_string(),
         started_unix_ms: one.up_since.map_or(0, |at| clock.unix_ms(at)),
         slowness: one.slowness,
         marked: one.marked,
     };
-    Saved { version: VERSION, saved_unix_ms: unix_ms(), servers: learnt.iter().map(server).collect() }
+    Saved { version: VERSION, saved_unix_ms: unix_ms(), servers: learnt.iter().map(server).collect(), named }
 }
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -9,8 +9,11 @@
 mod learnt;
 pub mod owner;
 mod peers;
-mod within;
+pub mod within;
 
+use crate::console::Console;
+use crate::handover::record::Record;
+use crate::handover::{self, LOOK_EVERY, Presence};
 use crate::launch::{self, Launch};
 use async_channel::Receiver;
 use async_executor::{LocalExecutor, Task};
@@ -21,12 +24,15 @@
 use discovery::Discovery;
 use endpoints::Endpoints;
 use futures_lite::StreamExt;
-use owner::Outside;
+use owner::{Operators, Outside};
 use peers::Peers;
+use std::cell::RefCell;
 use std::io;
 use std::net::TcpListener;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// How long after SIGTERM the platform lets commands finish, but for their longest time limit, and how much of
@@ -41,6 +47,9 @@
 /// New connections go on coming for up to 0.4 s.
 const GO_ON_TAKING: Duration = Duration::from_millis(600);
 
+/// A process that takes over waits so long for a list before it goes by the one it was given.
+const LIST_WITHIN: Duration = Duration::from_millis(1500);
+
 /// Serves until SIGTERM; `file` is what SIGHUP reads again.
 pub fn serve(launch: Launch, file: Option<&Path>) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
@@ -57,16 +66,63 @@
     Some(executor.spawn(discovery.follow(asked.clone())))
 }
 
-async fn run(launch: Launch, file: Option<&Path>, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
+/// The files of the state folder, where there is one that can be used: without it nothing is handed over.
+fn presence(launch: &Launch) -> Option<Presence> {
+    let folder = launch.state.as_deref().filter(|_| launch.inherited.is_some())?;
+    let entered = Presence::enter(folder, &launch.name);
+    entered.inspect_err(|wrong| tracing::warn!("{}: {wrong}; nothing is handed over", folder.display())).ok()
+}
+
+/// Takes this process's part of what the sidecar has, as long as it runs.
+async fn share(
+    presence: Rc<RefCell<Presence>>,
+    stock: Rc<Stock>,
+    callers: Rc<Callers>,
+    endpoints: Rc<Endpoints>,
+) {
+    let mut shared = None;
+    loop {
+        let another = presence.borrow_mut().another();
+        if shared.replace(another) != Some(another) {
+            tracing::info!("{}", if another { "sharing with another process" } else { "the only process" });
+            stock.take_part(if another { 2 } else { 1 });
+        }
+        callers.make_room();
+        endpoints.make_room();
+        Timer::after(LOOK_EVERY).await;
+    }
+}
+
+/// The listener for callers, and whether it is one that another process may listen at too.
+fn listener(launch: &Launch) -> io::Result<Async<TcpListener>> {
+    match handover::inherited(launch.inherited, launch.listen) {
+        Some(listener) => Async::new(listener),
+        None => Async::<TcpListener>::bind(launch.listen),
+    }
+}
+
+async fn run(
+    mut launch: Launch,
+    file: Option<&Path>,
+    executor: Rc<LocalExecutor<'static>>,
+) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Hup])?;
-    let listener = Async::<TcpListener>::bind(launch.listen)?;
-    let stock = Stock::new(launch.sockets, launch.memory_mb);
+    let listener = listener(&launch)?;
+    let takes_over = launch.inherited.is_some();
+    let stock = Stock::new(&launch);
     let endpoints = Rc::new(Endpoints::new(&launch, stock.clone()));
     let (queue, words) = owner::queue();
     let longest = launch.verbs.iter().map(|verb| verb.limit).max().unwrap_or_default().min(LIMIT_MOST);
     let (ask, asked) = async_channel::bounded(1);
     let mut discovery = Discovery::new(&launch, stock.clone(), queue.clone());
-    let callers = Rc::new(Callers::new(&launch, stock, queue.clone(), executor.clone()));
+    let callers = Rc::new(Callers::new(&launch, stock.clone(), queue.clone(), executor.clone()));
+    let presence = presence(&launch).map(|presence| Rc::new(RefCell::new(presence)));
+    if let Some(presence) = presence.clone() {
+        executor.spawn(share(presence, stock, callers.clone(), endpoints.clone())).detach();
+    }
+    if let Some(folder) = launch.state.as_ref().filter(|_| takes_over && launch.learnt.is_none()) {
+        launch.learnt = Some(folder.join("learnt.json"));
+    }
     if !launch.terms.must_ask {
         // Where changes come unprompted, the watch is there from the start.
         let _ = ask.try_send(());
@@ -77,9 +133,35 @@
     if let Some(peers) = &peers {
         executor.spawn(peers.clone().hear(queue.clone())).detach();
     }
+    let serving = Arc::new(AtomicBool::new(false));
+    let (orders, ordered) = async_channel::bounded(64);
+    let (listed, list) = async_channel::bounded(1);
+    let record = launch.state.as_ref().filter(|_| launch.console.is_some());
+    let record = record.map(|folder| Record::open(folder, &launch.name));
+    let recorded = record.as_ref().map(|record| record.words.clone()).unwrap_or_default();
+    if let Some(at) = launch.console {
+        Console { serving: serving.clone(), orders, record }.open(at)?;
+    }
+    let some_known = !launch.known.entries.is_empty();
     let outside = Outside { endpoints, peers, ask: ask.clone() };
-    executor.spawn(owner::own(launch, outside, executor.clone(), queue, words)).detach();
-    let accepting = executor.spawn(callers.clone().accept(listener));
+    let operators = Operators { orders: ordered, recorded, listed };
+    executor.spawn(owner::own(launch, outside, operators, executor.clone(), queue, words)).detach();
+    let accepting = executor.spawn({
+        let (callers, serving) = (callers.clone(), serving.clone());
+        async move {
+            // Before it has a list it would only turn callers away, whom the other process can serve.
+            let told =
+                if takes_over { within::within(LIST_WITHIN, list.recv()).await.is_some() } else { true };
+            serving.store(told || some_known, Ordering::Release);
+            let once_listed = async {
+                if !told && !some_known && list.recv().await.is_ok() {
+                    serving.store(true, Ordering::Release);
+                }
+                futures_lite::future::pending::<()>().await;
+            };
+            futures_lite::future::or(callers.accept(listener), once_listed).await;
+        }
+    });
     while let Some(Ok(Signal::Hup)) = signals.next().await {
         match launch::read_again(file) {
             Ok(new) => {
@@ -100,10 +182,19 @@
         }
     }
     tracing::info!("SIGTERM: finishing what is taken");
+    serving.store(false, Ordering::Release);
     let until_killed = longest + KILLED_AFTER;
     callers.begin_to_end(until_killed - IN_HAND);
-    Timer::after(until_killed.saturating_sub(FINISHING).max(GO_ON_TAKING)).await;
-    accepting.cancel().await;
+    let taking = until_killed.saturating_sub(FINISHING).max(GO_ON_TAKING);
+    if presence.is_some_and(|presence| presence.borrow_mut().another()) {
+        // The other process has the listener too, and takes those who come.
+        accepting.cancel().await;
+        callers.part();
+        Timer::after(taking).await;
+    } else {
+        Timer::after(taking).await;
+        accepting.cancel().await;
+    }
     callers.ended().await;
     tracing::info!("all taken commands have their answers");
     Ok(())
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -5,17 +5,18 @@
 
 use super::endpoints::{End, Endpoints, Outgoing, Stage, Target};
 use super::http::Message;
-use super::learnt::{self, SAVE_EVERY, SAVE_FIRST, Saving};
+use super::learnt::{self, Before, SAVE_EVERY, SAVE_FIRST, Saving};
 use super::peers::Peers;
 use crate::catalog::{Catalog, Entry};
 use crate::clock::Clock;
+use crate::console::Order;
+use crate::handover::record::Words;
 use crate::holds::must_hold;
 use crate::launch::Launch;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use futures_lite::future::or;
-use landingspread_decisions::carried::Learnt;
 use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
 use landingspread_decisions::policy::Policy;
 use std::cell::{Cell, RefCell};
@@ -108,6 +109,15 @@
     pub ask: Sender<()>,
 }
 
+/// What operators said, and are to be told.
+pub struct Operators {
+    pub orders: Receiver<Order>,
+    /// What was recorded before this process began.
+    pub recorded: Words,
+    /// Told once a list has come.
+    pub listed: Sender<()>,
+}
+
 /// The owner's books, reached by the module's calls and by the owner in turn.
 struct Desk {
     clock: Clock,
@@ -247,12 +257,19 @@
     }
 }
 
+/// Operators are heard before all that waits.
+enum Heard {
+    Order(Order),
+    Word(Word),
+}
+
 struct Owner {
     desk: Rc<RefCell<Desk>>,
     policy: Policy<Hand>,
     clock: Clock,
     /// What an earlier process learnt, until a whole list has come.
-    before: Vec<Learnt>,
+    before: Before,
+    operators: Operators,
     save_to: Option<PathBuf>,
     save_at: Duration,
     saving: Saving,
@@ -261,6 +278,7 @@
 pub async fn own(
     launch: Launch,
     outside: Outside,
+    operators: Operators,
     executor: Rc<LocalExecutor<'static>>,
     queue: Queue,
     words: Receiver<Word>,
@@ -279,15 +297,46 @@
     let policy = Policy::start(Hand(desk.clone()), launch.terms, launch.seed, clock.now());
     let before = launch.learnt.as_ref().map(|path| learnt::read(path, &clock)).unwrap_or_default();
     let (save_at, save_to) = (clock.now() + SAVE_FIRST, launch.learnt);
-    let mut owner = Owner { desk, policy, clock, before, save_to, save_at, saving: Saving::default() };
+    let saving = Saving::default();
+    let mut owner = Owner { desk, policy, clock, before, operators, save_to, save_at, saving };
+    owner.remember();
     let known = owner.note_addresses(launch.known);
     let now = owner.clock.now();
     owner.policy.list_cached(now, &known);
-    owner.policy.recall(now, &owner.before);
+    owner.policy.recall(now, &owner.before.learnt);
     owner.listen(words).await;
 }
 
 impl Owner {
+    /// What operators said to an earlier process holds before the first list is taken.
+    fn remember(&mut self) {
+        let now = self.clock.now();
+        self.before.named.iter().for_each(|server| self.policy.named_before(server));
+        for (server, word) in std::mem::take(&mut self.operators.recorded) {
+            let id = Id::from(server);
+            self.policy.named_before(&id);
+            if word.out {
+                self.policy.leave_out(now, &id);
+            }
+        }
+    }
+
+    fn operators_say(&mut self, order: Order) {
+        let (now, id) = (self.clock.now(), Id::from(order.server));
+        if order.recorded.is_some() {
+            self.policy.named_before(&id);
+        }
+        let known = if order.out {
+            self.policy.leave_out(now, &id)
+        } else {
+            let since = now.saturating_sub(order.recorded.unwrap_or_default());
+            self.policy.use_again(now, &id, since)
+        };
+        // What is kept to a server that is restarted is worth nothing.
+        self.desk.borrow().outside.endpoints.forget(&id);
+        let _ = order.known.try_send(known);
+    }
+
     async fn listen(mut self, words: Receiver<Word>) {
         loop {
             let wake = self.next_wake();
@@ -298,8 +347,19 @@
                 };
                 None
             };
-            if let Some(word) = or(async { words.recv().await.ok() }, elapsed).await {
-                self.hear(word);
+            let orders = self.operators.orders.clone();
+            let ordered = async {
+                match orders.recv().await {
+                    Ok(order) => Some(Heard::Order(order)),
+                    // Nobody can call.
+                    Err(_) => futures_lite::future::pending().await,
+                }
+            };
+            let said = async { words.recv().await.ok().map(Heard::Word) };
+            match or(ordered, or(said, elapsed)).await {
+                Some(Heard::Order(order)) => self.operators_say(order),
+                Some(Heard::Word(word)) => self.hear(word),
+                None => {}
             }
             // Looked at after each word: a long queue must not keep the module from its time.
             let now = self.clock.now();
@@ -314,7 +374,8 @@
     fn save(&mut self, now: Duration) {
         if let Some(path) = self.save_to.clone().filter(|_| self.save_at <= now) {
             self.save_at = now + SAVE_EVERY;
-            self.saving.save(path, &self.policy.learnt(), &self.clock);
+            let named = self.policy.named().map(|id| id.to_string()).collect();
+            self.saving.save(path, &self.policy.learnt(), named, &self.clock);
         }
     }
 
@@ -330,11 +391,12 @@
             Word::Ended(id, number, end) => self.relay_ended(now, id, number, *end),
             Word::Checked(server, outcome, load) => self.policy.check_ended(now, outcome, &server, load),
             Word::Listed(catalog) => {
+                let _ = self.operators.listed.try_send(());
                 let whole = catalog.whole;
                 let entries = self.note_addresses(catalog);
                 if whole {
                     self.policy.list_told(now, &entries);
-                    self.policy.recall(now, &std::mem::take(&mut self.before));
+                    self.policy.recall(now, &std::mem::take(&mut self.before.learnt));
                 } else {
                     self.policy.list_changed(now, &entries);
                 }
