--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -44,6 +44,8 @@
     pub relays: Vec<Relay>,
     pub finished: bool,
     pub streaming: bool,
+    /// A part of it is still to come.
+    pub coming: bool,
     /// What was sent of it cannot be sent again.
     pub spent: bool,
     pub beyond: bool,
@@ -54,6 +56,21 @@
         self.relays.iter().filter(|relay| relay.fate == Fate::Out).count()
     }
 
+    /// Its last byte has come: its verb, and where its relay is out and the number of that.
+    pub fn body_came(
+        &mut self,
+        now: Duration,
+        good_until: impl Fn(usize) -> Duration,
+    ) -> Option<(usize, Slot, u32)> {
+        if !std::mem::take(&mut self.coming) {
+            return None;
+        }
+        self.good_until = good_until(self.verb);
+        let (number, relay) = (0..).zip(&mut self.relays).find(|(_, relay)| relay.fate == Fate::Out)?;
+        relay.sent = now;
+        Some((self.verb, relay.slot, number))
+    }
+
     pub fn may_have_run(&self) -> bool {
         self.relays.iter().any(|relay| relay.fate != Fate::NeverRan)
     }
--- a/crates/decisions/src/host.rs
+++ b/crates/decisions/src/host.rs
@@ -43,6 +43,8 @@
     pub id: Id,
     pub verb: usize,
     pub due: Duration,
+    /// Its last byte is still to come, and only then will be told by when it is due.
+    pub coming: bool,
     pub tenant: usize,
     /// The work that it is said to take, as time on a standard core.
     pub cost: Option<Duration>,
@@ -70,6 +72,8 @@
 pub struct Ended {
     pub cmd: Id,
     pub closed: bool,
+    /// What was sent of the command cannot be sent again.
+    pub spent: bool,
     pub outcome: Outcome,
     pub relay: u32,
     pub latency: Duration,
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -185,8 +185,7 @@
         let late = now.saturating_sub(self.swept + self.sweep_span());
         (self.swept, self.late) = (now, late.max(self.late / 2));
         self.host.wake_in(self.sweep_span());
-        if self.asking.next.is_some_and(|at| at <= now) {
-            self.asking.next = None;
+        if self.asking.next.take_if(|at| *at <= now).is_some() {
             self.host.subscribe();
         }
         self.watch_relays();
@@ -247,14 +246,12 @@
         // Calls that all come again at once would fail again together.
         let longest = 0.5 * f64::from(1u32 << self.asking.failures.min(3));
         self.asking.failures += 1;
-        let wait = Duration::from_secs_f64(longest * (0.5 + 0.5 * self.chance()));
-        self.asking.next = Some(now + wait);
+        self.asking.next = Some(now + Duration::from_secs_f64(longest * (0.5 + 0.5 * self.chance())));
     }
 
     fn take_entry(&mut self, entry: &Listed) {
         if self.aside.told(entry) || entry.state != State::Ready {
-            self.fleet.leave(&entry.server);
-            return;
+            return self.fleet.leave(&entry.server);
         }
         let (first, now, verbs) = (self.chance(), self.now, self.terms.verbs.len());
         let start = || Server::new(entry, verbs, first, BOUND_START, now);
@@ -315,8 +312,7 @@
         };
         self.fleet.choose(start, wanted - from_far, from_far, takes);
         let chosen = self.fleet.window().len() as f64;
-        let part = self.part();
-        self.sharers = (self.terms.balancers * chosen / (ready.max(1.0) * part)).max(1.0);
+        self.sharers = (self.terms.balancers * chosen / (ready.max(1.0) * self.part())).max(1.0);
         self.tell_traffic();
         // What one of many copies knows cannot correct it if all of them crowd the large servers: the less it
         // sees of the whole, the nearer the weights come to plain sizes.
@@ -334,11 +330,9 @@
 
     fn tell_traffic(&mut self) {
         let peers = self.terms.balancers as u32;
-        if !self.terms.allowed.peers || peers < 2 {
-            return;
-        }
+        let tell = if self.terms.allowed.peers && peers > 1 { TELL_TRAFFIC } else { 0 };
         let words = words::traffic(self.asked());
-        for _ in 0..TELL_TRAFFIC {
+        for _ in 0..tell {
             let on = 1 + (self.chance() * f64::from(peers - 1)) as u32;
             self.host.tell(Some((self.terms.ordinal + on) % peers), &words);
         }
@@ -358,17 +352,16 @@
     pub fn cmd_came(&mut self, now: Duration, arrival: Arrival) {
         self.now = now;
         let Some(verb) = self.terms.verbs.get(arrival.verb) else {
-            self.host.terminate(&arrival.id);
-            return;
+            return self.host.terminate(&arrival.id);
         };
-        let earns_late = verb.overdue_utility > 0.0;
-        let good_until = if earns_late { arrival.due } else { arrival.due.min(now + verb.goal) };
+        let good_until = if arrival.coming { arrival.due } else { verb.good_until(now, arrival.due) };
         self.verbs[arrival.verb].asked.add(now, 1.0);
         self.spare_relays = (self.spare_relays + RELAY_SHARE).min(RELAY_BURST);
         self.seen.spare_words += WORDS_COST / self.terms.prices.peer.max(WORDS_COST);
         let beyond = self.beyond_quota(arrival.tenant);
         let size = self.verbs[arrival.verb].size_of(arrival.cost);
-        let cmd = Cmd { verb: arrival.verb, good_until, beyond, size, ..Cmd::default() };
+        let (verb, coming) = (arrival.verb, arrival.coming);
+        let cmd = Cmd { verb, good_until, coming, beyond, size, ..Cmd::default() };
         self.cmds.insert(arrival.id.clone(), cmd);
         self.held.push(arrival.id.clone());
         self.spare_looks = (self.spare_looks + self.looks as f64).min(LOOKS_SAVED);
@@ -377,6 +370,26 @@
         self.thin_held(Some(&arrival.id));
     }
 
+    /// Its last byte has come. Until then the server it goes to had nothing to do for it.
+    pub fn body_came(&mut self, now: Duration, id: &Id, due: Duration) {
+        self.now = now;
+        let verbs = &self.terms.verbs;
+        let good_until = |verb: usize| verbs.get(verb).map_or(due, |verb| verb.good_until(now, due));
+        let begins = self.cmds.get_mut(id).and_then(|cmd| cmd.body_came(now, good_until));
+        begins.into_iter().for_each(|(verb, slot, number)| self.begins(id, verb, slot, number));
+    }
+
+    fn begins(&mut self, id: &Id, verb: usize, slot: Slot, number: u32) {
+        self.fleet.change_out(slot, 1);
+        self.verbs[verb].watched.push_back((self.now, id.clone(), number));
+    }
+
+    /// An answer broke off after it had begun, and its command is over.
+    pub fn answer_broke(&mut self, now: Duration, id: &Id, verb: usize) {
+        self.now = now;
+        self.fleet.slot(id).into_iter().for_each(|slot| self.tell_verb(slot, verb, false));
+    }
+
     pub fn client_left(&mut self, now: Duration, id: &Id) {
         self.now = now;
         self.held.retain(|held| held != id);
@@ -385,9 +398,7 @@
 
     pub fn answer_began(&mut self, now: Duration, id: &Id) {
         self.now = now;
-        if let Some(cmd) = self.cmds.get_mut(id) {
-            cmd.streaming = true;
-        }
+        self.cmds.get_mut(id).into_iter().for_each(|cmd| cmd.streaming = true);
     }
 
     /// Traffic past a tenant's share earns little: that part of it, by chance, ranks lower.
@@ -401,7 +412,8 @@
     }
 
     fn left(&self, cmd: &Cmd) -> f64 {
-        cmd.good_until.saturating_sub(self.now).as_secs_f64()
+        let goal = self.terms.verbs.get(cmd.verb).map(|verb| verb.goal).filter(|_| cmd.coming);
+        goal.unwrap_or(cmd.good_until.saturating_sub(self.now)).as_secs_f64()
     }
 
     fn expected(&self, verb: usize) -> f64 {
@@ -500,18 +512,16 @@
         cmd.relays.push(Relay::new(server, to, self.now, idle, ahead));
         server.sends += 1.0;
         server.cold_credit = (server.cold_credit - 1.0).max(0.0);
-        if let Some(mark) = server.mark_mut() {
-            mark.trying = true;
-        }
+        server.mark_mut().into_iter().for_each(|mark| mark.trying = true);
         if let Some(mark) = server.verbs.get_mut(cmd.verb).and_then(|at| at.mark.as_mut()) {
             mark.next = self.now + VERB_TRIAL;
         }
-        self.fleet.change_out(to, 1);
-        if let Some(record) = self.verbs.get_mut(cmd.verb) {
-            record.watched.push_back((self.now, id.clone(), number));
+        let (verb, coming, not_past) = (cmd.verb, cmd.coming, cmd.good_until);
+        if !coming {
+            self.begins(id, verb, to, number);
         }
         self.seen.sent.add(self.now, 1.0);
-        self.host.relay(id, &server_id, cmd.good_until);
+        self.host.relay(id, &server_id, not_past);
     }
 
     fn repeats(&self, cmd: &Cmd) -> Repeats {
@@ -591,11 +601,7 @@
     }
 
     fn verb_went(&mut self, server: u32, verb: usize, answered: bool) {
-        match self.fleet.named(server) {
-            Some(slot) if answered => self.answered_again(slot, verb),
-            Some(slot) => self.lengthen_run(slot, verb),
-            None => {}
-        }
+        self.fleet.named(server).into_iter().for_each(|slot| self.count_verb(slot, verb, answered));
     }
 
     fn traffic(&mut self, per_s: f64) {
@@ -610,23 +616,23 @@
     pub fn relay_ended(&mut self, now: Duration, ended: Ended) {
         self.now = now;
         let Some(cmd) = self.cmds.get_mut(&ended.cmd) else { return };
-        let Some(relay) = cmd.relays.get_mut(ended.relay as usize) else { return };
-        if relay.fate != Fate::Out {
-            return;
-        }
+        let relay = cmd.relays.get_mut(ended.relay as usize).filter(|relay| relay.fate == Fate::Out);
+        let Some(relay) = relay else { return };
         relay.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let (idle, reset) = (relay.idle, ended.outcome == Outcome::Reset);
         let broke = reset && idle >= IDLE_LEAST && ended.latency <= BREAK_WITHIN;
         let (verb, overdue, slot, sent) = (cmd.verb, relay.overdue, relay.slot, relay.sent);
-        let (size, ahead) = (cmd.size, relay.ahead);
-        cmd.finished |= ended.closed;
+        let (size, ahead, coming) = (cmd.size, relay.ahead, cmd.coming);
+        (cmd.finished, cmd.spent) = (cmd.finished || ended.closed, cmd.spent || ended.spent);
         let in_time = now <= cmd.good_until;
         self.seen.ended.add(now, 1.0);
         self.seen.lately.add(now, 1.0);
         self.average_out();
         self.take_report(slot, ended.load);
         let (usual, answered) = (self.expected(verb), ended.outcome == Outcome::Ok);
-        self.fleet.change_out(slot, -1);
+        if !coming {
+            self.fleet.change_out(slot, -1);
+        }
         let server = &mut self.fleet[slot];
         server.ended(now, sent, overdue);
         // What is too slow to answer in time would otherwise be known by its quickest answers only.
@@ -743,6 +749,10 @@
         if self.terms.allowed.peers {
             self.seen.words.verb_went(self.fleet[slot].name(), verb, answered);
         }
+        self.count_verb(slot, verb, answered);
+    }
+
+    fn count_verb(&mut self, slot: Slot, verb: usize, answered: bool) {
         if answered { self.answered_again(slot, verb) } else { self.lengthen_run(slot, verb) }
     }
 
@@ -891,12 +901,10 @@
     }
 
     fn check_servers(&mut self) {
-        if !self.terms.allowed.checks {
-            return;
-        }
+        let checks = self.terms.allowed.checks;
         for slot in self.fleet.marked().collect::<Vec<_>>() {
             let server = &mut self.fleet[slot];
-            let due = server.mark().is_some_and(|mark| mark.next <= self.now);
+            let due = checks && server.mark().is_some_and(|mark| mark.next <= self.now);
             if due && server.ready() && !server.checking {
                 server.checking = true;
                 self.host.check(&server.id);
@@ -1032,9 +1040,8 @@
                 weights.push((*slot, self.weight(cmd, server, report)));
             }
         }
-        let slot = drawn_from(&weights, drawn);
         self.weights = weights;
-        slot
+        drawn_from(&self.weights, drawn)
     }
 
     fn fits(&self, cmd: &Cmd, repeats: Repeats, server: &Server, all_marked: bool) -> bool {
@@ -1054,10 +1061,8 @@
             }
             _ if server.absent.is_some_and(|at| self.now < at + CHECK_EVERY) => false,
             _ if self.looks > 0 => self.in_time(cmd, server),
-            _ => {
-                self.says_room() == Some(true)
-                    || f64::from(server.out()) < (server.bound / self.sharers).max(1.0)
-            }
+            _ if self.says_room() == Some(true) => true,
+            _ => f64::from(server.out()) < (server.bound / self.sharers).max(1.0),
         }
     }
 
@@ -1080,7 +1085,6 @@
         // A report that hides this copy's own, or whose server is silent, must not age to an even share.
         let figure = figure.max(own) + f64::from(server.overdue) * self.sharers;
         let by_size = server.by_list * pace.powi(SHARPNESS);
-        let share = server.ramp(&self.terms.cold, self.now) * price;
-        share * by_size / (1.0 + figure / size).powi(SHARPNESS)
+        price * server.ramp(&self.terms.cold, self.now) * by_size / (1.0 + figure / size).powi(SHARPNESS)
     }
 }
--- a/crates/decisions/src/terms.rs
+++ b/crates/decisions/src/terms.rs
@@ -29,6 +29,13 @@
     pub overdue_utility: f64,
 }
 
+impl Verb {
+    /// Past this an answer earns nothing, to a command that came whole just now.
+    pub fn good_until(&self, now: Duration, due: Duration) -> Duration {
+        if self.overdue_utility > 0.0 { due } else { due.min(now + self.goal) }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Allowed {
     pub checks: bool,
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -187,7 +187,7 @@
             }
             let Some(cmd) = ground.cmds.get(number) else { return };
             let (id, verb, due, tenant) = (cmd.id.clone(), cmd.verb, cmd.due, cmd.tenant);
-            let arrival = Arrival { id, verb, due, tenant, cost: None };
+            let arrival = Arrival { id, verb, due, coming: false, tenant, cost: None };
             (cmd.copy.copy, arrival)
         };
         if let Some(picker) = self.picker(arrival.0) {
@@ -219,6 +219,7 @@
             let ended = Ended {
                 cmd: cmd.id.clone(),
                 closed: cmd.finished.is_some(),
+                spent: false,
                 outcome,
                 relay: leg.relay,
                 latency: now.saturating_sub(relay.sent),
--- a/crates/sidecar/src/console/mod.rs
+++ b/crates/sidecar/src/console/mod.rs
@@ -5,8 +5,8 @@
 
 use crate::handover::LOOK_EVERY;
 use crate::handover::record::{Record, WORDS_MOST, Word, Words, unix_ms};
-use crate::net::buffers::Stock;
-use crate::net::http;
+use crate::net::buffers::{Buffer, Stock};
+use crate::net::http::{self, Coming};
 use crate::net::within::within;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -122,7 +122,7 @@
         let (close, closed): (Sender<()>, Receiver<()>) = async_channel::bounded(1);
         self.waiting.borrow_mut().insert(number, close);
         let Some(buffer) = self.stock.buffer() else { return };
-        let comes = async { Some(http::read_command(&stream, buffer).await) };
+        let comes = async { Some(self.read(&stream, buffer).await) };
         let ends = async {
             let _ = closed.recv().await;
             None
@@ -134,7 +134,7 @@
             Some(Err(http::Bad::Ended | http::Bad::Broken)) => return,
             Some(Err(http::Bad::TooLarge)) => calls::turned(413, "the call is too large"),
             Some(Err(http::Bad::Malformed)) => calls::turned(400, "this is no HTTP/1.1 message"),
-            Some(Ok(message)) => match calls::understand(message.head(), message.body()) {
+            Some(Ok(message)) => match calls::understand(&message.head, &message.text()) {
                 Err(said) => said,
                 Ok(call) => self.answer(call).await,
             },
@@ -144,6 +144,15 @@
         linger(&stream).await;
     }
 
+    async fn read(&self, stream: &Async<TcpStream>, buffer: Buffer) -> Result<Coming, http::Bad> {
+        let mut coming = Coming::command(stream, buffer).await?;
+        if coming.expects && !coming.whole() {
+            http::write(stream, b"HTTP/1.1 100 Continue\r\n\r\n", b"").await?;
+        }
+        coming.hold(stream, &self.stock, 0).await?;
+        Ok(coming)
+    }
+
     async fn answer(&self, call: Call) -> calls::Said {
         match call {
             Call::Status if self.serving.load(Ordering::Acquire) => calls::said(200, "serving\n"),
--- a/crates/sidecar/src/net/buffers.rs
+++ b/crates/sidecar/src/net/buffers.rs
@@ -1,16 +1,21 @@
 //! What is scarce: the buffers, all of one size and used again, and the places for sockets. It owns how many
-//! of each there may be; it must never wait for one, so that whoever goes without can say so at once.
+//! of each there may be; whoever goes without
+//! can say so at once, or wait in turn where a part of a message is under way already.
 
 use crate::launch::Launch;
+use async_io::Timer;
 use std::cell::{Cell, RefCell};
 use std::ops::Range;
 use std::rc::Rc;
-
-pub const HEAD_MOST: usize = 16 * 1024;
-pub const BODY_MOST: usize = 64 * 1024;
-/// Where there is more memory than this many such buffers take, each is larger: answers past what the protocol
-/// allows have been met.
-const BUFFERS: usize = 200;
+use std::time::Duration;
+
+/// What one buffer holds: a head at most, or a piece of a body.
+pub const SIZE: usize = 16 * 1024;
+/// A body or an answer no longer than this is held whole, so that a command can be repeated; longer ones are passed on
+/// in pieces as they come.
+pub const HOLD_MOST: usize = 64 * 1024;
+/// How soon one who waits for a buffer looks again.
+const LOOK_AGAIN: Duration = Duration::from_millis(2);
 /// Descriptors for all that is neither a caller nor an endpoint: standard streams, the reactor's own, the
 /// signal pipe, the listener, discovery.
 const SET_ASIDE: usize = 24;
@@ -29,7 +34,6 @@
     idle: RefCell<Vec<Box<[u8]>>>,
     buffers_out: Cell<usize>,
     buffers_most: Cell<usize>,
-    size: usize,
     whole: Whole,
     pub for_callers: Rc<Places>,
     pub for_endpoints: Rc<Places>,
@@ -51,24 +55,21 @@
 
     pub fn with(sockets: usize, memory_mb: usize) -> Rc<Stock> {
         let places = sockets.saturating_sub(SET_ASIDE).max(PLACES_LEAST);
-        let memory = memory_mb * 1024 * 1024 / 2;
-        let size = (memory / BUFFERS).max(HEAD_MOST + BODY_MOST);
         // The other half is for all else.
-        Stock::of(places, memory / size, size)
+        Stock::of(places, memory_mb * 1024 * 1024 / 2 / SIZE)
     }
 
     /// Buffers alone, for who has sockets of its own.
     pub fn small(buffers: usize) -> Rc<Stock> {
-        Stock::of(0, buffers, 2 * HEAD_MOST)
+        Stock::of(0, buffers)
     }
 
-    fn of(places: usize, buffers: usize, size: usize) -> Rc<Stock> {
+    fn of(places: usize, buffers: usize) -> Rc<Stock> {
         let all = Rc::new(Shared::default());
         let stock = Stock {
             idle: RefCell::default(),
             buffers_out: Cell::new(0),
             buffers_most: Cell::new(buffers),
-            size,
             for_callers: Places::new(&all),
             for_endpoints: Places::new(&all),
             whole: Whole { places, buffers, all },
@@ -96,12 +97,22 @@
         (self.buffers_most.get() / 16).max(1)
     }
 
+    /// For one who has begun already: waits until there is one.
+    pub async fn buffer_in_turn(self: &Rc<Self>) -> Buffer {
+        loop {
+            match self.buffer() {
+                Some(buffer) => return buffer,
+                None => Timer::after(LOOK_AGAIN).await,
+            };
+        }
+    }
+
     pub fn buffer(self: &Rc<Self>) -> Option<Buffer> {
         if self.buffers_out.get() >= self.buffers_most.get() {
             return None;
         }
         self.buffers_out.set(self.buffers_out.get() + 1);
-        let bytes = self.idle.borrow_mut().pop().unwrap_or_else(|| vec![0; self.size].into_boxed_slice());
+        let bytes = self.idle.borrow_mut().pop().unwrap_or_else(|| vec![0; SIZE].into_boxed_slice());
         Some(Buffer { bytes, filled: 0, stock: self.clone() })
     }
 }
@@ -113,8 +124,9 @@
 }
 
 impl Buffer {
-    pub fn body_most(&self) -> usize {
-        self.bytes.len() - HEAD_MOST
+    /// Of no size, in the place of one that was taken.
+    pub fn none(stock: &Rc<Stock>) -> Buffer {
+        Buffer { bytes: Box::default(), filled: 0, stock: stock.clone() }
     }
 
     pub fn filled(&self) -> &[u8] {
@@ -147,6 +159,9 @@
 
 impl Drop for Buffer {
     fn drop(&mut self) {
+        if self.bytes.is_empty() {
+            return;
+        }
         self.stock.buffers_out.set(self.stock.buffers_out.get() - 1);
         self.stock.idle.borrow_mut().push(std::mem::take(&mut self.bytes));
     }
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -2,9 +2,9 @@
 //! back. It owns the callers' sockets and what is answered to bad input; it must never hold a buffer for a
 //! connection that waits, answer a taken command by its own choice, or reach the module but by the queue.
 
-use super::buffers::{Buffer, Place, Stock};
-use super::endpoints::Outgoing;
-use super::http::{self, Bad, Message};
+use super::buffers::{HOLD_MOST, Place, SIZE, Stock};
+use super::endpoints::{Answer, Next, Outgoing, Rest};
+use super::http::{self, Bad, Coming, Marked};
 use super::owner::{Came, Final, Queue, Word};
 use super::within::within;
 use crate::clock::Clock;
@@ -21,9 +21,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A command whose bytes trickle in for longer is given up.
+/// A head that trickles in for longer is given up, and so is a body of which nothing comes for so long.
 const READ_WITHIN: Duration = Duration::from_secs(5);
-const WRITE_WITHIN: Duration = Duration::from_secs(5);
+/// A caller who reads nothing for so long has gone.
+const WRITE_WITHIN: Duration = Duration::from_secs(20);
+/// A body that takes longer than this is no command's.
+const BODY_WITHIN: Duration = Duration::from_secs(900);
 /// A stranger, who has not brought a whole command yet, has this long from connecting on to bring one.
 const STRANGER: Duration = Duration::from_millis(2300);
 /// What comes after an error is read off for so long and so far before the connection is closed on it.
@@ -232,53 +235,69 @@
             return self.turn_away(stream, &Turned(503, "no buffer is free"), false).await;
         };
         let most = since.map_or(READ_WITHIN, |since| self.left_to_a_stranger(since));
-        let message = match self.read(stream, buffer, most).await {
-            Ok(message) => message,
-            Err(Some(turned)) => return self.turn_away(stream, &turned, false).await,
-            Err(None) => return false,
+        let mut coming = match within(most, Coming::command(stream, buffer)).await {
+            Some(Ok(coming)) => coming,
+            wrong => return self.turn_away_unless_gone(stream, wrong.map(|read| read.err())).await,
         };
-        // A command's time counts from its last byte.
-        let came = self.clock.now();
-        let keep = message.keep && !crowded && !self.parting.get();
-        match self.understand(&message) {
+        match self.understand(&coming.head) {
             // Who is wrong once is so again: it must come anew, and makes room meanwhile.
             Err(turned) => self.turn_away(stream, &turned, false).await,
             Ok(Asked::Health) if self.all_due.get().is_some() => {
                 self.turn_away(stream, &Turned(503, "ending"), false).await
             }
-            Ok(Asked::Health) => self.say(stream, 200, b"", b"ready\n", keep).await,
+            Ok(Asked::Health) => {
+                self.say(stream, 200, b"", b"ready\n", self.may_keep(&coming, crowded)).await
+            }
             Ok(Asked::Cmd(_)) if crowded || self.open.get() >= self.max_open => {
+                let keep = self.may_keep(&coming, crowded);
                 self.turn_away(stream, &Turned(503, "too many commands are open"), keep).await
             }
             Ok(Asked::Cmd(cmd)) => {
+                if let Err(wrong) = self.hold(stream, &mut coming).await {
+                    return self.turn_away_unless_gone(stream, Some(wrong)).await;
+                }
                 self.open.set(self.open.get() + 1);
-                let keep = self.carry(stream, cmd, message, came).await;
+                let keep = self.carry(stream, cmd, coming, crowded).await;
                 self.open.set(self.open.get() - 1);
                 keep
             }
         }
     }
 
-    /// `None`: nobody is there to be told what was wrong.
-    async fn read(
-        &self,
-        stream: &Async<TcpStream>,
-        buffer: Buffer,
-        most: Duration,
-    ) -> Result<Message, Option<Turned>> {
-        match within(most, http::read_command(stream, buffer)).await {
-            Some(Ok(message)) => Ok(message),
-            Some(Err(Bad::Malformed)) => Err(Some(Turned(400, "this is no HTTP/1.1 message"))),
-            Some(Err(Bad::TooLarge)) => Err(Some(Turned(413, "a head or body is too large"))),
-            Some(Err(Bad::Ended | Bad::Broken)) => Err(None),
-            None => Err(Some(Turned(408, "it took too long to come"))),
+    fn may_keep(&self, coming: &Coming, crowded: bool) -> bool {
+        coming.keep && coming.whole() && !crowded && !self.parting.get()
+    }
+
+    /// Reads a body that is short enough to be held whole, and the beginning of a longer one.
+    async fn hold(&self, stream: &Async<TcpStream>, coming: &mut Coming) -> Result<(), Option<Bad>> {
+        if coming.expects && !coming.whole() {
+            let told = within(WRITE_WITHIN, http::write(stream, b"HTTP/1.1 100 Continue\r\n\r\n", b""));
+            told.await.ok_or(Some(Bad::Broken))?.map_err(|_| Some(Bad::Broken))?;
+        }
+        let long = coming.length().is_some_and(|length| length > HOLD_MOST as u64);
+        let most = if long { SIZE } else { HOLD_MOST };
+        while !coming.whole() && coming.room(&self.stock, most) {
+            within(READ_WITHIN, coming.more(stream)).await.ok_or(None)?.map_err(Some)?;
         }
+        Ok(())
+    }
+
+    /// `None`: it took too long.
+    async fn turn_away_unless_gone(&self, stream: &Async<TcpStream>, wrong: Option<Option<Bad>>) -> bool {
+        let turned = match wrong.flatten() {
+            Some(Bad::Malformed) => Turned(400, "this is no HTTP/1.1 message"),
+            Some(Bad::TooLarge) => Turned(413, "a head is too large"),
+            // Nobody is there to be told what was wrong.
+            Some(Bad::Ended | Bad::Broken) => return false,
+            None => Turned(408, "it took too long to come"),
+        };
+        self.turn_away(stream, &turned, false).await
     }
 
-    fn understand(&self, message: &Message) -> Result<Asked, Turned> {
+    fn understand(&self, bytes: &[u8]) -> Result<Asked, Turned> {
         let mut headers = http::no_headers();
         let mut head = httparse::Request::new(&mut headers);
-        if head.parse(message.head()).is_err() {
+        if head.parse(bytes).is_err() {
             return Err(Turned(400, "this is no HTTP/1.1 message"));
         }
         let (method, path) = (head.method.unwrap_or(""), http::path_of(head.path.unwrap_or("")));
@@ -313,41 +332,91 @@
             Some(Ok(ms)) if ms > 0.0 && ms < COST_MOST_MS => Some(Duration::from_secs_f64(ms / 1000.0)),
             Some(_) => return Err(Turned(400, "the command's cost is odd")),
         };
-        let head = outgoing_head(method, path, head.headers, message.body().len());
+        let head = outgoing_head(method, path, head.headers);
         Ok(Asked::Cmd(Cmd { id, verb: number, tenant, left, cost, head }))
     }
 
-    async fn carry(&self, stream: &Async<TcpStream>, cmd: Cmd, message: Message, came: Duration) -> bool {
-        let keep = message.keep;
-        let Cmd { id, verb, tenant, left, cost, head } = cmd;
-        let due = self.all_due.get().map_or(came + left, |all_due| all_due.min(came + left));
-        let arrival = Arrival { id: id.clone(), verb, due, tenant, cost };
+    fn due(&self, left: Duration) -> Duration {
+        let due = self.clock.now() + left;
+        self.all_due.get().map_or(due, |all_due| all_due.min(due))
+    }
+
+    /// `coming` is whole, or too long to be held: then the rest of it goes on as it comes.
+    async fn carry(&self, stream: &Async<TcpStream>, cmd: Cmd, mut coming: Coming, crowded: bool) -> bool {
+        let Cmd { id, verb, tenant, left, cost, mut head } = cmd;
+        // A command's time counts from its last byte.
+        let (whole, number) = (coming.whole(), self.number());
+        let due = if whole { self.due(left) } else { self.clock.now() + BODY_WITHIN };
+        let arrival = Arrival { id: id.clone(), verb, due, coming: !whole, tenant, cost };
+        let careful = !whole || self.verbs[verb].method != "GET";
+        let (marked, framing) = match coming.length() {
+            Some(0) if self.verbs[verb].method == "GET" => (Marked::Plain, String::new()),
+            Some(length) => (Marked::Plain, format!("Content-Length: {length}\r\n")),
+            None => (Marked::Chunked, "Transfer-Encoding: chunked\r\n".to_string()),
+        };
+        head.extend_from_slice(framing.as_bytes());
+        let body = coming.take(&self.stock).await;
+        let (give, next) = async_channel::bounded(1);
+        let rest = (!whole).then(|| Rest { next, marked, left, spent: Cell::new(false) });
+        let outgoing = Outgoing { head, body, rest, careful };
         let (caller, word) = async_channel::bounded(1);
-        let careful = self.verbs[verb].method != "GET";
-        let outgoing = Outgoing { head, message, careful };
-        let number = self.number();
         self.queue.tell(Word::Came(Box::new(Came { number, arrival, outgoing, caller })));
-        let heard = async { word.recv().await.ok() };
         let ahead = Cell::new(0);
-        let left = async {
+        let heard = async { word.recv().await.map_err(|_| Some(Bad::Ended)) };
+        let goes = async {
+            if !whole {
+                self.feed(stream, &mut coming, &give).await?;
+                let due = self.due(left);
+                self.queue.tell(Word::Whole(id.clone(), number, due));
+                let _ = give.send(Next::End(self.clock.instant(due))).await;
+            }
             gone(stream, &ahead).await;
-            None
+            Err(Some(Bad::Ended))
         };
-        let Some(word) = or(heard, left).await else {
-            self.queue.tell(Word::Left(id, number));
-            return false;
+        let word = match or(heard, goes).await {
+            Ok(word) => word,
+            Err(wrong) => {
+                self.queue.tell(Word::Left(id, number));
+                return self.turn_away_unless_gone(stream, Some(wrong)).await;
+            }
         };
-        let keep = keep && !self.parting.get() && ahead.get() == 0;
-        let keep = self.last_word(stream, word, keep).await;
+        let keep = self.may_keep(&coming, crowded) && ahead.get() == 0;
+        let keep = self.last_word(stream, word, verb, keep, coming.minor).await;
         if !keep {
             linger(stream).await;
         }
         keep
     }
 
-    async fn last_word(&self, stream: &Async<TcpStream>, word: Final, keep: bool) -> bool {
+    /// Hands on the rest of a body, piece by piece, as fast as it is taken.
+    async fn feed(
+        &self,
+        stream: &Async<TcpStream>,
+        coming: &mut Coming,
+        give: &Sender<Next>,
+    ) -> Result<(), Option<Bad>> {
+        while !coming.whole() {
+            within(READ_WITHIN, coming.more(stream)).await.ok_or(None)?.map_err(Some)?;
+            for piece in coming.take(&self.stock).await {
+                if give.send(Next::Piece(piece)).await.is_err() {
+                    // The command is over, and its final word on its way.
+                    futures_lite::future::pending::<()>().await;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn last_word(
+        &self,
+        stream: &Async<TcpStream>,
+        word: Final,
+        verb: usize,
+        keep: bool,
+        minor: u8,
+    ) -> bool {
         match word {
-            Final::Answered(answer) => self.pass_on(stream, &answer, keep).await,
+            Final::Answered(answer) => self.pass_on(stream, *answer, verb, keep, minor).await,
             Final::Declined(come_back) => {
                 let come_back = come_back.map(|span| format!("Retry-After: {:.3}\r\n", span.as_secs_f64()));
                 self.say(stream, 503, come_back.as_deref().unwrap_or("").as_bytes(), b"declined\n", keep)
@@ -357,16 +426,46 @@
         }
     }
 
-    async fn pass_on(&self, stream: &Async<TcpStream>, answer: &Message, keep: bool) -> bool {
-        let mut headers = http::no_headers();
-        let mut rsp = httparse::Response::new(&mut headers);
-        let mut passed = Vec::new();
-        if rsp.parse(answer.head()).is_ok() {
-            for header in rsp.headers.iter().filter(|header| http::passes_on(header.name)) {
-                add_header(&mut passed, header);
+    /// Passes on an answer, and what of it is still to come as it comes.
+    async fn pass_on(
+        &self,
+        stream: &Async<TcpStream>,
+        mut answer: Answer,
+        verb: usize,
+        keep: bool,
+        minor: u8,
+    ) -> bool {
+        let length = answer.coming.length();
+        let (marked, framing) = match length {
+            Some(length) => (Marked::Plain, format!("Content-Length: {length}\r\n")),
+            None if minor > 0 => (Marked::Chunked, "Transfer-Encoding: chunked\r\n".to_string()),
+            // To a caller of HTTP/1.0 the end of the connection is the end of the answer.
+            None => (Marked::Plain, String::new()),
+        };
+        let ends_it = length.is_none() && marked == Marked::Plain;
+        let keep = keep && !ends_it;
+        let head = answer_head(&answer.coming.head, &framing, keep);
+        let mut written = self.write(stream, &head, &answer, marked).await;
+        while written && !answer.coming.whole() {
+            answer.coming.drop_taken();
+            if answer.more().await.is_err() {
+                self.queue.tell(Word::Broke(answer.server().clone(), verb));
+                if ends_it {
+                    // Only a reset tells that this is not the end.
+                    let _ = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
+                }
+                return false;
             }
+            written = self.write(stream, b"", &answer, marked).await;
         }
-        self.say(stream, 200, &passed, answer.body(), keep).await
+        let ended = written && within(WRITE_WITHIN, http::write_end(stream, marked)).await.is_some();
+        answer.finish();
+        ended && keep
+    }
+
+    async fn write(&self, stream: &Async<TcpStream>, head: &[u8], answer: &Answer, marked: Marked) -> bool {
+        let writing = http::write_part(stream, head, answer.coming.slices(), marked);
+        matches!(within(WRITE_WITHIN, writing).await, Some(Ok(())))
     }
 
     async fn turn_away(&self, stream: &Async<TcpStream>, turned: &Turned, keep: bool) -> bool {
@@ -431,16 +530,28 @@
     to.extend_from_slice(b"\r\n");
 }
 
-fn outgoing_head(method: &str, path: &str, headers: &[httparse::Header<'_>], length: usize) -> Vec<u8> {
+fn outgoing_head(method: &str, path: &str, headers: &[httparse::Header<'_>]) -> Vec<u8> {
     let mut head = format!("{method} {path} HTTP/1.1\r\n").into_bytes();
     // Each relay tells the time that it has itself.
     let passed = |header: &&httparse::Header<'_>| {
         http::passes_on(header.name) && !header.name.eq_ignore_ascii_case("x-expires-in-ms")
     };
     headers.iter().filter(passed).for_each(|header| add_header(&mut head, header));
-    if method != "GET" || length > 0 {
-        head.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
+    head
+}
+
+fn answer_head(of: &[u8], framing: &str, keep: bool) -> Vec<u8> {
+    let close = if keep { "" } else { "Connection: close\r\n" };
+    let mut head = format!("HTTP/1.1 200 OK\r\n{close}").into_bytes();
+    let mut headers = http::no_headers();
+    let mut rsp = httparse::Response::new(&mut headers);
+    // It was parsed once already, when its end was looked for.
+    if rsp.parse(of).is_ok() {
+        let passed = rsp.headers.iter().filter(|header| http::passes_on(header.name));
+        passed.for_each(|header| add_header(&mut head, header));
     }
+    head.extend_from_slice(framing.as_bytes());
+    head.extend_from_slice(b"\r\n");
     head
 }
 
--- a/crates/sidecar/src/net/discovery.rs
+++ b/crates/sidecar/src/net/discovery.rs
@@ -93,13 +93,13 @@
         let head = format!("GET /catalog/members{query} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
         in_time(UP_IN, http::write(&conn, head.as_bytes(), b"")).await?;
         let answer = http::read_long(&conn, &self.stock, self.stock.buffers_for_a_list());
-        let mut rsp = in_time(self.wait + IN_TURN, answer).await?;
-        if rsp.status != Some(200) {
-            return Err(format!("status {:?}", rsp.status));
+        let (status, keep, mut rsp) = in_time(self.wait + IN_TURN, answer).await?;
+        if status != Some(200) {
+            return Err(format!("status {status:?}"));
         }
         let value = serde_json::from_reader(BufReader::new(&mut rsp)).map_err(|wrong| wrong.to_string())?;
         let catalog = Catalog::take(&value, &self.zones, &self.clock)?;
-        *kept = rsp.keep.then_some(conn);
+        *kept = keep.then_some(conn);
         Ok(catalog)
     }
 }
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -2,10 +2,11 @@
 //! each relay whether its last byte was written; it must never send anything twice, pick an endpoint, or use
 //! a connection again whose last answer was not whole.
 
-use super::buffers::{Place, Stock};
-use super::http::{self, Bad, Message};
+use super::buffers::{HOLD_MOST, Place, Stock};
+use super::http::{self, Bad, Coming, Marked, Piece};
 use super::within::within;
 use crate::launch::Launch;
+use async_channel::Receiver;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use landingspread_decisions::host::{Id, Load, Outcome};
@@ -25,6 +26,12 @@
 /// A second copy of an answer, or noise, comes right behind the first: a connection is used again only once it
 /// has been quiet for so long, or what comes late would be read as the next command's answer.
 const QUIET: Duration = Duration::from_millis(3);
+/// An answer of unknown length is held for so long, in case it is short; past that it goes on as it comes.
+const HOLD_FOR: Duration = Duration::from_millis(50);
+/// An endpoint that reads nothing of a body for so long, or writes nothing of an answer, is given up.
+const STALLED: Duration = Duration::from_secs(20);
+/// What was written ahead of a break may hold the endpoint's word.
+const LAST_WORD: Duration = Duration::from_millis(20);
 /// More than this many to one endpoint are not kept.
 const KEPT_MOST: usize = 16;
 
@@ -39,11 +46,34 @@
 /// The bytes of a command as every relay of it sends them, but for the time left.
 pub struct Outgoing {
     pub head: Vec<u8>,
-    pub message: Message,
+    pub body: Vec<Piece>,
+    /// What is still to come of a body too long to be held.
+    pub rest: Option<Rest>,
     /// A break in the middle would end it, as it is not sent again elsewhere.
     pub careful: bool,
 }
 
+/// The rest of a body, as the caller's side reads it. What is taken from it is gone: there is no other relay then.
+pub struct Rest {
+    pub next: Receiver<Next>,
+    pub marked: Marked,
+    /// How long the caller waits once its last byte has come.
+    pub left: Duration,
+    pub spent: Cell<bool>,
+}
+
+pub enum Next {
+    Piece(Piece),
+    /// The body is over, and the answer due by then.
+    End(Instant),
+}
+
+impl Outgoing {
+    fn unsent(&self) -> bool {
+        self.rest.as_ref().is_none_or(|rest| !rest.spent.get())
+    }
+}
+
 /// Where a relay or a check goes. The same address may be another server's later.
 #[derive(Clone)]
 pub struct Target {
@@ -51,6 +81,33 @@
     pub address: SocketAddr,
 }
 
+/// A 200 answer: whole, or as much as has come with the connection that brings the rest.
+pub struct Answer {
+    pub coming: Coming,
+    rest: Option<Conn>,
+    to: Target,
+    home: Rc<Endpoints>,
+}
+
+impl Answer {
+    /// Reads what comes next, once what it had is taken.
+    pub async fn more(&mut self) -> Result<(), Bad> {
+        let Some(conn) = &self.rest else { return Err(Bad::Ended) };
+        within(STALLED, self.coming.more(&conn.stream)).await.unwrap_or(Err(Bad::Broken))
+    }
+
+    pub fn server(&self) -> &Id {
+        &self.to.server
+    }
+
+    /// All of it has been passed on: its connection may carry another.
+    pub fn finish(self) {
+        if let Some(conn) = self.rest.filter(|_| self.coming.whole() && self.coming.keep) {
+            self.home.keep(&self.to, conn);
+        }
+    }
+}
+
 struct Conn {
     stream: Async<TcpStream>,
     _place: Place,
@@ -110,12 +167,14 @@
 pub struct End {
     pub outcome: Outcome,
     pub load: Load,
-    pub answer: Option<Message>,
+    pub answer: Option<Answer>,
+    /// What was sent of it cannot be sent again.
+    pub spent: bool,
 }
 
 impl End {
     pub fn bare(outcome: Outcome) -> End {
-        End { outcome, load: Load::default(), answer: None }
+        End { outcome, load: Load::default(), answer: None, spent: false }
     }
 }
 
@@ -127,56 +186,176 @@
         Endpoints { kept, breaks, stock, kept_for, dial_timeout, check_path }
     }
 
-    /// Sends the command once and hears how that ended, at the latest at `not_past`.
-    pub async fn relay(&self, to: &Target, cmd: &Outgoing, not_past: Instant, stage: &Cell<Stage>) -> End {
+    /// Sends the command once and hears how that ended, at the latest at `not_past`; where its body is still coming, at
+    /// the time that the body's end brings.
+    pub async fn relay(
+        self: &Rc<Self>,
+        to: &Target,
+        cmd: &Outgoing,
+        not_past: Instant,
+        stage: &Cell<Stage>,
+    ) -> End {
+        let until = Cell::new(not_past);
         let late = async {
             Timer::at(not_past).await;
             End::bare(if stage.get() == Stage::Written { Outcome::Timeout } else { Outcome::ConnectFailed })
         };
-        or(self.exchange(to, cmd, not_past, stage), late).await
+        let exchange = self.exchange(to, cmd, &until, stage);
+        let end = if cmd.rest.is_none() { or(exchange, late).await } else { exchange.await };
+        End { spent: !cmd.unsent(), ..end }
     }
 
-    async fn exchange(&self, to: &Target, cmd: &Outgoing, not_past: Instant, stage: &Cell<Stage>) -> End {
+    async fn exchange(
+        self: &Rc<Self>,
+        to: &Target,
+        cmd: &Outgoing,
+        until: &Cell<Instant>,
+        stage: &Cell<Stage>,
+    ) -> End {
         let head = || {
-            let left = not_past.saturating_duration_since(Instant::now()).as_millis();
+            let left = until.get().saturating_duration_since(Instant::now());
+            let left = cmd.rest.as_ref().map_or(left, |rest| rest.left).as_millis();
             [&cmd.head[..], format!("X-Expires-In-Ms: {left}\r\n\r\n").as_bytes()].concat()
         };
-        match self.once(to, cmd.careful, head, cmd.message.body(), || stage.set(Stage::Written)).await {
-            Ok(answer) => {
-                let (outcome, load) = read_outcome(answer.head());
-                End { outcome, load, answer: (outcome == Outcome::Ok).then_some(answer) }
+        let write = async |conn: &Conn| self.write(conn, &head(), cmd, until).await;
+        // What came in pieces is due only from here on.
+        let late = async || match &cmd.rest {
+            None => futures_lite::future::pending().await,
+            Some(_) => Timer::at(until.get()).await,
+        };
+        let written = async || {
+            stage.set(Stage::Written);
+            late().await;
+            Outcome::Timeout
+        };
+        match self.once(to, cmd.careful, write, written).await {
+            Ok((mut coming, conn)) => {
+                let (outcome, load) = read_outcome(&coming.head);
+                let wanted = outcome == Outcome::Ok;
+                let too_late = async {
+                    late().await;
+                    Err(Bad::Broken)
+                };
+                let conn = match or(self.hold(to, &mut coming, conn, wanted), too_late).await {
+                    Ok(conn) => conn,
+                    Err(wrong) => {
+                        tracing::debug!("no answer from {}: {wrong:?}", to.server);
+                        // An endpoint that has said what came of it has said so, whole or not.
+                        return End::bare(if wanted { Outcome::Reset } else { outcome });
+                    }
+                };
+                let answer = || Answer { coming, rest: conn, to: to.clone(), home: self.clone() };
+                let answer = wanted.then(answer);
+                End { load, answer, ..End::bare(outcome) }
             }
             Err(outcome) => End::bare(outcome),
         }
     }
 
-    /// Writes one message to the endpoint, once, and reads its whole answer. The head is made when there is a
-    /// connection, as the time left goes on while one comes up.
+    /// Reads an answer whole if it is short enough, and keeps its connection then. One that is wanted and longer goes on
+    /// as it comes, on the connection that is handed back.
+    async fn hold(
+        &self,
+        to: &Target,
+        coming: &mut Coming,
+        conn: Conn,
+        wanted: bool,
+    ) -> Result<Option<Conn>, Bad> {
+        let long = coming.length().is_some_and(|length| length > HOLD_MOST as u64);
+        let whole = match coming.length() {
+            _ if long => None,
+            Some(_) => Some(coming.hold(&conn.stream, &self.stock, HOLD_MOST).await),
+            None => within(HOLD_FOR, coming.hold(&conn.stream, &self.stock, HOLD_MOST)).await,
+        };
+        match whole {
+            Some(Ok(())) => {
+                if coming.keep {
+                    self.keep(to, conn);
+                }
+                Ok(None)
+            }
+            Some(Err(Bad::TooLarge)) | None if wanted => Ok(Some(conn)),
+            Some(Err(wrong)) => Err(wrong),
+            None => Ok(None),
+        }
+    }
+
+    async fn write(
+        &self,
+        conn: &Conn,
+        head: &[u8],
+        cmd: &Outgoing,
+        until: &Cell<Instant>,
+    ) -> Result<(), Outcome> {
+        let failed = |_| Outcome::ConnectFailed;
+        let held = cmd.body.iter().map(Piece::bytes);
+        let Some(rest) = &cmd.rest else {
+            return http::write_part(&conn.stream, head, held, Marked::Plain).await.map_err(failed);
+        };
+        let in_time = |written: Option<io::Result<()>>| match written {
+            Some(Ok(())) => Ok(()),
+            _ => Err(Outcome::ConnectFailed),
+        };
+        in_time(within(STALLED, http::write_part(&conn.stream, head, held, rest.marked)).await)?;
+        loop {
+            match rest.next.recv().await {
+                Ok(Next::Piece(piece)) => {
+                    rest.spent.set(true);
+                    let bytes = std::iter::once(piece.bytes());
+                    in_time(within(STALLED, http::write_part(&conn.stream, b"", bytes, rest.marked)).await)?;
+                }
+                Ok(Next::End(due)) => {
+                    rest.spent.set(true);
+                    in_time(within(STALLED, http::write_end(&conn.stream, rest.marked)).await)?;
+                    until.set(due);
+                    return Ok(());
+                }
+                // Its caller has left: this relay is about to be called off.
+                Err(_) => return Err(Outcome::Moot),
+            }
+        }
+    }
+
+    /// Writes one message to the endpoint, once, and reads its answer's head. The message is made when there is a
+    /// connection, as the time left goes on while one comes up. An endpoint may answer before the message is over: then
+    /// nothing has run, and the connection is of no more use.
     async fn once(
         &self,
         to: &Target,
         careful: bool,
-        head: impl FnOnce() -> Vec<u8>,
-        body: &[u8],
-        written: impl FnOnce(),
-    ) -> Result<Message, Outcome> {
+        write: impl AsyncFnOnce(&Conn) -> Result<(), Outcome>,
+        written: impl AsyncFnOnce() -> Outcome,
+    ) -> Result<(Coming, Conn), Outcome> {
         let (conn, idle) = self.connection(to, careful).await?;
         let buffer = self.stock.buffer().ok_or(Outcome::Moot)?;
-        http::write(&conn.stream, &head(), body).await.map_err(|_| Outcome::ConnectFailed)?;
-        written();
-        let answer = http::read_answer(&conn.stream, buffer).await;
+        let over = Cell::new(false);
+        let writes = async {
+            let wrong = match write(&conn).await {
+                Ok(()) => {
+                    over.set(true);
+                    return Err(written().await);
+                }
+                Err(wrong) => wrong,
+            };
+            Timer::after(LAST_WORD).await;
+            Err(wrong)
+        };
+        let answers = async { Ok(Coming::answer(&conn.stream, buffer).await) };
+        let answer = or(writes, answers).await?;
         if let Some(idle) = idle {
             let broke = matches!(answer, Err(Bad::Ended | Bad::Broken));
             self.breaks.borrow_mut().add(idle, broke);
         }
-        let answer = answer.map_err(|wrong| {
-            tracing::debug!("no answer from {}: {wrong:?}", to.server);
-            Outcome::Reset
-        })?;
-        if answer.keep {
-            self.keep(to, conn);
+        match answer {
+            Ok(mut coming) => {
+                coming.keep &= over.get();
+                Ok((coming, conn))
+            }
+            Err(wrong) => {
+                tracing::debug!("no answer from {}: {wrong:?}", to.server);
+                Err(if over.get() { Outcome::Reset } else { Outcome::ConnectFailed })
+            }
         }
-        Ok(answer)
     }
 
     pub async fn check(&self, to: &Target) -> (Outcome, Load) {
@@ -185,13 +364,20 @@
 
     async fn ping(&self, to: &Target) -> (Outcome, Load) {
         let path = self.check_path;
-        let head = || format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", to.address).into_bytes();
-        let answer = match self.once(to, false, head, b"", || {}).await {
-            Ok(answer) => answer,
-            Err(outcome) => return (outcome, Load::default()),
+        let head = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", to.address);
+        let write = async |conn: &Conn| {
+            http::write(&conn.stream, head.as_bytes(), b"").await.map_err(|_| Outcome::ConnectFailed)
         };
-        let load = std::str::from_utf8(answer.body()).map(read_load).unwrap_or_default();
-        match http::status(answer.head()) {
+        let (mut answer, conn) =
+            match self.once(to, false, write, async || futures_lite::future::pending().await).await {
+                Ok(answer) => answer,
+                Err(outcome) => return (outcome, Load::default()),
+            };
+        if self.hold(to, &mut answer, conn, false).await.is_err() {
+            return (Outcome::Reset, Load::default());
+        }
+        let load = std::str::from_utf8(&answer.text()).map(read_load).unwrap_or_default();
+        match http::status(&answer.head) {
             Some(200) => (Outcome::Ok, load),
             Some(503) => (Outcome::Full, load),
             _ => (Outcome::Error, Load::default()),
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -3,8 +3,7 @@
 //! watch. It owns which commands are open and how each relay of them stands; it must never decide anything
 //! itself, wait for a socket, or call the module from within one of the module's own calls.
 
-use super::endpoints::{End, Endpoints, Outgoing, Stage, Target};
-use super::http::Message;
+use super::endpoints::{Answer, End, Endpoints, Outgoing, Stage, Target};
 use super::learnt::{self, Before, SAVE_EVERY, SAVE_FIRST, Saving};
 use super::peers::Peers;
 use crate::catalog::{Catalog, Entry};
@@ -29,7 +28,7 @@
 
 /// A command's final word.
 pub enum Final {
-    Answered(Message),
+    Answered(Box<Answer>),
     Declined(Option<Duration>),
     Terminated,
 }
@@ -55,7 +54,11 @@
 /// What reaches the owner.
 pub enum Word {
     Came(Box<Came>),
+    /// The last byte of its body has come; it is due by then.
+    Whole(Id, u64, Duration),
     Left(Id, u64),
+    /// An answer that was passed on as it came has broken off, of this verb.
+    Broke(Id, usize),
     Ended(Id, u32, Box<End>),
     Checked(Id, Outcome, Load),
     Peer(u32, Vec<u8>),
@@ -387,7 +390,9 @@
         let now = self.clock.now();
         match word {
             Word::Came(came) => self.cmd_came(now, *came),
+            Word::Whole(id, number, due) => self.body_came(now, &id, number, due),
             Word::Left(id, number) => self.client_left(now, &id, number),
+            Word::Broke(server, verb) => self.policy.answer_broke(now, &server, verb),
             Word::Ended(id, number, end) => self.relay_ended(now, id, number, *end),
             Word::Checked(server, outcome, load) => self.policy.check_ended(now, outcome, &server, load),
             Word::Listed(catalog) => {
@@ -440,6 +445,16 @@
         self.policy.cmd_came(now, arrival);
     }
 
+    fn body_came(&mut self, now: Duration, id: &Id, number: u64, due: Duration) {
+        let mut desk = self.desk.borrow_mut();
+        let Some(open) = desk.open.get_mut(id).filter(|open| open.number == number) else { return };
+        open.due = due;
+        // An endpoint begins when the last byte has come.
+        open.shots.iter_mut().filter(|shot| !shot.ended).for_each(|shot| shot.sent = now);
+        drop(desk);
+        self.policy.body_came(now, id, due);
+    }
+
     fn client_left(&mut self, now: Duration, id: &Id, number: u64) {
         let mut desk = self.desk.borrow_mut();
         // Its final word may have crossed its leaving; and a second caller under an open id may leave before it
@@ -453,7 +468,7 @@
     }
 
     fn relay_ended(&mut self, now: Duration, id: Id, number: u32, end: End) {
-        let End { outcome, load, answer } = end;
+        let End { outcome, load, answer, spent } = end;
         let mut desk = self.desk.borrow_mut();
         let Some(open) = desk.open.get_mut(&id) else {
             must_hold!(false, "a relay ends before its command is forgotten: {id}");
@@ -467,14 +482,14 @@
         if let Some(answer) = answer
             && !open.finished
         {
-            desk.finish(&id, Final::Answered(answer));
+            desk.finish(&id, Final::Answered(Box::new(answer)));
         }
         tracing::debug!("{id} relay {number} to {server}: {outcome:?} after {latency:?}");
         let closed = desk.open.get(&id).is_none_or(|open| open.finished);
         drop(desk);
         self.policy.relay_ended(
             now,
-            Ended { cmd: id.clone(), closed, outcome, relay: number, latency, server, load },
+            Ended { cmd: id.clone(), closed, spent, outcome, relay: number, latency, server, load },
         );
         self.desk.borrow_mut().forget_ended(&id);
     }
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -259,13 +259,19 @@
                 let tenant = fields.maybe("Team")?.unwrap_or(0);
                 let cost = fields.maybe("CostGuess")?.map(Duration::from_micros);
                 let said = fields.maybe::<u32>("Options")?.unwrap_or(0) & 1 == 1;
-                instance.cmd_came(now, Arrival { id, verb, due, tenant, cost: cost.filter(|_| said) });
+                instance.cmd_came(
+                    now,
+                    Arrival { id, verb, due, coming: false, tenant, cost: cost.filter(|_| said) },
+                );
             }
             "REPLY" => {
                 let (cmd, closed, outcome) = (fields.id("Req")?, fields.flag("Terminal")?, fields.outcome()?);
                 let (relay, latency) = (fields.need("Shot")?, fields.span("Latency")?);
                 let (server, load) = (fields.id("Endpoint")?, fields.load());
-                instance.relay_ended(now, Ended { cmd, closed, outcome, relay, latency, server, load });
+                instance.relay_ended(
+                    now,
+                    Ended { cmd, closed, spent: false, outcome, relay, latency, server, load },
+                );
             }
             "FIRST_BYTE" => instance.answer_began(now, &fields.id("Req")?),
             "ELAPSED" => instance.woken(now),
