Strangers half way through a command give way first where room is needed; tests over sockets

Also: an answer to HTTP/1.0 that broke off ended with FIN before the reset. Now one who is a second old goes before callers who spoke well, younger ones after. The module's random runs have bodies that come late.

--- a/crates/decisions/tests/decisions/plain.rs
+++ b/crates/decisions/tests/decisions/plain.rs
@@ -289,3 +289,34 @@
     assert!(held_up(0), "servers that say nothing are marked");
     assert!(!held_up(600), "its own delay is no server's");
 }
+
+#[test]
+fn a_body_that_is_still_coming_takes_no_room_and_its_time_begins_with_its_last_byte() {
+    let mut scene = Scene::new(terms("all", ""), "all", 3, 2);
+    let long: Vec<_> = (0..20).map(|_| scene.give_coming(2)).collect();
+    assert_eq!(scene.out().len(), 20, "none waits for another");
+    let quick = scene.give(0, ms(3000));
+    assert!(scene.out().iter().any(|(id, _)| *id == quick), "nor does a short one");
+    scene.pass(ms(9000));
+    assert!(long.iter().all(|id| scene.ended(id).is_none()));
+    scene.body_came(&long[0], ms(2000));
+    scene.pass(ms(900));
+    assert!(scene.ended(&long[0]).is_none());
+    scene.pass(ms(1200));
+    assert!(scene.ended(&long[0]).is_some());
+}
+
+#[test]
+fn what_was_sent_of_a_long_body_is_declined_if_it_never_ran_and_goes_nowhere_else() {
+    for (outcome, spent, wanted) in [
+        (Outcome::ConnectFailed, true, Some(Final::Declined)),
+        (Outcome::Reset, true, Some(Final::Terminated)),
+        (Outcome::ConnectFailed, false, None),
+    ] {
+        let mut scene = Scene::new(terms("all", ""), "all", 3, 3);
+        let id = scene.give_coming(2);
+        scene.end_as(&id, 0, outcome, Load::default(), spent);
+        assert_eq!(scene.ended(&id), wanted, "{outcome:?} {spent}");
+        assert_eq!(scene.out().len(), usize::from(!spent));
+    }
+}
--- a/crates/decisions/tests/decisions/rules.rs
+++ b/crates/decisions/tests/decisions/rules.rs
@@ -32,7 +32,16 @@
 fn step(scene: &mut Scene, (what, which, how): Step) {
     let server = format!("s{}", which % 9);
     match what {
-        0..=4 => {
+        0..=1 => {
+            scene.give_coming(usize::from(which % 4));
+        }
+        2 => {
+            let coming = scene.coming();
+            if let Some(id) = coming.get(usize::from(which) % coming.len().max(1)) {
+                scene.body_came(id, ms(u64::from(how % 3000)));
+            }
+        }
+        3..=4 => {
             scene.give(usize::from(which % 4), ms(u64::from(how % 3000)));
         }
         5..=8 => {
@@ -41,7 +50,14 @@
                 let in_flight = (how % 3 == 0).then(|| f64::from(how % 40));
                 let util = (how % 4 == 0).then(|| f64::from(how % 10) / 9.0);
                 let load = Load { in_flight, util, ..Load::default() };
-                scene.end(&id, number, OUTCOMES[usize::from(how) % OUTCOMES.len()], load);
+                let coming = scene.coming().contains(&id);
+                scene.end_as(
+                    &id,
+                    number,
+                    OUTCOMES[usize::from(how) % OUTCOMES.len()],
+                    load,
+                    coming && how % 2 == 0,
+                );
             }
         }
         9..=10 => scene.pass(ms(u64::from(how % 400))),
@@ -118,6 +134,7 @@
         for given in steps {
             step(&mut scene, given);
         }
+        scene.coming().iter().for_each(|id| scene.body_came(id, ms(1000)));
         scene.pass(ms(3100));
         let world = scene.script.0.borrow();
         prop_assert!(world.cmds.values().all(|cmd| cmd.ended.is_some()), "rule 1: no final answer");
--- a/crates/decisions/tests/decisions/scripted.rs
+++ b/crates/decisions/tests/decisions/scripted.rs
@@ -56,6 +56,10 @@
     pub due: Duration,
     pub relays: Vec<Relay>,
     pub ended: Option<Final>,
+    /// Its last byte has not come.
+    pub coming: bool,
+    /// What was sent of it cannot be sent again.
+    pub spent: bool,
 }
 
 #[derive(Default)]
@@ -111,6 +115,7 @@
         let mut world = self.0.borrow_mut();
         let cmd = &world.cmds[id];
         assert_eq!(cmd.ended, None, "rule 1: a relay after the final answer");
+        assert!(!cmd.spent, "a relay of what cannot be sent again");
         let off = world.off_since.get(to);
         assert!(off.is_none_or(|at| world.now <= *at + GRACE), "rule 3: a relay to a server that is off");
         let out = world.out_since.get(to);
@@ -239,17 +244,46 @@
     }
 
     pub fn give(&mut self, verb: usize, due_in: Duration) -> Id {
+        self.give_one(verb, due_in, false)
+    }
+
+    /// A command whose body is still coming.
+    pub fn give_coming(&mut self, verb: usize) -> Id {
+        self.give_one(verb, ms(900_000), true)
+    }
+
+    fn give_one(&mut self, verb: usize, due_in: Duration, coming: bool) -> Id {
         self.given += 1;
         let id: Id = format!("c{:05}", self.given).into();
         let now = self.now();
         let due = now + due_in;
-        let taken = Taken { verb, due, relays: Vec::new(), ended: None };
+        let taken = Taken { verb, due, relays: Vec::new(), ended: None, coming, spent: false };
         self.script.0.borrow_mut().cmds.insert(id.clone(), taken);
-        self.policy
-            .cmd_came(now, Arrival { id: id.clone(), verb, due, coming: false, tenant: 0, cost: None });
+        self.policy.cmd_came(now, Arrival { id: id.clone(), verb, due, coming, tenant: 0, cost: None });
         id
     }
 
+    /// The bodies that are still coming.
+    pub fn coming(&self) -> Vec<Id> {
+        let world = self.script.0.borrow();
+        let coming = world.cmds.iter().filter(|(_, cmd)| cmd.coming && cmd.ended.is_none());
+        coming.map(|(id, _)| id.clone()).collect()
+    }
+
+    pub fn body_came(&mut self, id: &Id, due_in: Duration) {
+        let (now, due) = (self.now(), self.now() + due_in);
+        {
+            let mut world = self.script.0.borrow_mut();
+            let cmd = world.cmds.get_mut(id).expect("a command that was given");
+            (cmd.coming, cmd.due) = (false, due);
+            // A relay counts as sent when its last byte has come.
+            for relay in cmd.relays.iter_mut().filter(|relay| relay.outcome.is_none()) {
+                (relay.sent, relay.not_past) = (now, relay.not_past.min(due));
+            }
+        }
+        self.policy.body_came(self.now(), id, due);
+    }
+
     /// The relays that are out, oldest command first.
     pub fn out(&self) -> Vec<(Id, u32)> {
         let world = self.script.0.borrow();
@@ -265,6 +299,10 @@
     }
 
     pub fn end(&mut self, id: &Id, number: u32, outcome: Outcome, load: Load) {
+        self.end_as(id, number, outcome, load, false);
+    }
+
+    pub fn end_as(&mut self, id: &Id, number: u32, outcome: Outcome, load: Load, spent: bool) {
         let ended = {
             let mut world = self.script.0.borrow_mut();
             let now = world.now;
@@ -275,8 +313,9 @@
             if outcome == Outcome::Ok && cmd.ended.is_none() {
                 cmd.ended = Some(Final::Answered);
             }
+            cmd.spent |= spent;
             let closed = cmd.ended.is_some();
-            Ended { cmd: id.clone(), closed, spent: false, outcome, relay: number, latency, server, load }
+            Ended { cmd: id.clone(), closed, spent, outcome, relay: number, latency, server, load }
         };
         self.policy.relay_ended(self.now(), ended);
     }
--- a/crates/sidecar/src/console/mod.rs
+++ b/crates/sidecar/src/console/mod.rs
@@ -130,7 +130,7 @@
         let message = within(CALL_WITHIN, or(comes, ends)).await.flatten();
         self.waiting.borrow_mut().remove(&number);
         let said = match message {
-            None => calls::turned(408, "the call did not come whole in time"),
+            None | Some(Err(http::Bad::Late)) => calls::turned(408, "the call did not come whole in time"),
             Some(Err(http::Bad::Ended | http::Bad::Broken)) => return,
             Some(Err(http::Bad::TooLarge)) => calls::turned(413, "the call is too large"),
             Some(Err(http::Bad::Malformed)) => calls::turned(400, "this is no HTTP/1.1 message"),
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -2,7 +2,7 @@
 //! back. It owns the callers' sockets and what is answered to bad input; it must never hold a buffer for a
 //! connection that waits, answer a taken command by its own choice, or reach the module but by the queue.
 
-use super::buffers::{HOLD_MOST, Place, SIZE, Stock};
+use super::buffers::{Buffer, HOLD_MOST, Place, SIZE, Stock};
 use super::endpoints::{Answer, Next, Outgoing, Rest};
 use super::http::{self, Bad, Coming, Marked};
 use super::owner::{Came, Final, Queue, Word};
@@ -40,6 +40,9 @@
 const FRESH: Duration = Duration::from_millis(20);
 /// So many new ones at once that say nothing are a crowd.
 const CROWD: usize = 8;
+/// Where room is needed, a stranger who has brought a part of a command and is this old goes before callers who spoke
+/// well; younger ones only after them.
+const HALF_WAY: Duration = Duration::from_secs(1);
 const NO_ROOM_YET: Duration = Duration::from_millis(5);
 const LEFT_MOST_MS: u64 = 3_600_000;
 const COST_MOST_MS: f64 = 3_600_000.0;
@@ -59,6 +62,8 @@
     /// Connections that wait for a command, strangers first and then the longest, each with the word that
     /// closes it.
     idle: RefCell<BTreeMap<(bool, u64), Sender<()>>>,
+    /// Strangers who have brought a part of their first command, those who came first first.
+    half_way: RefCell<BTreeMap<u64, (Duration, Sender<()>)>>,
     /// How many strangers have just come.
     fresh: Cell<usize>,
     /// Numbers given to connections that wait and to commands.
@@ -103,6 +108,7 @@
             all_due: Cell::new(None),
             parting: Cell::new(false),
             idle: RefCell::default(),
+            half_way: RefCell::default(),
             fresh: Cell::new(0),
             numbers: Cell::new(0),
             stock,
@@ -114,7 +120,7 @@
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
         loop {
             let Some(place) = self.stock.for_callers.take() else {
-                let _ = self.close_strangers() || self.close_longest_idle();
+                let _ = self.close_strangers() || self.close_half_way(HALF_WAY) || self.close_any();
                 Timer::after(NO_ROOM_YET).await;
                 continue;
             };
@@ -139,8 +145,9 @@
     /// nothing, rather than close callers who spoke well; for a few it must not, or taking stands still.
     async fn no_place_left(&self) -> bool {
         while self.stock.for_callers.only_spare_ones_left() {
-            if !self.close_strangers() && self.fresh.get() < CROWD {
-                return !self.close_longest_idle();
+            let closed = self.close_strangers() || self.close_half_way(HALF_WAY);
+            if !closed && self.fresh.get() < CROWD {
+                return !self.close_any();
             }
             Timer::after(NO_ROOM_YET).await;
         }
@@ -159,6 +166,16 @@
         !strangers.is_empty()
     }
 
+    fn close_any(&self) -> bool {
+        self.close_longest_idle() || self.close_half_way(Duration::ZERO)
+    }
+
+    fn close_half_way(&self, least: Duration) -> bool {
+        let mut half_way = self.half_way.borrow_mut();
+        let first = half_way.first_entry().filter(|first| first.get().0 + least <= self.clock.now());
+        first.is_some_and(|first| first.remove().1.try_send(()).is_ok())
+    }
+
     fn close_longest_idle(&self) -> bool {
         let longest = self.idle.borrow_mut().pop_first();
         longest.is_some_and(|(_, close)| close.try_send(()).is_ok())
@@ -234,28 +251,31 @@
         let Some(buffer) = self.stock.buffer() else {
             return self.turn_away(stream, &Turned(503, "no buffer is free"), false).await;
         };
-        let most = since.map_or(READ_WITHIN, |since| self.left_to_a_stranger(since));
-        let mut coming = match within(most, Coming::command(stream, buffer)).await {
-            Some(Ok(coming)) => coming,
-            wrong => return self.turn_away_unless_gone(stream, wrong.map(|read| read.err())).await,
+        let (close, closed) = async_channel::bounded(1);
+        let number = self.number();
+        if let Some(since) = since {
+            self.half_way.borrow_mut().insert(number, (since, close.clone()));
+        }
+        let room = async {
+            let _ = closed.recv().await;
+            Err(None)
+        };
+        let read = or(self.read(stream, buffer, since), room).await;
+        self.half_way.borrow_mut().remove(&number);
+        let (coming, asked) = match read {
+            Ok(read) => read,
+            Err(turned) => return self.turn_away_unless_gone(stream, turned).await,
         };
-        match self.understand(&coming.head) {
-            // Who is wrong once is so again: it must come anew, and makes room meanwhile.
-            Err(turned) => self.turn_away(stream, &turned, false).await,
-            Ok(Asked::Health) if self.all_due.get().is_some() => {
+        match asked {
+            Asked::Health if self.all_due.get().is_some() => {
                 self.turn_away(stream, &Turned(503, "ending"), false).await
             }
-            Ok(Asked::Health) => {
-                self.say(stream, 200, b"", b"ready\n", self.may_keep(&coming, crowded)).await
-            }
-            Ok(Asked::Cmd(_)) if crowded || self.open.get() >= self.max_open => {
+            Asked::Health => self.say(stream, 200, b"", b"ready\n", self.may_keep(&coming, crowded)).await,
+            Asked::Cmd(_) if crowded || self.open.get() >= self.max_open => {
                 let keep = self.may_keep(&coming, crowded);
                 self.turn_away(stream, &Turned(503, "too many commands are open"), keep).await
             }
-            Ok(Asked::Cmd(cmd)) => {
-                if let Err(wrong) = self.hold(stream, &mut coming).await {
-                    return self.turn_away_unless_gone(stream, Some(wrong)).await;
-                }
+            Asked::Cmd(cmd) => {
                 self.open.set(self.open.get() + 1);
                 let keep = self.carry(stream, cmd, coming, crowded).await;
                 self.open.set(self.open.get() - 1);
@@ -264,34 +284,48 @@
         }
     }
 
+    /// Reads a command: all of it, or the beginning of one that is too long to be held. `None`: nobody is there, or is
+    /// to be there, to be told what was wrong.
+    async fn read(
+        &self,
+        stream: &Async<TcpStream>,
+        buffer: Buffer,
+        since: Option<Duration>,
+    ) -> Result<(Coming, Asked), Option<Turned>> {
+        let most = since.map_or(READ_WITHIN, |since| self.left_to_a_stranger(since));
+        let head = within(most, Coming::command(stream, buffer)).await;
+        let mut coming = head.unwrap_or(Err(Bad::Late)).map_err(why)?;
+        let asked = self.understand(&coming.head).map_err(Some)?;
+        if matches!(asked, Asked::Cmd(_)) {
+            self.hold(stream, &mut coming).await.map_err(why)?;
+        }
+        Ok((coming, asked))
+    }
+
     fn may_keep(&self, coming: &Coming, crowded: bool) -> bool {
         coming.keep && coming.whole() && !crowded && !self.parting.get()
     }
 
     /// Reads a body that is short enough to be held whole, and the beginning of a longer one.
-    async fn hold(&self, stream: &Async<TcpStream>, coming: &mut Coming) -> Result<(), Option<Bad>> {
+    async fn hold(&self, stream: &Async<TcpStream>, coming: &mut Coming) -> Result<(), Bad> {
         if coming.expects && !coming.whole() {
-            let told = within(WRITE_WITHIN, http::write(stream, b"HTTP/1.1 100 Continue\r\n\r\n", b""));
-            told.await.ok_or(Some(Bad::Broken))?.map_err(|_| Some(Bad::Broken))?;
+            let go_on = http::write(stream, b"HTTP/1.1 100 Continue\r\n\r\n", b"");
+            within(WRITE_WITHIN, go_on).await.unwrap_or(Ok(()))?;
         }
         let long = coming.length().is_some_and(|length| length > HOLD_MOST as u64);
         let most = if long { SIZE } else { HOLD_MOST };
         while !coming.whole() && coming.room(&self.stock, most) {
-            within(READ_WITHIN, coming.more(stream)).await.ok_or(None)?.map_err(Some)?;
+            within(READ_WITHIN, coming.more(stream)).await.unwrap_or(Err(Bad::Late))?;
         }
         Ok(())
     }
 
-    /// `None`: it took too long.
-    async fn turn_away_unless_gone(&self, stream: &Async<TcpStream>, wrong: Option<Option<Bad>>) -> bool {
-        let turned = match wrong.flatten() {
-            Some(Bad::Malformed) => Turned(400, "this is no HTTP/1.1 message"),
-            Some(Bad::TooLarge) => Turned(413, "a head is too large"),
-            // Nobody is there to be told what was wrong.
-            Some(Bad::Ended | Bad::Broken) => return false,
-            None => Turned(408, "it took too long to come"),
-        };
-        self.turn_away(stream, &turned, false).await
+    /// `None`: there is nobody to be told.
+    async fn turn_away_unless_gone(&self, stream: &Async<TcpStream>, turned: Option<Turned>) -> bool {
+        match turned {
+            Some(turned) => self.turn_away(stream, &turned, false).await,
+            None => false,
+        }
     }
 
     fn understand(&self, bytes: &[u8]) -> Result<Asked, Turned> {
@@ -362,7 +396,7 @@
         let (caller, word) = async_channel::bounded(1);
         self.queue.tell(Word::Came(Box::new(Came { number, arrival, outgoing, caller })));
         let ahead = Cell::new(0);
-        let heard = async { word.recv().await.map_err(|_| Some(Bad::Ended)) };
+        let heard = async { word.recv().await.map_err(|_| Bad::Ended) };
         let goes = async {
             if !whole {
                 self.feed(stream, &mut coming, &give).await?;
@@ -371,17 +405,17 @@
                 let _ = give.send(Next::End(self.clock.instant(due))).await;
             }
             gone(stream, &ahead).await;
-            Err(Some(Bad::Ended))
+            Err(Bad::Ended)
         };
         let word = match or(heard, goes).await {
             Ok(word) => word,
             Err(wrong) => {
                 self.queue.tell(Word::Left(id, number));
-                return self.turn_away_unless_gone(stream, Some(wrong)).await;
+                return self.turn_away_unless_gone(stream, why(wrong)).await;
             }
         };
         let keep = self.may_keep(&coming, crowded) && ahead.get() == 0;
-        let keep = self.last_word(stream, word, verb, keep, coming.minor).await;
+        let Some(keep) = self.last_word(stream, word, verb, keep, coming.minor).await else { return false };
         if !keep {
             linger(stream).await;
         }
@@ -394,9 +428,9 @@
         stream: &Async<TcpStream>,
         coming: &mut Coming,
         give: &Sender<Next>,
-    ) -> Result<(), Option<Bad>> {
+    ) -> Result<(), Bad> {
         while !coming.whole() {
-            within(READ_WITHIN, coming.more(stream)).await.ok_or(None)?.map_err(Some)?;
+            within(READ_WITHIN, coming.more(stream)).await.unwrap_or(Err(Bad::Late))?;
             for piece in coming.take(&self.stock).await {
                 if give.send(Next::Piece(piece)).await.is_err() {
                     // The command is over, and its final word on its way.
@@ -407,6 +441,7 @@
         Ok(())
     }
 
+    /// Whether the connection is kept; None where it ends in the middle of an answer.
     async fn last_word(
         &self,
         stream: &Async<TcpStream>,
@@ -414,15 +449,15 @@
         verb: usize,
         keep: bool,
         minor: u8,
-    ) -> bool {
+    ) -> Option<bool> {
         match word {
             Final::Answered(answer) => self.pass_on(stream, *answer, verb, keep, minor).await,
             Final::Declined(come_back) => {
                 let come_back = come_back.map(|span| format!("Retry-After: {:.3}\r\n", span.as_secs_f64()));
-                self.say(stream, 503, come_back.as_deref().unwrap_or("").as_bytes(), b"declined\n", keep)
-                    .await
+                let come_back = come_back.as_deref().unwrap_or("").as_bytes();
+                Some(self.say(stream, 503, come_back, b"declined\n", keep).await)
             }
-            Final::Terminated => self.say(stream, 502, b"", b"terminated\n", keep).await,
+            Final::Terminated => Some(self.say(stream, 502, b"", b"terminated\n", keep).await),
         }
     }
 
@@ -434,7 +469,7 @@
         verb: usize,
         keep: bool,
         minor: u8,
-    ) -> bool {
+    ) -> Option<bool> {
         let length = answer.coming.length();
         let (marked, framing) = match length {
             Some(length) => (Marked::Plain, format!("Content-Length: {length}\r\n")),
@@ -454,13 +489,13 @@
                     // Only a reset tells that this is not the end.
                     let _ = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
                 }
-                return false;
+                return None;
             }
             written = self.write(stream, b"", &answer, marked).await;
         }
         let ended = written && within(WRITE_WITHIN, http::write_end(stream, marked)).await.is_some();
         answer.finish();
-        ended && keep
+        ended.then_some(keep)
     }
 
     async fn write(&self, stream: &Async<TcpStream>, head: &[u8], answer: &Answer, marked: Marked) -> bool {
@@ -523,6 +558,16 @@
     within(LINGER, read_off).await;
 }
 
+/// What is said of a message that is none; None where its sender has gone.
+fn why(bad: Bad) -> Option<Turned> {
+    match bad {
+        Bad::Malformed => Some(Turned(400, "this is no HTTP/1.1 message")),
+        Bad::TooLarge => Some(Turned(413, "a head is too large")),
+        Bad::Late => Some(Turned(408, "it took too long to come")),
+        Bad::Ended | Bad::Broken => None,
+    }
+}
+
 fn add_header(to: &mut Vec<u8>, header: &httparse::Header<'_>) {
     to.extend_from_slice(header.name.as_bytes());
     to.extend_from_slice(b": ");
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -19,6 +19,8 @@
 pub enum Bad {
     Malformed,
     TooLarge,
+    /// Nothing more of it came in time.
+    Late,
     /// The connection ended before the whole message had come.
     Ended,
     /// It broke before that.
--- /dev/null
+++ b/crates/sidecar/tests/helpers/mod.rs
@@ -0,0 +1,172 @@
+//! What the tests over sockets share: the program as a child, its configuration, the lab's stand-ins.
+#![allow(dead_code)] // each test program uses a part
+
+use landingspread_lab::sockets::{self, Discovery, Does, Heard, Peer, Scripted};
+use serde_json::{Value, json};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub const BOUNDED: Duration = Duration::from_secs(5);
+
+pub fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub fn free() -> TcpListener {
+    sockets::free().expect("a free port")
+}
+
+pub fn endpoint(does: Does) -> Scripted {
+    Scripted::start(does).expect("a stand-in")
+}
+
+pub fn list_source() -> Arc<Discovery> {
+    Discovery::written().expect("a stand-in")
+}
+
+pub fn catalog(generation: u64, entries: &[(&str, SocketAddr, &str)]) -> Value {
+    let entry = |(id, address, state): &(&str, SocketAddr, &str)| {
+        json!({"instanceId": id, "hostPort": address.to_string(), "zone": "here", "machineType": "m",
+            "cell": 1, "lifecycle": state, "weight": 1.0, "startedAtMs": 0})
+    };
+    json!({"generation": generation, "reset": true,
+        "instances": entries.iter().map(entry).collect::<Vec<_>>()})
+}
+
+pub fn verb(name: &str, effect: &str) -> Value {
+    json!({"Name": name, "Effect": effect, "KeyScope": "all", "MemorySpan": 2_000_000, "TimeLimit": 2_000_000,
+        "ResponseGoal": 1_000_000, "Utility": 1.0, "OverdueUtility": 0.0})
+}
+
+pub fn told(known: &Value, listen: SocketAddr, discovery: SocketAddr) -> Value {
+    json!({"name": "n1", "listen": listen.to_string(), "discovery": discovery.to_string(), "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 80}, "known": known,
+        "settings": {"Balancers": 1, "Discovery": "subscribe", "Localities": ["here"], "MyZone": 0, "Tier": 0,
+            "Resolution": 1000, "Verbs": [verb("view", "idempotent"), verb("hold", "deduplicated"),
+                verb("confirm", "at_most_once")],
+            "Tenants": [{"Name": "acme", "QuotaRps": 1000.0, "Share": 1.0}],
+            "PolicyLimits": {"MayCancel": true, "Probes": true, "MostRelays": 6, "ConnIdle": 30_000_000,
+                "DialTimeout": 100_000, "RetryAfter": true, "MaxRetryAfter": 2_500_000, "MaxOpen": 1000},
+            "Rules": {"ColdShare": 0.3, "Cold": 5_000_000, "TipMultiple": 3.0, "Fall": 2_000_000,
+                "DrainGrace": 2_500_000, "AskEvery": 10_000_000, "AnswerSlack": 20_000}}})
+}
+
+pub struct Sidecar {
+    pub address: SocketAddr,
+    pub child: Child,
+    pub file: PathBuf,
+}
+
+impl Sidecar {
+    pub fn start(known: &Value, discovery: SocketAddr) -> Sidecar {
+        Sidecar::start_as(known, discovery, |_| {})
+    }
+
+    /// Its configuration may be changed before it starts.
+    pub fn start_as(known: &Value, discovery: SocketAddr, change: impl FnOnce(&mut Value)) -> Sidecar {
+        let address = free().local_addr().expect("an address");
+        let file = std::env::temp_dir().join(format!("landingspread-{address}.json"));
+        let mut config = told(known, address, discovery);
+        change(&mut config);
+        let sidecar = Sidecar::spawn(address, file, &config, &[]);
+        within("it is ready", || sidecar.status("GET /_health HTTP/1.1\r\n\r\n") == Some(200));
+        sidecar
+    }
+
+    /// Starts it with these variables besides, and does not wait.
+    pub fn spawn(address: SocketAddr, file: PathBuf, config: &Value, told: &[(&str, String)]) -> Sidecar {
+        std::fs::write(&file, config.to_string()).expect("a file");
+        let mut program = Command::new(env!("CARGO_BIN_EXE_landingspread"));
+        program.arg("serve").env("NODE_CONFIG", &file).env_remove("TMPDIR").stderr(Stdio::null());
+        program.envs(told.iter().map(|(name, text)| (*name, text)));
+        let child = program.spawn().expect("the program starts");
+        Sidecar { address, child, file }
+    }
+
+    pub fn status(&self, text: &str) -> Option<u16> {
+        self.ask(text).map(|(status, _, _)| status)
+    }
+
+    pub fn with(servers: &[(&str, SocketAddr)]) -> (Sidecar, Arc<Discovery>) {
+        let ready: Vec<_> = servers.iter().map(|(id, address)| (*id, *address, "ready")).collect();
+        let discovery = list_source();
+        (Sidecar::start(&catalog(1, &ready), discovery.address), discovery)
+    }
+
+    pub fn open(&self) -> Option<TcpStream> {
+        let stream = TcpStream::connect(self.address).ok()?;
+        stream.set_read_timeout(Some(BOUNDED)).ok()?;
+        Some(stream)
+    }
+
+    pub fn ask(&self, text: &str) -> Option<(u16, Heard, Vec<u8>)> {
+        let mut stream = self.open()?;
+        // What is turned away early may close before all is written.
+        let _ = stream.write_all(text.as_bytes());
+        answer(&mut stream)
+    }
+
+    pub fn cmd(&self, verb: &str, id: &str, left_ms: u64) -> u16 {
+        self.ask(&cmd(verb, id, left_ms)).expect("a final word").0
+    }
+
+    /// Replaces the configuration and says so.
+    pub fn hang_up(&self, config: &str) {
+        std::fs::write(&self.file, config).expect("a file");
+        self.signal("-HUP");
+        thread::sleep(ms(100));
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
+    }
+
+    pub fn running(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+}
+
+impl Drop for Sidecar {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+pub fn answer(stream: &mut TcpStream) -> Option<(u16, Heard, Vec<u8>)> {
+    let mut head = Peer::new(stream.try_clone().ok()?).answer().ok()?;
+    let body = std::mem::take(&mut head.body);
+    Some((head.status()?, head, body))
+}
+
+pub fn cmd(verb: &str, id: &str, left_ms: u64) -> String {
+    let common =
+        format!("Host: app.svc\r\nX-Trace-Id: {id}\r\nX-Customer: acme\r\nX-Expires-In-Ms: {left_ms}\r\n");
+    match verb {
+        "view" => format!("GET /view/1?x=2 HTTP/1.1\r\n{common}\r\n"),
+        "hold" => {
+            format!("POST /hold HTTP/1.1\r\n{common}Idempotency-Key: k{id}\r\nContent-Length: 4\r\n\r\nbody")
+        }
+        other => format!("POST /{other} HTTP/1.1\r\n{common}Content-Length: 4\r\n\r\nbody"),
+    }
+}
+
+/// An address where nobody listens.
+pub fn nobody() -> SocketAddr {
+    free().local_addr().expect("an address")
+}
+
+pub fn within(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < BOUNDED, "{what}");
+        thread::sleep(ms(5));
+    }
+}
