--- a/crates/sidecar/src/handover/mod.rs
+++ b/crates/sidecar/src/handover/mod.rs
@@ -2,6 +2,7 @@
 //! operators said. It owns the files in the state folder; nothing else knows that there are two but by what is told
 //! from here, and nothing here touches a command or an endpoint.
 
+pub mod hold;
 pub mod record;
 
 use std::fs::{File, TryLockError};
@@ -46,6 +47,7 @@
 
 impl Presence {
     pub fn enter(folder: &Path, name: &str) -> io::Result<Presence> {
+        std::fs::create_dir_all(folder)?;
         let (folder, name) = (folder.to_path_buf(), plain(name));
         let mut presence = Presence { folder, name, serving: None, next: None };
         presence.serving = presence.locked("serving")?;
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -10,6 +10,7 @@
 mod net;
 
 use argh::FromArgs;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -26,6 +27,7 @@
     Serve(Serve),
     Check(Check),
     Init(Init),
+    Hold(Hold),
     Version(Version),
 }
 
@@ -47,6 +49,19 @@
     file: Option<PathBuf>,
 }
 
+/// open the callers' socket and run a command whose processes inherit it, for upgrades by hand
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hold")]
+struct Hold {
+    /// the address that callers connect to
+    #[argh(option)]
+    listen: SocketAddr,
+
+    /// the command, such as a shell
+    #[argh(positional, greedy)]
+    command: Vec<String>,
+}
+
 /// print a commented configuration that starts as it is
 #[derive(FromArgs)]
 #[argh(subcommand, name = "init")]
@@ -86,6 +101,7 @@
             print!("{}", launch::EXAMPLE);
             Ok(())
         }
+        Wanted::Hold(Hold { listen, command }) => Err(handover::hold::hold(listen, &command).to_string()),
         Wanted::Version(Version {}) => {
             println!("landingspread {}", env!("CARGO_PKG_VERSION"));
             Ok(())
