--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -54,6 +54,8 @@
     pub first_credit: f64,
     pub cold_credit: f64,
     pub credited: Duration,
+    /// Credits a second at least, while operators use it again and this copy has sent it nothing since.
+    pub awaited: f64,
     report: Option<(f64, Duration)>,
     pub sends: f64,
     /// How busy it said it was, and when.
@@ -360,6 +362,11 @@
         }
     }
 
+    /// It gets so many credits a second at least, until something is sent to it.
+    pub fn await_first(&mut self, id: &Id, credits: f64) {
+        self.slot(id).into_iter().for_each(|slot| self[slot].awaited = credits);
+    }
+
     /// Visits all that ramp; one of which `done` says so ramps no longer.
     pub fn each_ramping(&mut self, now: Duration, mut done: impl FnMut(&mut Server) -> bool) {
         self.credited = now;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -1,6 +1,4 @@
-//! Every decision of landingspread: which server a command is relayed to, whether it is relayed again,
-//! how long it is held, and when it is given up.
-//!
+//! Every decision of landingspread: where a command goes, whether again, how long it is held, when given up.
 //! A front calls `Policy::start` and then one method for each thing that happens, in its order; each acts by
 //! calling the `Host`. The reasons stand in `docs/design.md`.
 
@@ -60,6 +58,8 @@
 const ROOM_OPEN: f64 = 4.0;
 /// The part of the room that is for commands of high rank.
 const ROOM_KEPT: f64 = 0.5;
+/// Credits a second for the first command to a server that operators use again.
+const AWAITED: f64 = 0.33;
 const SWEEP: Duration = Duration::from_millis(20);
 
 /// So much of the goal may go into checks before a draw, where they alone tell what servers hold.
@@ -190,9 +190,7 @@
         }
         self.watch_relays();
         self.check_servers();
-        if self.choose_at <= now {
-            self.choose_servers();
-        }
+        (self.choose_at <= now).then(|| self.choose_servers());
         self.place_held();
         self.thin_held(None);
         self.tell_words();
@@ -280,6 +278,7 @@
         if let Some(last) = self.aside.use_again(id) {
             self.take_entries(&[last]);
             self.fleet.slot(id).into_iter().for_each(|slot| self.restarted(slot, since));
+            self.fleet.await_first(id, AWAITED);
         }
         self.aside.knows(id)
     }
@@ -465,9 +464,9 @@
             if self.looking(cmd) && !ends {
                 continue;
             }
-            let slack = self.left(cmd) - self.expected_of(cmd);
             let part = if newcomer == Some(&id) { HOLD } else { 2.0 * HOLD };
-            if ends || nobody || (ahead + 1.0) / rate > part * slack {
+            let most = part * (self.left(cmd) - self.expected_of(cmd));
+            if ends || nobody || (ahead + 1.0) / rate > most {
                 self.held.retain(|held| *held != id);
                 self.give_up(&id);
             } else {
@@ -505,7 +504,7 @@
         let idle = self.renew_idle(id, to);
         let Some(cmd) = self.cmds.get_mut(id) else { return };
         let server = &mut self.fleet[to];
-        server.used = Some(self.now);
+        (server.used, server.awaited) = (Some(self.now), 0.0);
         let ahead = server.report().map(|(figure, _)| figure + server.sends).filter(|_| self.looks > 0);
         let (number, server_id) = (cmd.relays.len() as u32, server.id.clone());
         (cmd.among, cmd.rounds) = (Vec::new(), 0);
@@ -703,9 +702,7 @@
             Some(false) => STRAINED + 0.1,
             None => self.seen.strain.mean().unwrap_or(1.0) * server.slowness,
         };
-        if in_time {
-            record.answered.add(now, 1.0);
-        }
+        in_time.then(|| record.answered.add(now, 1.0));
         let failing = server.verbs.get(verb).is_some_and(|at| at.run > 0 || at.mark.is_some());
         if (took > goal || !in_time) && roomy != Some(true) {
             self.cut_bound(slot, 1.0);
@@ -761,8 +758,7 @@
         let next = self.now + self.wait_marked();
         let server = &mut self.fleet[slot];
         if let Some(mark) = server.mark_mut() {
-            *mark = Mark { passes: 0, next, trying: false };
-            return;
+            return *mark = Mark { passes: 0, next, trying: false };
         }
         let Some(at) = server.verbs.get_mut(verb) else { return };
         at.run += if self.terms.allowed.peers { 2 } else { 1 };
@@ -921,7 +917,8 @@
             let since = now.saturating_sub(server.credited).as_secs_f64().min(1.0);
             server.credited = now;
             let share = server.ramp(cold, now);
-            server.cold_credit = (server.cold_credit + since * usual * share).min(1.5);
+            let rate = (usual * share).max(server.awaited);
+            server.cold_credit = (server.cold_credit + since * rate).min(1.5);
             share >= 1.0
         });
     }
@@ -1041,7 +1038,9 @@
             }
         }
         self.weights = weights;
-        drawn_from(&self.weights, drawn)
+        // By its share alone a copy with few commands would leave it unused for long.
+        let awaited = self.weights.iter().find(|(slot, _)| self.fleet[*slot].awaited > 0.0);
+        awaited.map(|(slot, _)| *slot).or_else(|| drawn_from(&self.weights, drawn))
     }
 
     fn fits(&self, cmd: &Cmd, repeats: Repeats, server: &Server, all_marked: bool) -> bool {
--- a/crates/decisions/tests/decisions/maintenance.rs
+++ b/crates/decisions/tests/decisions/maintenance.rs
@@ -90,3 +90,28 @@
     let id = scene.play(2, |_| Outcome::Ok);
     assert_eq!(scene.ended(&id), Some(crate::scripted::Final::Answered));
 }
+
+#[test]
+fn a_copy_with_few_commands_uses_a_server_again_within_five_seconds() {
+    for seed in 0..40 {
+        // Five copies share eight servers; this one has four commands a second.
+        let mut scene = Scene::new(terms("all", "Balancers=5"), "all", seed, 8);
+        let second = |scene: &mut Scene| {
+            for _ in 0..4 {
+                scene.play(2, |_| Outcome::Ok);
+                scene.pass(ms(230));
+            }
+        };
+        (0..10).for_each(|_| second(&mut scene));
+        // Any that it used before: with so few commands its window is not the whole list.
+        let used = (0..8).map(|at| format!("s{at}")).find(|server| sent(&scene, server) > 0).expect("one");
+        scene.operators(&used, true);
+        (0..8).for_each(|_| second(&mut scene));
+        let before = sent(&scene, &used);
+        scene.operators(&used, false);
+        scene.play(2, |_| Outcome::Ok);
+        assert!(sent(&scene, &used) <= before + 1, "a cold one gets no burst");
+        (0..4).for_each(|_| second(&mut scene));
+        assert!(sent(&scene, &used) > before, "seed {seed}: left unused");
+    }
+}
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -32,8 +32,6 @@
 /// What comes after an error is read off for so long and so far before the connection is closed on it.
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_MOST: usize = 1024 * 1024;
-/// What a caller writes ahead of its answer is read off so far; past that it waits.
-const AHEAD_MOST: usize = 64 * 1024;
 const IDLE_MOST: Duration = Duration::from_secs(300);
 /// A new connection's first command follows at once where it comes at all. Longer, a crowd of silent ones would
 /// hold up those who come after it.
@@ -208,8 +206,10 @@
     async fn talk(self: Rc<Self>, stream: Async<TcpStream>, _place: Place, crowded: bool) {
         let _ = stream.get_ref().set_nodelay(true);
         let mut since = Some(self.clock.now());
-        while self.something_comes(&stream, since).await && self.one_message(&stream, since, crowded).await {
-            since = None;
+        let mut ahead = None;
+        while ahead.is_some() || self.something_comes(&stream, since).await {
+            let Some(behind) = self.one_message(&stream, since, crowded, ahead).await else { return };
+            (ahead, since) = (behind, None);
         }
     }
 
@@ -246,10 +246,18 @@
         (since + STRANGER).saturating_sub(self.clock.now())
     }
 
-    /// Whether the connection may carry another.
-    async fn one_message(&self, stream: &Async<TcpStream>, since: Option<Duration>, crowded: bool) -> bool {
-        let Some(buffer) = self.stock.buffer() else {
-            return self.turn_away(stream, &Turned(503, "no buffer is free"), false).await;
+    /// `ahead` was written behind the message before this one. What is written behind this one comes back, if the
+    /// connection may carry another.
+    async fn one_message(
+        &self,
+        stream: &Async<TcpStream>,
+        since: Option<Duration>,
+        crowded: bool,
+        ahead: Option<Buffer>,
+    ) -> Option<Option<Buffer>> {
+        let Some(buffer) = ahead.or_else(|| self.stock.buffer()) else {
+            self.turn_away(stream, &Turned(503, "no buffer is free"), false).await;
+            return None;
         };
         let (close, closed) = async_channel::bounded(1);
         let number = self.number();
@@ -264,24 +272,33 @@
         self.half_way.borrow_mut().remove(&number);
         let (coming, asked) = match read {
             Ok(read) => read,
-            Err(turned) => return self.turn_away_unless_gone(stream, turned).await,
+            Err(None) => return None,
+            Err(Some(turned)) => {
+                self.turn_away(stream, &turned, false).await;
+                return None;
+            }
         };
-        match asked {
+        let ahead = Ahead::new(&self.stock);
+        if coming.whole() {
+            ahead.add(coming.behind());
+        }
+        let keep = self.may_keep(&coming, crowded);
+        let keep = match asked {
             Asked::Health if self.all_due.get().is_some() => {
                 self.turn_away(stream, &Turned(503, "ending"), false).await
             }
-            Asked::Health => self.say(stream, 200, b"", b"ready\n", self.may_keep(&coming, crowded)).await,
+            Asked::Health => self.say(stream, 200, b"", b"ready\n", keep).await,
             Asked::Cmd(_) if crowded || self.open.get() >= self.max_open => {
-                let keep = self.may_keep(&coming, crowded);
                 self.turn_away(stream, &Turned(503, "too many commands are open"), keep).await
             }
             Asked::Cmd(cmd) => {
                 self.open.set(self.open.get() + 1);
-                let keep = self.carry(stream, cmd, coming, crowded).await;
+                let keep = self.carry(stream, cmd, coming, crowded, &ahead).await;
                 self.open.set(self.open.get() - 1);
                 keep
             }
-        }
+        };
+        ahead.kept(keep)
     }
 
     /// Reads a command: all of it, or the beginning of one that is too long to be held. `None`: nobody is there, or is
@@ -320,14 +337,6 @@
         Ok(())
     }
 
-    /// `None`: there is nobody to be told.
-    async fn turn_away_unless_gone(&self, stream: &Async<TcpStream>, turned: Option<Turned>) -> bool {
-        match turned {
-            Some(turned) => self.turn_away(stream, &turned, false).await,
-            None => false,
-        }
-    }
-
     fn understand(&self, bytes: &[u8]) -> Result<Asked, Turned> {
         let mut headers = http::no_headers();
         let mut head = httparse::Request::new(&mut headers);
@@ -376,7 +385,14 @@
     }
 
     /// `coming` is whole, or too long to be held: then the rest of it goes on as it comes.
-    async fn carry(&self, stream: &Async<TcpStream>, cmd: Cmd, mut coming: Coming, crowded: bool) -> bool {
+    async fn carry(
+        &self,
+        stream: &Async<TcpStream>,
+        cmd: Cmd,
+        mut coming: Coming,
+        crowded: bool,
+        ahead: &Ahead,
+    ) -> bool {
         let Cmd { id, verb, tenant, left, cost, mut head } = cmd;
         // A command's time counts from its last byte.
         let (whole, number) = (coming.whole(), self.number());
@@ -395,7 +411,6 @@
         let outgoing = Outgoing { head, body, rest, careful };
         let (caller, word) = async_channel::bounded(1);
         self.queue.tell(Word::Came(Box::new(Came { number, arrival, outgoing, caller })));
-        let ahead = Cell::new(0);
         let heard = async { word.recv().await.map_err(|_| Bad::Ended) };
         let goes = async {
             if !whole {
@@ -403,18 +418,22 @@
                 let due = self.due(left);
                 self.queue.tell(Word::Whole(id.clone(), number, due));
                 let _ = give.send(Next::End(self.clock.instant(due))).await;
+                ahead.add(coming.behind());
             }
-            gone(stream, &ahead).await;
+            ahead.until_gone(stream).await;
             Err(Bad::Ended)
         };
         let word = match or(heard, goes).await {
             Ok(word) => word,
             Err(wrong) => {
                 self.queue.tell(Word::Left(id, number));
-                return self.turn_away_unless_gone(stream, why(wrong)).await;
+                if let Some(turned) = why(wrong) {
+                    self.turn_away(stream, &turned, false).await;
+                }
+                return false;
             }
         };
-        let keep = self.may_keep(&coming, crowded) && ahead.get() == 0;
+        let keep = self.may_keep(&coming, crowded) && !ahead.lost.get();
         let Some(keep) = self.last_word(stream, word, verb, keep, coming.minor).await else { return false };
         if !keep {
             linger(stream).await;
@@ -530,17 +549,56 @@
     }
 }
 
-/// Comes back when the caller has left. What it writes ahead of its answer would hide that, so it is read off
-/// and counted: no client of this protocol does so, and the connection is closed after the answer.
-async fn gone(mut stream: &Async<TcpStream>, ahead: &Cell<usize>) {
-    let mut bytes = [0; 1024];
-    while ahead.get() < AHEAD_MOST {
-        match stream.read(&mut bytes).await {
-            Ok(count @ 1..) => ahead.set(ahead.get() + count),
-            _ => return,
+/// What a caller writes ahead of its answer: the beginning of its next command, a buffer of it at most.
+struct Ahead {
+    stock: Rc<Stock>,
+    bytes: RefCell<Option<Buffer>>,
+    /// No buffer was free for it.
+    lost: Cell<bool>,
+}
+
+impl Ahead {
+    fn new(stock: &Rc<Stock>) -> Ahead {
+        Ahead { stock: stock.clone(), bytes: RefCell::default(), lost: Cell::new(false) }
+    }
+
+    fn add(&self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
         }
+        let mut held = self.bytes.borrow_mut();
+        if held.is_none() {
+            *held = self.stock.buffer();
+        }
+        match &mut *held {
+            Some(buffer) if buffer.spare().len() >= bytes.len() => {
+                buffer.spare()[..bytes.len()].copy_from_slice(bytes);
+                buffer.fill(bytes.len());
+            }
+            _ => self.lost.set(true),
+        }
+    }
+
+    fn room(&self) -> usize {
+        self.bytes.borrow_mut().as_mut().map_or(SIZE, |held| held.spare().len())
+    }
+
+    /// Comes back when the caller has left. What it writes ahead would hide that, so it is read as far as there is room.
+    async fn until_gone(&self, mut stream: &Async<TcpStream>) {
+        let mut bytes = [0; 1024];
+        while self.room() > 0 && !self.lost.get() {
+            let most = self.room().min(bytes.len());
+            match stream.read(&mut bytes[..most]).await {
+                Ok(count @ 1..) => self.add(&bytes[..count]),
+                _ => return,
+            }
+        }
+        futures_lite::future::pending::<()>().await;
+    }
+
+    fn kept(self, keep: bool) -> Option<Option<Buffer>> {
+        (keep && !self.lost.get()).then(|| self.bytes.into_inner())
     }
-    futures_lite::future::pending::<()>().await;
 }
 
 /// Closing on bytes that nobody read resets the connection, and with it the answer on its way.
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -102,12 +102,17 @@
 
     /// All of it has been passed on: its connection may carry another.
     pub fn finish(self) {
-        if let Some(conn) = self.rest.filter(|_| self.coming.whole() && self.coming.keep) {
+        if let Some(conn) = self.rest.filter(|_| self.coming.whole() && used_up(&self.coming)) {
             self.home.keep(&self.to, conn);
         }
     }
 }
 
+/// The connection that brought this answer may carry another, and nothing came behind it.
+fn used_up(answer: &Coming) -> bool {
+    answer.keep && answer.behind().is_empty()
+}
+
 struct Conn {
     stream: Async<TcpStream>,
     _place: Place,
@@ -269,7 +274,7 @@
         };
         match whole {
             Some(Ok(())) => {
-                if coming.keep {
+                if used_up(coming) {
                     self.keep(to, conn);
                 }
                 Ok(None)
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -228,7 +228,6 @@
     fn take_in(&mut self) -> Result<(), Bad> {
         if !self.whole && self.body.take_in(&mut self.buffer)? {
             self.whole = true;
-            self.keep &= self.buffer.filled().len() == self.body.end;
         }
         Ok(())
     }
@@ -237,6 +236,11 @@
         self.whole
     }
 
+    /// What has come behind the whole message: the beginning of another.
+    pub fn behind(&self) -> &[u8] {
+        &self.buffer.filled()[self.body.end..]
+    }
+
     /// Of the whole body, where the message tells it or it has all come and none was taken.
     pub fn length(&self) -> Option<u64> {
         self.length.or(self.whole.then_some(self.held_bytes()))
@@ -437,7 +441,7 @@
     let buffer = stock.buffer().ok_or(Bad::TooLarge)?;
     let mut coming = Coming::answer(stream, buffer).await?;
     coming.hold(stream, stock, most * SIZE).await?;
-    let (status, keep) = (status(&coming.head), coming.keep);
+    let (status, keep) = (status(&coming.head), coming.keep && coming.behind().is_empty());
     let last = Piece { range: 0..coming.body.end, buffer: coming.buffer };
     Ok((status, keep, Long { parts: coming.held.into_iter().chain([last]).collect() }))
 }
@@ -555,7 +559,7 @@
         let message = block_on(read);
         drop(far);
         writer.join().expect("the writer ends");
-        message.map(|message: Coming| (message.text(), message.keep))
+        message.map(|message: Coming| (message.text(), message.keep && message.behind().is_empty()))
     }
 
     fn run<S: Strategy>(strategy: S, check: impl Fn(S::Value) -> Result<(), TestCaseError>) {
--- a/crates/sidecar/tests/streams.rs
+++ b/crates/sidecar/tests/streams.rs
@@ -335,8 +335,19 @@
     folded.write_all(b"GET /view HTTP/1.1\r\nX-Trace-Id: a\r\n b\r\n\r\n").expect("it is written");
     assert_eq!(answer(&mut folded).map(|(status, _, _)| status), Some(400));
     let mut peer = Peer::new(sidecar.open().expect("a connection"));
-    let both = [cmd("view", "p1", 1900), cmd("view", "p2", 1900)].concat();
-    peer.write(both.as_bytes()).expect("it is written");
+    let text = (1..=5)
+        .map(|number| cmd(if number % 2 == 0 { "confirm" } else { "view" }, &format!("p{number}"), 1900));
+    let text = text.collect::<String>();
+    let (first, rest) = text.as_bytes().split_at(text.len() * 2 / 3);
+    peer.write(first).expect("it is written");
     let kept = |heard: Heard| heard.header("x-kept").map(str::to_string);
     assert_eq!(peer.answer().ok().and_then(kept).as_deref(), Some("p1"));
+    peer.write(rest).expect("it is written");
+    for number in 2..=5 {
+        assert_eq!(
+            peer.answer().ok().and_then(kept),
+            Some(format!("p{number}")),
+            "pipelined, in their order"
+        );
+    }
 }
