--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -570,13 +570,12 @@
         if held.is_none() {
             *held = self.stock.buffer();
         }
-        match &mut *held {
-            Some(buffer) if buffer.spare().len() >= bytes.len() => {
-                buffer.spare()[..bytes.len()].copy_from_slice(bytes);
-                buffer.fill(bytes.len());
-            }
-            _ => self.lost.set(true),
+        let room = held.as_mut().and_then(|buffer| buffer.spare().get_mut(..bytes.len()));
+        match room {
+            Some(room) => room.copy_from_slice(bytes),
+            None => return self.lost.set(true),
         }
+        held.iter_mut().for_each(|buffer| buffer.fill(bytes.len()));
     }
 
     fn room(&self) -> usize {
