--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -266,6 +266,7 @@
         }
         let room = async {
             let _ = closed.recv().await;
+            tracing::debug!("a stranger half way through a command gave way");
             Err(None)
         };
         let read = or(self.read(stream, buffer, since), room).await;
