For room, idle callers go before strangers half way, and of these who brought nothing for longest

Closing an idle caller loses nothing. Ruled out: the 2.3 s of a stranger (the writers are done in 2 s).

--- a/crates/sidecar/src/console/mod.rs
+++ b/crates/sidecar/src/console/mod.rs
@@ -145,7 +145,7 @@
     }
 
     async fn read(&self, stream: &Async<TcpStream>, buffer: Buffer) -> Result<Coming, http::Bad> {
-        let mut coming = Coming::command(stream, buffer).await?;
+        let mut coming = Coming::command(stream, buffer, &|| ()).await?;
         if coming.expects && !coming.whole() {
             http::write(stream, b"HTTP/1.1 100 Continue\r\n\r\n", b"").await?;
         }
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -38,9 +38,6 @@
 const FRESH: Duration = Duration::from_millis(20);
 /// So many new ones at once that say nothing are a crowd.
 const CROWD: usize = 8;
-/// Where room is needed, a stranger who has brought a part of a command and is this old goes before callers who spoke
-/// well; younger ones only after them.
-const HALF_WAY: Duration = Duration::from_secs(1);
 const NO_ROOM_YET: Duration = Duration::from_millis(5);
 const LEFT_MOST_MS: u64 = 3_600_000;
 const COST_MOST_MS: f64 = 3_600_000.0;
@@ -60,8 +57,8 @@
     /// Connections that wait for a command, strangers first and then the longest, each with the word that
     /// closes it.
     idle: RefCell<BTreeMap<(bool, u64), Sender<()>>>,
-    /// Strangers who have brought a part of their first command, those who came first first.
-    half_way: RefCell<BTreeMap<u64, (Duration, Sender<()>)>>,
+    /// Strangers who have brought a part of their first command.
+    half_way: RefCell<BTreeMap<u64, HalfWay>>,
     /// How many strangers have just come.
     fresh: Cell<usize>,
     /// Numbers given to connections that wait and to commands.
@@ -71,6 +68,12 @@
     executor: Rc<LocalExecutor<'static>>,
 }
 
+/// When the last part came, and the word that closes the connection.
+struct HalfWay {
+    came: Rc<Cell<Duration>>,
+    close: Sender<()>,
+}
+
 /// What is said before the module hears of a command.
 struct Turned(u16, &'static str);
 
@@ -118,7 +121,7 @@
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
         loop {
             let Some(place) = self.stock.for_callers.take() else {
-                let _ = self.close_strangers() || self.close_half_way(HALF_WAY) || self.close_any();
+                let _ = self.close_strangers() || self.close_any();
                 Timer::after(NO_ROOM_YET).await;
                 continue;
             };
@@ -143,8 +146,7 @@
     /// nothing, rather than close callers who spoke well; for a few it must not, or taking stands still.
     async fn no_place_left(&self) -> bool {
         while self.stock.for_callers.only_spare_ones_left() {
-            let closed = self.close_strangers() || self.close_half_way(HALF_WAY);
-            if !closed && self.fresh.get() < CROWD {
+            if !self.close_strangers() && self.fresh.get() < CROWD {
                 return !self.close_any();
             }
             Timer::after(NO_ROOM_YET).await;
@@ -164,14 +166,17 @@
         !strangers.is_empty()
     }
 
+    /// Who is idle loses nothing; who is half way through a command loses that, but has most likely stopped if nothing
+    /// came for longest.
     fn close_any(&self) -> bool {
-        self.close_longest_idle() || self.close_half_way(Duration::ZERO)
+        self.close_longest_idle() || self.close_half_way()
     }
 
-    fn close_half_way(&self, least: Duration) -> bool {
+    fn close_half_way(&self) -> bool {
         let mut half_way = self.half_way.borrow_mut();
-        let first = half_way.first_entry().filter(|first| first.get().0 + least <= self.clock.now());
-        first.is_some_and(|first| first.remove().1.try_send(()).is_ok())
+        let quiet = half_way.iter().min_by_key(|(_, one)| one.came.get()).map(|(number, _)| *number);
+        let quiet = quiet.and_then(|number| half_way.remove(&number));
+        quiet.is_some_and(|one| one.close.try_send(()).is_ok())
     }
 
     fn close_longest_idle(&self) -> bool {
@@ -261,15 +266,17 @@
         };
         let (close, closed) = async_channel::bounded(1);
         let number = self.number();
-        if let Some(since) = since {
-            self.half_way.borrow_mut().insert(number, (since, close.clone()));
+        let came = Rc::new(Cell::new(self.clock.now()));
+        if since.is_some() {
+            let one = HalfWay { came: came.clone(), close: close.clone() };
+            self.half_way.borrow_mut().insert(number, one);
         }
         let room = async {
             let _ = closed.recv().await;
             tracing::debug!("a stranger half way through a command gave way");
             Err(None)
         };
-        let read = or(self.read(stream, buffer, since), room).await;
+        let read = or(self.read(stream, buffer, since, &|| came.set(self.clock.now())), room).await;
         self.half_way.borrow_mut().remove(&number);
         let (coming, asked) = match read {
             Ok(read) => read,
@@ -309,13 +316,14 @@
         stream: &Async<TcpStream>,
         buffer: Buffer,
         since: Option<Duration>,
+        came: &dyn Fn(),
     ) -> Result<(Coming, Asked), Option<Turned>> {
         let most = since.map_or(READ_WITHIN, |since| self.left_to_a_stranger(since));
-        let head = within(most, Coming::command(stream, buffer)).await;
+        let head = within(most, Coming::command(stream, buffer, came)).await;
         let mut coming = head.unwrap_or(Err(Bad::Late)).map_err(why)?;
         let asked = self.understand(&coming.head).map_err(Some)?;
         if matches!(asked, Asked::Cmd(_)) {
-            self.hold(stream, &mut coming).await.map_err(why)?;
+            self.hold(stream, &mut coming, came).await.map_err(why)?;
         }
         Ok((coming, asked))
     }
@@ -325,7 +333,7 @@
     }
 
     /// Reads a body that is short enough to be held whole, and the beginning of a longer one.
-    async fn hold(&self, stream: &Async<TcpStream>, coming: &mut Coming) -> Result<(), Bad> {
+    async fn hold(&self, stream: &Async<TcpStream>, coming: &mut Coming, came: &dyn Fn()) -> Result<(), Bad> {
         if coming.expects && !coming.whole() {
             let go_on = http::write(stream, b"HTTP/1.1 100 Continue\r\n\r\n", b"");
             within(WRITE_WITHIN, go_on).await.unwrap_or(Ok(()))?;
@@ -334,6 +342,7 @@
         let most = if long { SIZE } else { HOLD_MOST };
         while !coming.whole() && coming.room(&self.stock, most) {
             within(READ_WITHIN, coming.more(stream)).await.unwrap_or(Err(Bad::Late))?;
+            came();
         }
         Ok(())
     }
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -171,12 +171,16 @@
     stream: &Async<TcpStream>,
     buffer: &mut Buffer,
     shape_of: fn(&[u8]) -> Result<Option<Shape>, Bad>,
+    came: &dyn Fn(),
 ) -> Result<Shape, Bad> {
     loop {
         match shape_of(buffer.filled())? {
             Some(shape) if shape.interim => buffer.drop_front(shape.head),
             Some(shape) => return Ok(shape),
-            None => more(stream, buffer).await?,
+            None => {
+                more(stream, buffer).await?;
+                came();
+            }
         }
     }
 }
@@ -200,20 +204,22 @@
 }
 
 impl Coming {
-    pub async fn command(stream: &Async<TcpStream>, buffer: Buffer) -> Result<Coming, Bad> {
-        Self::begin(stream, buffer, Shape::of_command).await
+    /// `came` is called whenever a part of the head has come.
+    pub async fn command(stream: &Async<TcpStream>, buffer: Buffer, came: &dyn Fn()) -> Result<Coming, Bad> {
+        Self::begin(stream, buffer, Shape::of_command, came).await
     }
 
     pub async fn answer(stream: &Async<TcpStream>, buffer: Buffer) -> Result<Coming, Bad> {
-        Self::begin(stream, buffer, Shape::of_answer).await
+        Self::begin(stream, buffer, Shape::of_answer, &|| ()).await
     }
 
     async fn begin(
         stream: &Async<TcpStream>,
         mut buffer: Buffer,
         shape_of: fn(&[u8]) -> Result<Option<Shape>, Bad>,
+        came: &dyn Fn(),
     ) -> Result<Coming, Bad> {
-        let shape = read_head(stream, &mut buffer, shape_of).await?;
+        let shape = read_head(stream, &mut buffer, shape_of, came).await?;
         let Shape { minor, framing, keep, expects, .. } = shape;
         let head = buffer.filled()[..shape.head].to_vec();
         buffer.drop_front(shape.head);
@@ -552,7 +558,7 @@
         let buffer = stock.buffer().expect("a buffer");
         let read = async {
             let shape_of = if of_command { Shape::of_command } else { Shape::of_answer };
-            let mut coming = Coming::begin(&far, buffer, shape_of).await?;
+            let mut coming = Coming::begin(&far, buffer, shape_of, &|| ()).await?;
             coming.hold(&far, &stock, HOLD_MOST).await?;
             Ok(coming)
         };
