Two processes: pooled buffers past the part are freed; a full console closes one caller, not all

By reading: a caller closed for room was still answered and lingered for 0.2 s, so that the accept loop closed the others too; buffers pooled by the old process stayed its own after the part was halved; the learnt file had no name of its own; a second process with peers ended as their address was taken.

--- a/crates/sidecar/src/console/mod.rs
+++ b/crates/sidecar/src/console/mod.rs
@@ -122,12 +122,13 @@
         let (close, closed): (Sender<()>, Receiver<()>) = async_channel::bounded(1);
         self.waiting.borrow_mut().insert(number, close);
         let Some(buffer) = self.stock.buffer() else { return };
-        let comes = async { Some(self.read(&stream, buffer).await) };
+        let comes = async { within(CALL_WITHIN, self.read(&stream, buffer)).await };
         let ends = async {
             let _ = closed.recv().await;
-            None
+            // Its place is wanted at once: there is no time for a word.
+            Some(Err(http::Bad::Ended))
         };
-        let message = within(CALL_WITHIN, or(comes, ends)).await.flatten();
+        let message = or(comes, ends).await;
         self.waiting.borrow_mut().remove(&number);
         let said = match message {
             None | Some(Err(http::Bad::Late)) => calls::turned(408, "the call did not come whole in time"),
--- a/crates/sidecar/src/handover/mod.rs
+++ b/crates/sidecar/src/handover/mod.rs
@@ -100,7 +100,7 @@
 }
 
 /// A sidecar's name as part of a file's.
-fn plain(name: &str) -> String {
+pub fn plain(name: &str) -> String {
     name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect()
 }
 
--- a/crates/sidecar/src/net/buffers.rs
+++ b/crates/sidecar/src/net/buffers.rs
@@ -82,6 +82,9 @@
     pub fn take_part(&self, processes: usize) {
         let places = self.whole.places / processes;
         self.buffers_most.set((self.whole.buffers / processes).max(1));
+        // The other process may need the memory now.
+        let kept = self.buffers_most.get().saturating_sub(self.buffers_out.get());
+        self.idle.borrow_mut().truncate(kept);
         self.whole.all.most.set(places);
         // Neither side can take the last two fifths from the other, nor leave them unused.
         self.for_callers.most.set(places * 3 / 5);
@@ -163,7 +166,10 @@
             return;
         }
         self.stock.buffers_out.set(self.stock.buffers_out.get() - 1);
-        self.stock.idle.borrow_mut().push(std::mem::take(&mut self.bytes));
+        let mut idle = self.stock.idle.borrow_mut();
+        if self.stock.buffers_out.get() + idle.len() < self.stock.buffers_most.get() {
+            idle.push(std::mem::take(&mut self.bytes));
+        }
     }
 }
 
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -121,7 +121,7 @@
         executor.spawn(share(presence, stock, callers.clone(), endpoints.clone())).detach();
     }
     if let Some(folder) = launch.state.as_ref().filter(|_| takes_over && launch.learnt.is_none()) {
-        launch.learnt = Some(folder.join("learnt.json"));
+        launch.learnt = Some(folder.join(format!("{}.learnt", handover::plain(&launch.name))));
     }
     if !launch.terms.must_ask {
         // Where changes come unprompted, the watch is there from the start.
@@ -129,7 +129,14 @@
     }
     let mut following = follow(discovery.as_ref(), &executor, &asked);
     executor.spawn(endpoints.clone().reap()).detach();
-    let peers = Peers::bind(&launch.peers, launch.terms.ordinal)?;
+    let peers = match Peers::bind(&launch.peers, launch.terms.ordinal) {
+        // The process that this one takes over from has the address still; nothing that peers say is needed.
+        Err(wrong) if takes_over => {
+            tracing::warn!("peers are neither told nor heard: {wrong}");
+            None
+        }
+        bound => bound?,
+    };
     if let Some(peers) = &peers {
         executor.spawn(peers.clone().hear(queue.clone())).detach();
     }
