An overdue pure command is not called off where no other server could take it

Cause: the walk by hand with one of two servers out: every second command declined though the other server idled. Log: answers of 1 ms, then of 41 ms; the relay was overdue at 4 times the usual and cancelled (second_relay), and its command had met the only server there was. Ruled out: room (nothing out), cold credits (no start told), connections. Test fails without it.

--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -56,6 +56,11 @@
         self.relays.iter().filter(|relay| relay.fate == Fate::Out).count()
     }
 
+    /// It has been relayed there already.
+    pub fn met(&self, server: &Id) -> bool {
+        self.relays.iter().any(|relay| relay.server == *server)
+    }
+
     /// Its last byte has come: its verb, and where its relay is out and the number of that.
     pub fn body_came(
         &mut self,
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -845,7 +845,9 @@
             return;
         }
         let (parallel, pure) = (self.terms.allowed.parallel, self.repeats(cmd) == Repeats::Pure);
-        if !parallel && self.terms.allowed.cancel && pure {
+        let free = |server: &Server| server.mark().is_none() && !cmd.met(&server.id);
+        let elsewhere = self.fleet.window().iter().any(|slot| free(&self.fleet[*slot]));
+        if !parallel && elsewhere && self.terms.allowed.cancel && pure {
             self.host.cancel(id, number);
         } else if parallel && cmd.out() == 1 && self.place(id) {
             self.spare_relays -= 1.0;
@@ -1047,9 +1049,8 @@
         let ramps = server.ramp_from().is_some();
         let within = server.chosen() || !ramps;
         let cold = ramps && server.cold_credit < 1.0;
-        let met = cmd.relays.iter().any(|relay| relay.server == server.id);
         let of_verb = server.verbs.get(cmd.verb).and_then(|at| at.mark.as_ref());
-        let barred = cold || met || of_verb.is_some_and(|mark| mark.next > self.now);
+        let barred = cold || cmd.met(&server.id) || of_verb.is_some_and(|mark| mark.next > self.now);
         if !server.ready() || !within || barred || !self.may_relay(cmd, server.zone, server.cell) {
             return false;
         }
--- a/crates/decisions/tests/decisions/plain.rs
+++ b/crates/decisions/tests/decisions/plain.rs
@@ -320,3 +320,17 @@
         assert_eq!(scene.out().len(), usize::from(!spent));
     }
 }
+
+#[test]
+fn an_overdue_command_is_not_called_off_where_there_is_no_other_server() {
+    for (servers, called_off) in [(1, false), (2, true)] {
+        let mut scene = Scene::new(terms("all", ""), "all", 3, servers);
+        for _ in 0..40 {
+            scene.play(0, |_| Outcome::Ok);
+        }
+        let id = scene.give(0, ms(3000));
+        scene.pass(ms(400));
+        let relays = scene.script.0.borrow().cmds[&id].relays.len();
+        assert_eq!((relays > 1, scene.ended(&id)), (called_off, None), "{servers} servers");
+    }
+}
