--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -3,7 +3,7 @@
 use crate::fleet::{Server, Slot};
 use crate::host::Id;
 use crate::stats::{Histogram, Rate};
-use crate::words::Words;
+use crate::words::{Unheard, Words};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -118,6 +118,7 @@
     pub ended: Rate,
     pub lately: Rate,
     pub words: Words,
+    pub unheard: Unheard,
     /// What may still be told, in whole messages delivered.
     pub spare_words: f64,
     /// Idle connections that broke of late, and the shortest time that one had been idle.
--- a/crates/decisions/src/carried.rs
+++ b/crates/decisions/src/carried.rs
@@ -5,6 +5,7 @@
 use crate::fleet::Mark;
 use crate::host::{Host, Id};
 use crate::policy::Policy;
+use crate::words::Unheard;
 use std::time::Duration;
 
 /// Of one server's process.
@@ -30,6 +31,11 @@
         self.fleet.ready_ones().map(of).collect()
     }
 
+    /// What of peers' words went for nothing so far.
+    pub fn unheard(&self) -> Unheard {
+        self.seen.unheard
+    }
+
     /// The ids that lists have told of, gone ones too, up to a bound.
     pub fn named(&self) -> impl Iterator<Item = &Id> {
         self.aside.named()
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -122,7 +122,7 @@
     cmds: BTreeMap<Id, Cmd>,
     held: Vec<Id>,
     verbs: Vec<VerbRecord>,
-    seen: Seen,
+    pub(crate) seen: Seen,
     looks: usize,
     spare_looks: f64,
     spare_relays: f64,
@@ -345,7 +345,8 @@
 
     pub fn peer_said(&mut self, now: Duration, _peer: u32, said: &[u8]) {
         self.now = now;
-        words::read(said, self);
+        let unheard = words::read(said, self);
+        self.seen.unheard.add(unheard);
     }
 
     pub fn cmd_came(&mut self, now: Duration, arrival: Arrival) {
@@ -599,8 +600,8 @@
         self.seen.breaks.add(self.now, 1.0);
     }
 
-    fn verb_went(&mut self, server: u32, verb: usize, answered: bool) {
-        self.fleet.named(server).into_iter().for_each(|slot| self.count_verb(slot, verb, answered));
+    fn verb_went(&mut self, server: u32, verb: usize, answered: bool) -> bool {
+        self.fleet.named(server).map(|slot| self.count_verb(slot, verb, answered)).is_some()
     }
 
     fn traffic(&mut self, per_s: f64) {
@@ -800,9 +801,7 @@
     fn missed(&mut self, slot: Slot) {
         let server = &mut self.fleet[slot];
         (server.absent, server.missed, server.used) = (Some(self.now), server.missed + 1, None);
-        if server.missed >= MISSES && server.mark().is_none() {
-            self.mark(slot);
-        }
+        (server.missed >= MISSES && server.mark().is_none()).then(|| self.mark(slot));
     }
 
     /// Relays out far longer than measured count as failures, or what answers nothing would keep its share.
--- a/crates/decisions/src/terms.rs
+++ b/crates/decisions/src/terms.rs
@@ -127,6 +127,12 @@
         }
     }
 
+    /// A share or a multiple that has to be told.
+    fn needed_figure(&self, path: &str, least: f64, most: f64) -> Result<f64, Unreadable> {
+        let figure: f64 = self.need(path)?;
+        if (least..=most).contains(&figure) { Ok(figure) } else { Err(self.unreadable(path)) }
+    }
+
     fn flag(&self, path: &str) -> Result<bool, Unreadable> {
         match self.0.get(path) {
             None | Some(&"-" | &"false" | &"0") => Ok(false),
@@ -232,9 +238,9 @@
             verbs: (0..verbs).map(|at| pairs.verb(at)).collect::<Result<_, _>>()?,
             allowed: pairs.allowed()?,
             cold: ColdRule {
-                share: pairs.need("Rules.ColdShare")?,
+                share: pairs.needed_figure("Rules.ColdShare", 0.0, 1.0)?,
                 warm_after: pairs.span("Rules.Cold")?,
-                multiple: pairs.need("Rules.TipMultiple")?,
+                multiple: pairs.needed_figure("Rules.TipMultiple", 0.0, f64::MAX)?,
                 window: pairs.span("Rules.Fall")?,
             },
             prices: Prices {
--- a/crates/decisions/src/words.rs
+++ b/crates/decisions/src/words.rs
@@ -14,7 +14,8 @@
 /// Who hears a peer's words, one method for each.
 pub trait Hearer {
     fn idle_broke(&mut self, idle: Duration);
-    fn verb_went(&mut self, server: u32, verb: usize, answered: bool);
+    /// `false`: it knows no such server.
+    fn verb_went(&mut self, server: u32, verb: usize, answered: bool) -> bool;
     fn traffic(&mut self, per_s: f64);
 }
 
@@ -58,8 +59,27 @@
     [TRAFFIC, a, b]
 }
 
+/// What of peers' words went for nothing: messages with a word that this version doesn't know or that is cut, and words
+/// of servers that this copy doesn't know.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Unheard {
+    pub garbled: u64,
+    pub strange: u64,
+}
+
+impl Unheard {
+    pub fn add(&mut self, other: Unheard) {
+        (self.garbled, self.strange) = (self.garbled + other.garbled, self.strange + other.strange);
+    }
+
+    pub fn all(&self) -> u64 {
+        self.garbled + self.strange
+    }
+}
+
 /// Reads a message up to its end or to the first word that this version doesn't know.
-pub fn read(mut bytes: &[u8], hearer: &mut impl Hearer) {
+pub fn read(mut bytes: &[u8], hearer: &mut impl Hearer) -> Unheard {
+    let mut unheard = Unheard::default();
     loop {
         bytes = match bytes {
             [IDLE_BROKE, a, b, rest @ ..] => {
@@ -67,18 +87,26 @@
                 rest
             }
             [kind @ VERB_FAILED..VERB_ANSWERED, a, b, c, rest @ ..] => {
-                hearer.verb_went(u32::from_be_bytes([0, *a, *b, *c]), (kind - VERB_FAILED).into(), false);
+                let server = u32::from_be_bytes([0, *a, *b, *c]);
+                let known = hearer.verb_went(server, (kind - VERB_FAILED).into(), false);
+                unheard.strange += u64::from(!known);
                 rest
             }
             [kind @ VERB_ANSWERED..192, a, b, c, rest @ ..] => {
-                hearer.verb_went(u32::from_be_bytes([0, *a, *b, *c]), (kind - VERB_ANSWERED).into(), true);
+                let server = u32::from_be_bytes([0, *a, *b, *c]);
+                let known = hearer.verb_went(server, (kind - VERB_ANSWERED).into(), true);
+                unheard.strange += u64::from(!known);
                 rest
             }
             [TRAFFIC, a, b, rest @ ..] => {
                 hearer.traffic(f64::from(u16::from_be_bytes([*a, *b])) / 10.0);
                 rest
             }
-            _ => return,
+            [] => return unheard,
+            _ => {
+                unheard.garbled += 1;
+                return unheard;
+            }
         };
     }
 }
@@ -94,8 +122,9 @@
         fn idle_broke(&mut self, idle: Duration) {
             self.0.push(format!("broke {idle:?}"));
         }
-        fn verb_went(&mut self, server: u32, verb: usize, answered: bool) {
+        fn verb_went(&mut self, server: u32, verb: usize, answered: bool) -> bool {
             self.0.push(format!("{server} {verb} {answered}"));
+            server != 0
         }
         fn traffic(&mut self, per_s: f64) {
             self.0.push(format!("traffic {per_s}"));
@@ -120,8 +149,11 @@
         // Cut anywhere, or followed by what a later version says, the words before it are heard.
         for end in 0..bytes.len() {
             let (mut cut, mut later) = (Heard::default(), Heard::default());
-            read(&bytes[..end], &mut cut);
+            let unheard = read(&bytes[..end], &mut cut);
             assert_eq!(cut.0.len(), end / 4);
+            // The first word is of a server that this hearer doesn't know.
+            let wanted = Unheard { garbled: u64::from(end % 4 > 0), strange: u64::from(end >= 4) };
+            assert_eq!(unheard, wanted);
             read(&[&bytes[..end / 4 * 4], &[200, 1, 2, 3, 4]].concat(), &mut later);
             assert_eq!(later.0.len(), end / 4);
         }
--- a/crates/sidecar/src/launch/file.rs
+++ b/crates/sidecar/src/launch/file.rs
@@ -508,6 +508,14 @@
         let peers = told("# peers = []", "peers = [\"127.0.0.1:1\", \"127.0.0.1:2\"]");
         assert!(peers.contains("peers: 2 addresses for 1 copies"), "{peers}");
         assert!(told("# cost_header = \"x-cost-ms\"", "cost_header = \"a b\"").contains("cost_header: "));
+        for (key, figure) in
+            [("check", "nan"), ("connection", "inf"), ("worst_verb", "2.0"), ("cold_share", "nan")]
+        {
+            let line = EXAMPLE.lines().find(|line| line.starts_with(&format!("# {key} = "))).expect(key);
+            let said = told(line, &format!("{key} = {figure}"));
+            assert!(said.contains(&format!("rules.{key}: ")) && said.starts_with("l.toml:"), "{said}");
+        }
+        assert!(told("# weight = 1.0", "weight = nan").contains("servers.0.weight: "));
         assert!(told("# check = 0.0", "check = -1.0").contains("rules.check: -1 does not lie"));
     }
 
--- a/crates/sidecar/src/net/learnt.rs
+++ b/crates/sidecar/src/net/learnt.rs
@@ -2,6 +2,7 @@
 //! is the module's to say. A file that is old or can't be read is passed over: all then starts afresh.
 
 use crate::clock::Clock;
+use crate::launch::Launch;
 use landingspread_decisions::carried::Learnt;
 use landingspread_decisions::host::Id;
 use serde::{Deserialize, Serialize};
@@ -20,13 +21,15 @@
 pub const SAVE_OFTEN: Duration = Duration::from_secs(1);
 
 /// Another form of the file would have another.
-const VERSION: u32 = 1;
+const VERSION: u32 = 2;
 /// A longer file is none of ours: some 60,000 servers.
 const LONGEST: u64 = 8 << 20;
 
 #[derive(Serialize, Deserialize)]
 struct Saved {
     version: u32,
+    /// Another deployment's servers may have the same ids.
+    deployment: String,
     saved_unix_ms: u64,
     servers: Vec<Server>,
     /// Ids that lists have told of: operators may still name those that are gone.
@@ -54,7 +57,13 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
-fn usable(path: &Path) -> Result<Saved, String> {
+/// What tells one deployment from another: the tier that is sent to, and its verbs.
+pub fn deployment(launch: &Launch) -> String {
+    let verbs: Vec<&str> = launch.verbs.iter().map(|verb| verb.name.as_str()).collect();
+    format!("tier {} of {}", launch.terms.tier, verbs.join(" "))
+}
+
+fn usable(path: &Path, deployment: &str) -> Result<Saved, String> {
     let mut text = Vec::new();
     let file = std::fs::File::open(path).map_err(|wrong| wrong.to_string())?;
     file.take(LONGEST + 1).read_to_end(&mut text).map_err(|wrong| wrong.to_string())?;
@@ -65,6 +74,9 @@
     if saved.version != VERSION {
         return Err(format!("version: {} is not {VERSION}", saved.version));
     }
+    if saved.deployment != deployment {
+        return Err(format!("deployment: {:?} is not {deployment:?}", saved.deployment));
+    }
     // One from the future was written by another clock.
     if unix_ms().abs_diff(saved.saved_unix_ms) > FRESH_FOR.as_millis() as u64 {
         return Err(format!("saved_unix_ms: {} lies more than {FRESH_FOR:?} away", saved.saved_unix_ms));
@@ -72,8 +84,8 @@
     Ok(saved)
 }
 
-pub fn read(path: &Path, clock: &Clock) -> Before {
-    let saved = match usable(path) {
+pub fn read(path: &Path, deployment: &str, clock: &Clock) -> Before {
+    let saved = match usable(path, deployment) {
         Ok(saved) => saved,
         Err(why) => {
             tracing::warn!("{}: {why}; endpoints start afresh", path.display());
@@ -91,16 +103,23 @@
 }
 
 /// Writes one file at a time: where a disk hangs, the next ones are not written.
-#[derive(Default)]
-pub struct Saving(Arc<AtomicBool>);
+pub struct Saving {
+    busy: Arc<AtomicBool>,
+    deployment: String,
+}
 
 impl Saving {
+    pub fn of(deployment: String) -> Saving {
+        Saving { busy: Arc::default(), deployment }
+    }
+
     /// Written aside and then named, so that no reader finds a half, by a thread: a slow disk holds up no command.
     pub fn save(&self, path: PathBuf, learnt: &[Learnt], named: Vec<String>, clock: &Clock) {
-        if self.0.swap(true, Ordering::AcqRel) {
+        if self.busy.swap(true, Ordering::AcqRel) {
             return;
         }
-        let (saved, busy) = (saved(learnt, named, clock), self.0.clone());
+        let saved = Saved { deployment: self.deployment.clone(), ..saved(learnt, named, clock) };
+        let busy = self.busy.clone();
         std::thread::spawn(move || {
             let aside = path.with_extension("new");
             let written = serde_json::to_vec(&saved).map_err(std::io::Error::other);
@@ -120,5 +139,6 @@
         slowness: one.slowness,
         marked: one.marked,
     };
-    Saved { version: VERSION, saved_unix_ms: unix_ms(), servers: learnt.iter().map(server).collect(), named }
+    let (version, deployment, saved_unix_ms) = (VERSION, String::new(), unix_ms());
+    Saved { version, deployment, saved_unix_ms, servers: learnt.iter().map(server).collect(), named }
 }
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -18,6 +18,7 @@
 use futures_lite::future::or;
 use landingspread_decisions::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
 use landingspread_decisions::policy::Policy;
+use landingspread_decisions::words::Unheard;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -287,6 +288,7 @@
     queue: Queue,
     words: Receiver<Word>,
 ) {
+    let deployment = learnt::deployment(&launch);
     let clock = launch.clock;
     let desk = Rc::new(RefCell::new(Desk {
         clock: clock.clone(),
@@ -299,10 +301,11 @@
         queue,
     }));
     let policy = Policy::start(Hand(desk.clone()), launch.terms, launch.seed, clock.now());
-    let before = launch.learnt.as_ref().map(|path| learnt::read(path, &clock)).unwrap_or_default();
+    let before = launch.learnt.as_ref().map(|path| learnt::read(path, &deployment, &clock));
+    let before = before.unwrap_or_default();
     let (save_at, save_to) = (clock.now() + SAVE_FIRST, launch.learnt);
     let (saving, save_every) =
-        (Saving::default(), if launch.inherited.is_some() { SAVE_OFTEN } else { SAVE_EVERY });
+        (Saving::of(deployment), if launch.inherited.is_some() { SAVE_OFTEN } else { SAVE_EVERY });
     let mut owner = Owner { desk, policy, clock, before, operators, save_to, save_at, save_every, saving };
     owner.remember();
     let known = owner.note_addresses(launch.known);
@@ -408,11 +411,21 @@
                     self.policy.list_changed(now, &entries);
                 }
             }
-            Word::Peer(peer, words) => self.policy.peer_said(now, peer, &words),
+            Word::Peer(peer, words) => self.peer_said(now, peer, &words),
             Word::ListFailed => self.policy.list_call_failed(now),
         }
     }
 
+    fn peer_said(&mut self, now: Duration, peer: u32, words: &[u8]) {
+        let before = self.policy.unheard().all();
+        self.policy.peer_said(now, peer, words);
+        let Unheard { garbled, strange } = self.policy.unheard();
+        // Told at 1, 2, 4, 8 and so on: a peer of another version goes on so all day.
+        if (before + 1..=garbled + strange).any(u64::is_power_of_two) {
+            tracing::warn!(garbled, strange, peer, "peers' words that went for nothing");
+        }
+    }
+
     /// A server that is gone, or not in a whole list, is forgotten: new ones come under new ids all day.
     fn note_addresses(&mut self, catalog: Catalog) -> Vec<Listed> {
         let Desk { addresses, outside: Outside { endpoints, .. }, .. } = &mut *self.desk.borrow_mut();
--- a/crates/sidecar/src/net/peers.rs
+++ b/crates/sidecar/src/net/peers.rs
@@ -3,6 +3,7 @@
 use super::owner::{Queue, Word};
 use async_io::Async;
 use landingspread_decisions::words::MOST;
+use std::cell::Cell;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
@@ -15,6 +16,7 @@
     addresses: Vec<SocketAddr>,
     ordinal: usize,
     socket: Async<UdpSocket>,
+    dropped: Cell<u64>,
 }
 
 impl Peers {
@@ -23,7 +25,7 @@
         let ordinal = ordinal as usize;
         let Some(own) = addresses.get(ordinal) else { return Ok(None) };
         let socket = Async::<UdpSocket>::bind(*own)?;
-        Ok(Some(Rc::new(Peers { addresses: addresses.to_vec(), ordinal, socket })))
+        Ok(Some(Rc::new(Peers { addresses: addresses.to_vec(), ordinal, socket, dropped: Cell::new(0) })))
     }
 
     /// To one peer or to all others; what can't be sent at once is as good as lost.
@@ -46,6 +48,12 @@
             let peer = self.addresses.iter().position(|address| *address == from);
             if let Some(peer) = peer.filter(|_| length <= MOST && queue.waiting() < WAITING_MOST) {
                 queue.tell(Word::Peer(peer as u32, bytes[..length].into()));
+                continue;
+            }
+            self.dropped.set(self.dropped.get() + 1);
+            if self.dropped.get().is_power_of_two() {
+                let dropped = self.dropped.get();
+                tracing::warn!(dropped, %from, length, "datagrams of strangers, too long, or past the bound");
             }
         }
     }
@@ -77,7 +85,7 @@
         third.tell(Some(1), b"two");
         let (queue, words) = owner::queue();
         let executor = LocalExecutor::new();
-        executor.spawn(second.hear(queue)).detach();
+        executor.spawn(second.clone().hear(queue)).detach();
         let heard = async {
             let mut heard = Vec::new();
             while heard.len() < 2 {
@@ -94,6 +102,7 @@
         let heard = async_io::block_on(executor.run(or(heard, late)));
         assert_eq!(heard, [(0, b"one".to_vec()), (2, b"two".to_vec())]);
         assert!(words.is_empty());
+        assert_eq!(second.dropped.get(), 2, "the stranger's and the long one are counted");
         // Nobody takes them off the queue: no more than its bound wait there.
         for _ in 0..2 * WAITING_MOST {
             first.tell(Some(1), b"again");
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -454,6 +454,8 @@
         ("known: instances", with("/known", json!({"generation": 1, "reset": true}))),
         ("settings.Verbs.1.Name", with("/settings/Verbs/1/Name", json!(7))),
         ("Rules.ColdShare", with("/settings/Rules/ColdShare", json!("cold"))),
+        ("Rules.TipMultiple", with("/settings/Rules/TipMultiple", json!("NaN"))),
+        ("Verbs.0.Utility", with("/settings/Verbs/0/Utility", json!(-1.0))),
         ("seed", with("/seed", Value::Null)),
     ]);
     let check = |told: &Value| {
@@ -498,7 +500,8 @@
     let unix =
         std::time::SystemTime::now().duration_since(std::time::SystemTime::UNIX_EPOCH).expect("a time");
     let saved = |age_ms: u128| {
-        json!({"version": 1, "saved_unix_ms": (unix.as_millis() - age_ms) as u64, "servers": [
+        let of = "tier 0 of view hold confirm";
+        json!({"version": 2, "deployment": of, "saved_unix_ms": (unix.as_millis() - age_ms) as u64, "servers": [
             {"id": "s1", "started_unix_ms": 0, "slowness": 2.0, "marked": true},
             {"id": "s2", "started_unix_ms": 0, "slowness": 1.0, "marked": false}]})
     };
@@ -526,9 +529,10 @@
         })
     });
     drop(_sidecar);
-    // What is old, of another version, or half written is passed over.
-    let other = saved(1000).to_string().replace("\"version\":1", "\"version\":2");
-    for text in [saved(120_000).to_string(), other, "{".to_string()] {
+    // What is old, of another version or deployment, or half written is passed over.
+    let other = saved(1000).to_string().replace("\"version\":2", "\"version\":1");
+    let foreign = saved(1000).to_string().replace("tier 0 of", "tier 1 of");
+    for text in [saved(120_000).to_string(), other, foreign, "{".to_string()] {
         let ((first, second), _sidecar) = play(&text);
         assert!(first > 0 && second > 0, "both are new: {first} and {second}");
     }
