--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -264,20 +264,10 @@
             self.turn_away(stream, &Turned(503, "no buffer is free"), false).await;
             return None;
         };
-        let (close, closed) = async_channel::bounded(1);
-        let number = self.number();
-        let came = Rc::new(Cell::new(self.clock.now()));
-        if since.is_some() {
-            let one = HalfWay { came: came.clone(), close: close.clone() };
-            self.half_way.borrow_mut().insert(number, one);
-        }
-        let room = async {
-            let _ = closed.recv().await;
-            tracing::debug!("a stranger half way through a command gave way");
-            Err(None)
+        let read = match since {
+            Some(since) => self.read_from_stranger(stream, buffer, since).await,
+            None => self.read(stream, buffer, READ_WITHIN, &|| ()).await,
         };
-        let read = or(self.read(stream, buffer, since, &|| came.set(self.clock.now())), room).await;
-        self.half_way.borrow_mut().remove(&number);
         let (coming, asked) = match read {
             Ok(read) => read,
             Err(None) => return None,
@@ -309,16 +299,36 @@
         ahead.kept(keep)
     }
 
+    /// A stranger half way through a command may have to give way.
+    async fn read_from_stranger(
+        &self,
+        stream: &Async<TcpStream>,
+        buffer: Buffer,
+        since: Duration,
+    ) -> Result<(Coming, Asked), Option<Turned>> {
+        let (close, closed) = async_channel::bounded(1);
+        let (number, came) = (self.number(), Rc::new(Cell::new(self.clock.now())));
+        self.half_way.borrow_mut().insert(number, HalfWay { came: came.clone(), close });
+        let room = async {
+            let _ = closed.recv().await;
+            tracing::debug!("a stranger half way through a command gave way");
+            Err(None)
+        };
+        let most = self.left_to_a_stranger(since);
+        let read = or(self.read(stream, buffer, most, &|| came.set(self.clock.now())), room).await;
+        self.half_way.borrow_mut().remove(&number);
+        read
+    }
+
     /// Reads a command: all of it, or the beginning of one that is too long to be held. `None`: nobody is there, or is
     /// to be there, to be told what was wrong.
     async fn read(
         &self,
         stream: &Async<TcpStream>,
         buffer: Buffer,
-        since: Option<Duration>,
+        most: Duration,
         came: &dyn Fn(),
     ) -> Result<(Coming, Asked), Option<Turned>> {
-        let most = since.map_or(READ_WITHIN, |since| self.left_to_a_stranger(since));
         let head = within(most, Coming::command(stream, buffer, came)).await;
         let mut coming = head.unwrap_or(Err(Bad::Late)).map_err(why)?;
         let asked = self.understand(&coming.head).map_err(Some)?;
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -13,6 +13,8 @@
 const HEADERS_MOST: usize = 96;
 /// A chunk's size or a trailer is no longer than this.
 const LINE_MOST: usize = 1024;
+/// So many parts are written by one system call: a head, a body that is held, and the marks of a chunk.
+const AT_ONCE: usize = 8;
 
 /// Why a message is not one.
 #[derive(Debug)]
@@ -483,10 +485,13 @@
     body: impl Iterator<Item = &'a [u8]>,
     marked: Marked,
 ) -> io::Result<()> {
-    let body: Vec<&[u8]> = body.filter(|bytes| !bytes.is_empty()).collect();
-    if marked == Marked::Plain || body.is_empty() {
+    if marked == Marked::Plain {
         return write_all(stream, std::iter::once(head).chain(body)).await;
     }
+    let body: Vec<&[u8]> = body.filter(|bytes| !bytes.is_empty()).collect();
+    if body.is_empty() {
+        return write(stream, head, b"").await;
+    }
     let size = format!("{:x}\r\n", body.iter().map(|bytes| bytes.len()).sum::<usize>());
     let parts = [head, size.as_bytes()].into_iter().chain(body).chain([&b"\r\n"[..]]);
     write_all(stream, parts).await
@@ -504,17 +509,25 @@
     mut stream: &Async<TcpStream>,
     parts: impl IntoIterator<Item = &'a [u8]>,
 ) -> io::Result<()> {
-    let mut slices: Vec<IoSlice> = parts.into_iter().map(IoSlice::new).collect();
-    let mut left = &mut slices[..];
-    IoSlice::advance_slices(&mut left, 0);
-    while !left.is_empty() {
-        let written = stream.write_vectored(left).await?;
-        if written == 0 {
-            return Err(io::ErrorKind::WriteZero.into());
+    let mut parts = parts.into_iter().filter(|part| !part.is_empty());
+    loop {
+        let (mut slices, mut count) = ([IoSlice::new(b""); AT_ONCE], 0);
+        for part in parts.by_ref().take(AT_ONCE) {
+            slices[count] = IoSlice::new(part);
+            count += 1;
+        }
+        if count == 0 {
+            return Ok(());
+        }
+        let mut left = &mut slices[..count];
+        while !left.is_empty() {
+            let written = stream.write_vectored(left).await?;
+            if written == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            IoSlice::advance_slices(&mut left, written);
         }
-        IoSlice::advance_slices(&mut left, written);
     }
-    Ok(())
 }
 
 /// Writes both whole, in as few packets as can be.
