--- a/crates/sidecar/tests/operators.rs
+++ b/crates/sidecar/tests/operators.rs
@@ -302,3 +302,25 @@
     within("it is used again", || endpoints[1].count() > left_out);
     none_lost_or_doubled(&load.end(), &endpoints);
 }
+
+#[test]
+fn where_the_old_process_dies_first_the_new_one_serves_and_knows_what_was_said() {
+    let endpoints = [(); 2].map(|()| endpoint(Does::Answer));
+    let entries = [("s1", endpoints[0].address), ("s2", endpoints[1].address)];
+    let discovery = list_source();
+    discovery.write(1, ready(&entries, 1).to_string());
+    let held = Held::new("dies-first", ready(&entries, 1), discovery.address);
+    let (old, first) = held.serving();
+    assert_eq!(maintenance(first, "enter", "s1"), Some(200));
+    let (new, second) = held.process();
+    // Killed outright, it leaves its record and its files behind.
+    old.signal("-KILL");
+    within("the new one says yes", || status(second) == Some(200));
+    let number = AtomicU32::new(0);
+    let next = || new.status(&cmd("view", &format!("d{}", number.fetch_add(1, Ordering::Relaxed)), 1900));
+    within("it serves", || next() == Some(200));
+    (0..30).for_each(|_| assert_eq!(next(), Some(200)));
+    assert_eq!((endpoints[0].count(), endpoints[1].count() > 30), (0, true));
+    assert_eq!(maintenance(second, "exit", "s1"), Some(200));
+    within("s1 is used again", || next() == Some(200) && endpoints[0].count() > 0);
+}
