--- a/crates/decisions/src/carried.rs
+++ b/crates/decisions/src/carried.rs
@@ -1,11 +1,10 @@
 //! What of a copy's figures goes over to the one that takes its place. It means the same under other settings: how slow
-//! a server's process is against the others, and whether it is marked. Bounds go over
-//! to a process that follows at once, among as many copies. Runs, times by verb, traffic and reports go by the settings or
-//! by the moment, and start afresh.
+//! a server's process is against the others, and whether it is marked. Bounds, runs, times by verb, traffic and reports
+//! go by the settings or by the moment, and start afresh.
 
 use crate::fleet::Mark;
 use crate::host::{Host, Id};
-use crate::policy::{BOUND_MOST, Policy};
+use crate::policy::Policy;
 use crate::words::Unheard;
 use std::time::Duration;
 
@@ -16,8 +15,6 @@
     pub up_since: Option<Duration>,
     pub slowness: f64,
     pub marked: bool,
-    /// What all copies may have out there; none where it was learnt long ago, or by another number of copies.
-    pub bound: Option<f64>,
 }
 
 /// Answers that a slowness known from before counts for.
@@ -30,7 +27,6 @@
             up_since: server.up_since,
             slowness: server.slowness,
             marked: server.mark().is_some(),
-            bound: Some(server.bound),
         };
         self.fleet.ready_ones().map(of).collect()
     }
@@ -61,9 +57,6 @@
             if !same || !one.slowness.is_finite() || one.slowness <= 0.0 {
                 continue;
             }
-            if let Some(bound) = one.bound.filter(|bound| bound.is_finite()) {
-                server.bound = bound.clamp(1.0, BOUND_MOST);
-            }
             (0..COUNTS_FOR).for_each(|_| server.learn(one.slowness));
             if one.marked && 2 * marked <= learnt.len() && server.mark().is_none() {
                 self.fleet.set_mark(slot, Mark { passes: 0, next: now, trying: false });
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -26,7 +26,7 @@
 const BOUND_START: f64 = 5.0;
 /// Strain brings a bound down to this, below the start: older copies may know too small a balancer count.
 const BOUND_LEAST: f64 = 2.5;
-pub(crate) const BOUND_MOST: f64 = 64.0;
+const BOUND_MOST: f64 = 64.0;
 const STRAIN_CUT: f64 = 0.002;
 const BOUND_CUT: f64 = 0.02;
 const ERROR_WEIGHS: f64 = 0.4;
--- a/crates/sidecar/src/net/learnt.rs
+++ b/crates/sidecar/src/net/learnt.rs
@@ -14,8 +14,6 @@
 
 /// Later than this the endpoints' figures say little.
 const FRESH_FOR: Duration = Duration::from_secs(60);
-/// Bounds are of the moment: they go over to a process that follows at once.
-const BOUNDS_FOR: Duration = Duration::from_secs(10);
 pub const SAVE_FIRST: Duration = Duration::from_secs(1);
 /// A sidecar that is killed outright loses no more than this.
 pub const SAVE_EVERY: Duration = Duration::from_secs(5);
@@ -32,8 +30,6 @@
     version: u32,
     /// Another deployment's servers may have the same ids.
     deployment: String,
-    #[serde(default)]
-    copies: f64,
     saved_unix_ms: u64,
     servers: Vec<Server>,
     /// Ids that lists have told of: operators may still name those that are gone.
@@ -54,8 +50,6 @@
     started_unix_ms: u64,
     slowness: f64,
     marked: bool,
-    #[serde(default)]
-    bound: Option<f64>,
 }
 
 fn unix_ms() -> u64 {
@@ -90,7 +84,7 @@
     Ok(saved)
 }
 
-pub fn read(path: &Path, deployment: &str, copies: f64, clock: &Clock) -> Before {
+pub fn read(path: &Path, deployment: &str, clock: &Clock) -> Before {
     let saved = match usable(path, deployment) {
         Ok(saved) => saved,
         Err(why) => {
@@ -98,10 +92,7 @@
             return Before::default();
         }
     };
-    let age = unix_ms().abs_diff(saved.saved_unix_ms);
-    let bounds = saved.copies == copies && age <= BOUNDS_FOR.as_millis() as u64;
     let learnt = |server: Server| Learnt {
-        bound: server.bound.filter(|_| bounds),
         up_since: clock.of_unix_ms(server.started_unix_ms),
         server: server.id.into(),
         slowness: server.slowness,
@@ -115,12 +106,11 @@
 pub struct Saving {
     busy: Arc<AtomicBool>,
     deployment: String,
-    copies: f64,
 }
 
 impl Saving {
-    pub fn of(deployment: String, copies: f64) -> Saving {
-        Saving { busy: Arc::default(), deployment, copies }
+    pub fn of(deployment: String) -> Saving {
+        Saving { busy: Arc::default(), deployment }
     }
 
     /// Written aside and then named, so that no reader finds a half, by a thread: a slow disk holds up no command.
@@ -128,8 +118,7 @@
         if self.busy.swap(true, Ordering::AcqRel) {
             return;
         }
-        let (deployment, copies) = (self.deployment.clone(), self.copies);
-        let saved = Saved { deployment, copies, ..saved(learnt, named, clock) };
+        let saved = Saved { deployment: self.deployment.clone(), ..saved(learnt, named, clock) };
         let busy = self.busy.clone();
         std::thread::spawn(move || {
             let aside = path.with_extension("new");
@@ -149,8 +138,7 @@
         started_unix_ms: one.up_since.map_or(0, |at| clock.unix_ms(at)),
         slowness: one.slowness,
         marked: one.marked,
-        bound: one.bound,
     };
-    let (version, deployment, copies, saved_unix_ms) = (VERSION, String::new(), 0.0, unix_ms());
-    Saved { version, deployment, copies, saved_unix_ms, servers: learnt.iter().map(server).collect(), named }
+    let (version, deployment, saved_unix_ms) = (VERSION, String::new(), unix_ms());
+    Saved { version, deployment, saved_unix_ms, servers: learnt.iter().map(server).collect(), named }
 }
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -288,7 +288,7 @@
     queue: Queue,
     words: Receiver<Word>,
 ) {
-    let (deployment, copies) = (learnt::deployment(&launch), launch.terms.balancers);
+    let deployment = learnt::deployment(&launch);
     let clock = launch.clock;
     let desk = Rc::new(RefCell::new(Desk {
         clock: clock.clone(),
@@ -301,11 +301,11 @@
         queue,
     }));
     let policy = Policy::start(Hand(desk.clone()), launch.terms, launch.seed, clock.now());
-    let before = launch.learnt.as_ref().map(|path| learnt::read(path, &deployment, copies, &clock));
+    let before = launch.learnt.as_ref().map(|path| learnt::read(path, &deployment, &clock));
     let before = before.unwrap_or_default();
     let (save_at, save_to) = (clock.now() + SAVE_FIRST, launch.learnt);
     let (saving, save_every) =
-        (Saving::of(deployment, copies), if launch.inherited.is_some() { SAVE_OFTEN } else { SAVE_EVERY });
+        (Saving::of(deployment), if launch.inherited.is_some() { SAVE_OFTEN } else { SAVE_EVERY });
     let mut owner = Owner { desk, policy, clock, before, operators, save_to, save_at, save_every, saving };
     owner.remember();
     let known = owner.note_addresses(launch.known);
