--- a/crates/sidecar/src/console/calls.rs
+++ b/crates/sidecar/src/console/calls.rs
@@ -29,17 +29,7 @@
 
 impl Said {
     pub fn head(&self) -> Vec<u8> {
-        let reason = match self.status {
-            200 => "OK",
-            400 => "Bad Request",
-            404 => "Not Found",
-            405 => "Method Not Allowed",
-            408 => "Request Timeout",
-            413 => "Content Too Large",
-            500 => "Internal Server Error",
-            507 => "Insufficient Storage",
-            _ => "Service Unavailable",
-        };
+        let reason = http::reason(self.status);
         let allow = self.allow.map(|allow| format!("Allow: {allow}\r\n")).unwrap_or_default();
         let (status, length) = (self.status, self.text.len());
         format!(
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -562,7 +562,7 @@
     ) -> bool {
         let close = if keep { "" } else { "Connection: close\r\n" };
         let length = body.len();
-        let mut head = format!("HTTP/1.1 {status} {}\r\n{close}", reason(status)).into_bytes();
+        let mut head = format!("HTTP/1.1 {status} {}\r\n{close}", http::reason(status)).into_bytes();
         head.extend_from_slice(more);
         head.extend_from_slice(format!("Content-Length: {length}\r\n\r\n").as_bytes());
         matches!(within(WRITE_WITHIN, http::write(stream, &head, body)).await, Some(Ok(()))) && keep
@@ -676,16 +676,3 @@
     head.extend_from_slice(b"\r\n");
     head
 }
-
-fn reason(status: u16) -> &'static str {
-    match status {
-        200 => "OK",
-        400 => "Bad Request",
-        404 => "Not Found",
-        405 => "Method Not Allowed",
-        408 => "Request Timeout",
-        413 => "Content Too Large",
-        502 => "Bad Gateway",
-        _ => "Service Unavailable",
-    }
-}
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -535,6 +535,21 @@
     write_all(stream, [head, body]).await
 }
 
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        507 => "Insufficient Storage",
+        _ => "Service Unavailable",
+    }
+}
+
 pub fn status(head: &[u8]) -> Option<u16> {
     let mut headers = no_headers();
     let mut rsp = httparse::Response::new(&mut headers);
--- a/crates/sidecar/tests/operators.rs
+++ b/crates/sidecar/tests/operators.rs
@@ -3,7 +3,7 @@
 mod helpers;
 
 use helpers::*;
-use landingspread_lab::sockets::{self, Does};
+use landingspread_lab::sockets::{self, Discovery, Does};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -147,12 +147,18 @@
 struct Held {
     listener: TcpListener,
     folder: PathBuf,
-    discovery: SocketAddr,
+    discovery: Arc<Discovery>,
     known: Value,
 }
 
 impl Held {
-    fn new(name: &str, known: Value, discovery: SocketAddr) -> Held {
+    /// Before these endpoints, s1 and so on.
+    fn before(name: &str, endpoints: &[sockets::Scripted]) -> Held {
+        let ids: Vec<String> = (1..=endpoints.len()).map(|number| format!("s{number}")).collect();
+        let entries = ids.iter().zip(endpoints).map(|(id, endpoint)| (id.as_str(), endpoint.address));
+        let known = ready(&entries.collect::<Vec<_>>(), 1);
+        let discovery = list_source();
+        discovery.write(1, known.to_string());
         let listener = free();
         rustix::io::fcntl_setfd(&listener, rustix::io::FdFlags::empty()).expect("children inherit it");
         let folder = std::env::temp_dir().join(format!("landingspread-{name}-{}", std::process::id()));
@@ -164,7 +170,7 @@
     fn process(&self) -> (Sidecar, SocketAddr) {
         let (at, console) = (self.listener.local_addr().expect("an address"), address());
         let file = self.folder.join(format!("{}.json", console.port()));
-        let mut config = told(&self.known, at, self.discovery);
+        let mut config = told(&self.known, at, self.discovery.address);
         config["limits"]["sockets"] = json!(256);
         let told = [
             ("NODE_FD", self.listener.as_raw_fd().to_string()),
@@ -251,10 +257,7 @@
 #[test]
 fn upgrades_under_load_lose_and_double_no_command_and_carry_maintenance_over() {
     let endpoints = [(); 3].map(|()| endpoint(Does::Answer));
-    let entries = [("s1", endpoints[0].address), ("s2", endpoints[1].address), ("s3", endpoints[2].address)];
-    let discovery = list_source();
-    discovery.write(1, ready(&entries, 1).to_string());
-    let held = Held::new("upgrade", ready(&entries, 1), discovery.address);
+    let held = Held::before("upgrade", &endpoints);
     let (mut old, console) = held.serving();
     let load = Load::begin(old.address);
     within("commands flow", || load.so_far() > 200);
@@ -279,10 +282,7 @@
 #[test]
 fn a_new_process_that_dies_leaves_the_old_one_serving_and_words_to_it_are_kept() {
     let endpoints = [(); 2].map(|()| endpoint(Does::Answer));
-    let entries = [("s1", endpoints[0].address), ("s2", endpoints[1].address)];
-    let discovery = list_source();
-    discovery.write(1, ready(&entries, 1).to_string());
-    let held = Held::new("half-way", ready(&entries, 1), discovery.address);
+    let held = Held::before("half-way", &endpoints);
     let (mut old, first) = held.serving();
     let load = Load::begin(old.address);
     within("commands flow", || load.so_far() > 100);
@@ -306,10 +306,7 @@
 #[test]
 fn where_the_old_process_dies_first_the_new_one_serves_and_knows_what_was_said() {
     let endpoints = [(); 2].map(|()| endpoint(Does::Answer));
-    let entries = [("s1", endpoints[0].address), ("s2", endpoints[1].address)];
-    let discovery = list_source();
-    discovery.write(1, ready(&entries, 1).to_string());
-    let held = Held::new("dies-first", ready(&entries, 1), discovery.address);
+    let held = Held::before("dies-first", &endpoints);
     let (old, first) = held.serving();
     assert_eq!(maintenance(first, "enter", "s1"), Some(200));
     let (new, second) = held.process();
