--- a/crates/sidecar/src/net/learnt.rs
+++ b/crates/sidecar/src/net/learnt.rs
@@ -17,8 +17,6 @@
 pub const SAVE_FIRST: Duration = Duration::from_secs(1);
 /// A sidecar that is killed outright loses no more than this.
 pub const SAVE_EVERY: Duration = Duration::from_secs(5);
-/// Where another process may take over at any moment: what it does not know it learns by commands that fail.
-pub const SAVE_OFTEN: Duration = Duration::from_secs(1);
 
 /// Another form of the file would have another.
 const VERSION: u32 = 2;
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -4,7 +4,7 @@
 //! itself, wait for a socket, or call the module from within one of the module's own calls.
 
 use super::endpoints::{Answer, End, Endpoints, Outgoing, Stage, Target};
-use super::learnt::{self, Before, SAVE_EVERY, SAVE_FIRST, SAVE_OFTEN, Saving};
+use super::learnt::{self, Before, SAVE_EVERY, SAVE_FIRST, Saving};
 use super::peers::Peers;
 use crate::catalog::{Catalog, Entry};
 use crate::clock::Clock;
@@ -276,7 +276,6 @@
     operators: Operators,
     save_to: Option<PathBuf>,
     save_at: Duration,
-    save_every: Duration,
     saving: Saving,
 }
 
@@ -304,9 +303,8 @@
     let before = launch.learnt.as_ref().map(|path| learnt::read(path, &deployment, &clock));
     let before = before.unwrap_or_default();
     let (save_at, save_to) = (clock.now() + SAVE_FIRST, launch.learnt);
-    let (saving, save_every) =
-        (Saving::of(deployment), if launch.inherited.is_some() { SAVE_OFTEN } else { SAVE_EVERY });
-    let mut owner = Owner { desk, policy, clock, before, operators, save_to, save_at, save_every, saving };
+    let saving = Saving::of(deployment);
+    let mut owner = Owner { desk, policy, clock, before, operators, save_to, save_at, saving };
     owner.remember();
     let known = owner.note_addresses(launch.known);
     let now = owner.clock.now();
@@ -381,7 +379,7 @@
 
     fn save(&mut self, now: Duration) {
         if let Some(path) = self.save_to.clone().filter(|_| self.save_at <= now) {
-            self.save_at = now + self.save_every;
+            self.save_at = now + SAVE_EVERY;
             let named = self.policy.named().map(|id| id.to_string()).collect();
             self.saving.save(path, &self.policy.learnt(), named, &self.clock);
         }
