Console: a caller is noted once it has a buffer; a comment that was not true

Cause, by reading the change: a caller without a buffer would have left its entry among those who wait (at most 16 and as many buffers, so it was not seen), and a comment said that a word past 0.8 s does not run, which it may.

--- a/crates/sidecar/src/console/mod.rs
+++ b/crates/sidecar/src/console/mod.rs
@@ -29,7 +29,8 @@
 const CALL_WITHIN: Duration = Duration::from_secs(5);
 const ANSWER_WITHIN: Duration = Duration::from_secs(1);
 const LINGER: Duration = Duration::from_millis(200);
-/// The owner takes an operator's word before all that waits; one that takes longer does not run.
+/// The owner takes an operator's word before all that waits. Past this the answer is a no, though the word may still be
+/// taken: said again it does no harm.
 const OWNER_WITHIN: Duration = Duration::from_millis(800);
 const BIND_AGAIN: Duration = Duration::from_millis(200);
 
@@ -118,10 +119,11 @@
     }
 
     async fn one_call(&self, stream: Async<TcpStream>) {
+        // There is one for each caller that is let in.
+        let Some(buffer) = self.stock.buffer() else { return };
         let number = self.numbers.replace(self.numbers.get() + 1);
         let (close, closed): (Sender<()>, Receiver<()>) = async_channel::bounded(1);
         self.waiting.borrow_mut().insert(number, close);
-        let Some(buffer) = self.stock.buffer() else { return };
         let comes = async { within(CALL_WITHIN, self.read(&stream, buffer)).await };
         let ends = async {
             let _ = closed.recv().await;
