--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -149,6 +149,11 @@
 }
 
 impl VerbRecord {
+    /// Of the commands asked lately, those answered in time.
+    pub fn answered_share(&self, now: Duration) -> f64 {
+        self.answered.count(now) / self.asked.count(now).max(1.0)
+    }
+
     /// A command's work against the usual of its verb; one where nothing is said of it.
     pub fn size_of(&mut self, cost: Option<Duration>) -> f64 {
         let Some(cost) = cost.map(|cost| cost.as_secs_f64()) else { return 1.0 };
--- a/crates/decisions/src/fleet.rs
+++ b/crates/decisions/src/fleet.rs
@@ -143,6 +143,13 @@
         }
     }
 
+    /// When it started, where a list has news of that.
+    pub fn started(&mut self, entry: &Listed, new: bool) -> Option<Duration> {
+        let at = entry.up_since.filter(|at| new || self.up_since != Some(*at))?;
+        self.up_since = Some(at);
+        Some(at)
+    }
+
     /// What was learned of an earlier process.
     pub fn forget(&mut self) {
         self.verbs.iter_mut().for_each(|at| *at = VerbAt::default());
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -10,3 +10,4 @@
 mod stats;
 pub mod terms;
 pub mod words;
+pub mod zones;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -9,6 +9,7 @@
 use crate::stats::{Average, Histogram, Rate, chance, drawn_from, shuffle};
 use crate::terms::{Group, Repeats, Terms};
 use crate::words::{self, Hearer};
+use crate::zones::Zones;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -119,9 +120,10 @@
     draws: u64,
     pub(crate) fleet: Fleet,
     pub(crate) aside: Aside,
+    pub(crate) zones: Zones,
     cmds: BTreeMap<Id, Cmd>,
     held: Vec<Id>,
-    verbs: Vec<VerbRecord>,
+    pub(crate) verbs: Vec<VerbRecord>,
     pub(crate) seen: Seen,
     looks: usize,
     spare_looks: f64,
@@ -153,6 +155,7 @@
             draws: 0,
             fleet: Fleet::default(),
             aside: Aside::default(),
+            zones: Zones::default(),
             cmds: BTreeMap::new(),
             held: Vec::new(),
             verbs,
@@ -254,12 +257,9 @@
         let (first, now, verbs) = (self.chance(), self.now, self.terms.verbs.len());
         let start = || Server::new(entry, verbs, first, BOUND_START, now);
         let (slot, new) = self.fleet.take(entry, self.terms.zone, start);
-        let server = &mut self.fleet[slot];
-        if let Some(at) = entry.up_since.filter(|at| new || server.up_since != Some(*at)) {
-            server.up_since = Some(at);
-            if at + self.terms.cold.warm_after > now || !new {
-                self.restarted(slot, at);
-            }
+        let started = self.fleet[slot].started(entry, new);
+        if let Some(at) = started.filter(|at| *at + self.terms.cold.warm_after > now || !new) {
+            self.restarted(slot, at);
         }
     }
 
@@ -283,7 +283,7 @@
         self.aside.knows(id)
     }
 
-    fn restarted(&mut self, slot: Slot, at: Duration) {
+    pub(crate) fn restarted(&mut self, slot: Slot, at: Duration) {
         self.fleet.take_mark(slot);
         self.fleet.set_report(slot, None);
         let server = &mut self.fleet[slot];
@@ -298,9 +298,10 @@
     /// takes no place in it, or part of one.
     fn choose_servers(&mut self) {
         self.choose_at = self.now + CHOOSE_EVERY;
+        self.hold_left();
         let priced = self.terms.prices.connection > 0.0;
         let wanted = (self.asked() / SEEN_EACH).max(if priced { SERVERS_PRICED } else { SERVERS_LEAST });
-        let (near, ready) = (self.fleet.near() as f64, self.fleet.ready() as f64);
+        let (near, ready) = (self.near_in_use() as f64, self.fleet.ready() as f64);
         let from_far = (wanted * (1.0 - NEAR)).max(wanted - near).min(ready - near);
         let start = (f64::from(self.terms.ordinal) * GOLDEN).fract();
         let (cold, now) = (&self.terms.cold, self.now);
@@ -360,8 +361,8 @@
         self.seen.spare_words += WORDS_COST / self.terms.prices.peer.max(WORDS_COST);
         let beyond = self.beyond_quota(arrival.tenant);
         let size = self.verbs[arrival.verb].size_of(arrival.cost);
-        let (verb, coming) = (arrival.verb, arrival.coming);
-        let cmd = Cmd { verb, good_until, coming, beyond, size, ..Cmd::default() };
+        let cmd =
+            Cmd { verb: arrival.verb, good_until, coming: arrival.coming, beyond, size, ..Cmd::default() };
         self.cmds.insert(arrival.id.clone(), cmd);
         self.held.push(arrival.id.clone());
         self.spare_looks = (self.spare_looks + self.looks as f64).min(LOOKS_SAVED);
@@ -373,8 +374,8 @@
     /// Its last byte has come. Until then the server it goes to had nothing to do for it.
     pub fn body_came(&mut self, now: Duration, id: &Id, due: Duration) {
         self.now = now;
-        let verbs = &self.terms.verbs;
-        let good_until = |verb: usize| verbs.get(verb).map_or(due, |verb| verb.good_until(now, due));
+        let good_until =
+            |verb: usize| self.terms.verbs.get(verb).map_or(due, |verb| verb.good_until(now, due));
         let begins = self.cmds.get_mut(id).and_then(|cmd| cmd.body_came(now, good_until));
         begins.into_iter().for_each(|(verb, slot, number)| self.begins(id, verb, slot, number));
     }
@@ -427,8 +428,7 @@
     /// What a command earns for each second that it keeps a place, more where its verb falls short.
     fn rank(&self, cmd: &Cmd) -> f64 {
         let Some(verb) = self.terms.verbs.get(cmd.verb) else { return 0.0 };
-        let record = &self.verbs[cmd.verb];
-        let answered = record.answered.count(self.now) / record.asked.count(self.now).max(1.0);
+        let answered = self.verbs[cmd.verb].answered_share(self.now);
         let short = 1.0 + WORST_VERB * self.terms.goal.worst_verb * (1.0 / answered.clamp(0.1, 1.0) - 1.0);
         let time = if self.terms.utility_by_work { 1.0 } else { self.expected(cmd.verb).max(0.01) };
         verb.utility * short * if cmd.beyond { self.terms.beyond_quota } else { 1.0 } / time
@@ -521,6 +521,7 @@
             self.begins(id, verb, to, number);
         }
         self.seen.sent.add(self.now, 1.0);
+        self.zones.sent(self.fleet[to].zone, self.now);
         self.host.relay(id, &server_id, not_past);
     }
 
@@ -566,12 +567,8 @@
             Repeats::Effectful => !cmd.may_have_run(),
             Repeats::Receipted(group) => {
                 cmd.relays.iter().filter(|r| r.fate != Fate::NeverRan).all(|relay| {
-                    let drops = match group {
-                        Group::All => true,
-                        Group::Zone => relay.zone == zone,
-                        Group::Cell => relay.cell == cell && relay.zone == zone,
-                    };
-                    drops && self.now + self.terms.resolution < relay.sent + memory
+                    group.holds((relay.zone, relay.cell), (zone, cell))
+                        && self.now + self.terms.resolution < relay.sent + memory
                 })
             }
         }
@@ -621,10 +618,11 @@
         relay.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let (idle, reset) = (relay.idle, ended.outcome == Outcome::Reset);
         let broke = reset && idle >= IDLE_LEAST && ended.latency <= BREAK_WITHIN;
-        let (verb, overdue, slot, sent) = (cmd.verb, relay.overdue, relay.slot, relay.sent);
+        let (verb, overdue, slot, sent, zone) = (cmd.verb, relay.overdue, relay.slot, relay.sent, relay.zone);
         let (size, ahead, coming) = (cmd.size, relay.ahead, cmd.coming);
         (cmd.finished, cmd.spent) = (cmd.finished || ended.closed, cmd.spent || ended.spent);
         let in_time = now <= cmd.good_until;
+        self.zones.ended(zone, sent, now, ended.outcome);
         self.seen.ended.add(now, 1.0);
         self.seen.lately.add(now, 1.0);
         self.average_out();
@@ -756,19 +754,18 @@
 
     /// The run is kept by verb: what a server answers of one verb must not hide that it fails another.
     fn lengthen_run(&mut self, slot: Slot, verb: usize) {
-        let next = self.now + self.wait_marked();
-        let server = &mut self.fleet[slot];
-        if let Some(mark) = server.mark_mut() {
-            return *mark = Mark { passes: 0, next, trying: false };
+        if self.fleet[slot].mark().is_some() {
+            return self.fleet.set_mark(slot, self.new_mark(slot));
         }
-        let Some(at) = server.verbs.get_mut(verb) else { return };
+        let Some(at) = self.fleet[slot].verbs.get_mut(verb) else { return };
         at.run += if self.terms.allowed.peers { 2 } else { 1 };
         if !self.terms.allowed.peers && at.run >= MARK_AFTER {
             self.mark(slot);
         } else if at.run >= 2 * MARK_AFTER {
             // A server that is slow for all verbs alike shows as held commands, and loses none.
-            let others = server.verbs.iter().enumerate().filter(|(other, _)| *other != verb);
-            if server.verbs.len() == 1 || others.map(|(_, at)| at.run).min() < Some(MARK_AFTER) {
+            let verbs = &self.fleet[slot].verbs;
+            let others = verbs.iter().enumerate().filter(|(other, _)| *other != verb);
+            if verbs.len() == 1 || others.map(|(_, at)| at.run).min() < Some(MARK_AFTER) {
                 self.mark_verb(slot, verb);
             }
         }
@@ -781,8 +778,7 @@
         if !known && count + 1.0 > VERB_MARKED_AT_MOST * self.fleet.ready() as f64 {
             return;
         }
-        let turn = Duration::from_secs_f64(self.chance() * TRIAL_EACH * self.sharers);
-        let next = self.now + VERB_TRIAL + turn;
+        let next = self.now + VERB_TRIAL + Duration::from_secs_f64(self.chance() * TRIAL_EACH * self.sharers);
         self.fleet[slot].verbs[verb].mark = Some(Mark { passes: 0, next, trying: false });
     }
 
@@ -856,22 +852,28 @@
     // Marks, checks and the ramp
 
     fn mark(&mut self, slot: Slot) {
-        let (ready, clear) = (self.fleet.ready() as f64, self.fleet.clear() as f64);
+        let (ready, clear) = (self.in_use() as f64, self.fleet.clear() as f64);
         // When most of the fleet fails, the cause is load or shared, and the rest could not carry all.
         if ready - clear + 1.0 > ready * MARKED_AT_MOST {
             return;
         }
-        let next = self.now + self.wait_marked();
-        self.fleet.set_mark(slot, Mark { passes: 0, next, trying: false });
+        self.fleet.set_mark(slot, self.new_mark(slot));
         self.host.note(&format!("mark {}", self.fleet[slot].id));
     }
 
-    fn wait_marked(&self) -> Duration {
-        if self.terms.allowed.checks { CHECK_EVERY } else { TRIAL_AFTER }
+    /// In a zone that the fleet has left it is looked at only when this copy has the turn.
+    pub(crate) fn new_mark(&self, slot: Slot) -> Mark {
+        let wait = if self.terms.allowed.checks { CHECK_EVERY } else { TRIAL_AFTER };
+        let next = if self.zones.left(self.fleet[slot].zone) { Duration::MAX } else { self.now + wait };
+        Mark { passes: 0, next, trying: false }
     }
 
     fn pass(&mut self, slot: Slot) {
-        let now = self.now;
+        let (now, held) = (self.now, self.zones.left(self.fleet[slot].zone));
+        if held && self.fleet[slot].mark().is_some() {
+            // That it answers is told to the fleet, which takes the zone back or not.
+            return self.fleet.set_mark(slot, self.new_mark(slot));
+        }
         let wait = if self.terms.allowed.checks { CHECK_EVERY } else { Duration::ZERO };
         let Some(mark) = self.fleet[slot].mark_mut() else { return };
         mark.passes += 1;
@@ -887,13 +889,14 @@
         self.now = now;
         let Some(slot) = self.fleet.slot(id) else { return };
         self.fleet[slot].checking = false;
+        self.zones.checked(self.fleet[slot].zone, now, outcome);
         if self.looks > 0 {
             self.looked(slot, outcome, load);
         }
         if outcome == Outcome::Ok {
             self.pass(slot);
-        } else if let Some(mark) = self.fleet[slot].mark_mut() {
-            (mark.passes, mark.next) = (0, now + CHECK_EVERY);
+        } else if self.fleet[slot].mark().is_some() {
+            self.fleet.set_mark(slot, self.new_mark(slot));
         }
     }
 
@@ -967,11 +970,8 @@
         } else {
             self.missed(slot);
         }
-        for id in &self.held {
-            if let Some(cmd) = self.cmds.get_mut(id) {
-                cmd.looks.retain(|look| *look != slot);
-            }
-        }
+        let open = |id: &Id| self.cmds.get_mut(id).map(|cmd| cmd.looks.retain(|look| *look != slot));
+        self.held.iter().map(open).for_each(drop);
         self.place_held();
         self.thin_held(None);
     }
@@ -1068,7 +1068,7 @@
 
     fn weight(&self, cmd: &Cmd, server: &Server, mean: f64) -> f64 {
         let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
-        let price = (-far * CROSSING_AVERSION).exp();
+        let price = (-far * CROSSING_AVERSION).exp() * self.zones.share(server.zone);
         if let Some(takes) = self.takes(cmd, server) {
             return price * takes.max(1e-6).powi(-LOOK_SHARPNESS);
         }
--- a/crates/decisions/src/terms.rs
+++ b/crates/decisions/src/terms.rs
@@ -19,6 +19,17 @@
     Cell,
 }
 
+impl Group {
+    /// Whether what drops repeats at one place, a zone and a cell in it, does so at another.
+    pub fn holds(self, one: (u32, u32), other: (u32, u32)) -> bool {
+        match self {
+            Group::All => true,
+            Group::Zone => one.0 == other.0,
+            Group::Cell => one == other,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Verb {
     pub repeats: Repeats,
--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -199,4 +199,7 @@
     /// leave the fleet part out of the copies' configuration: each goes by its configured count for ever
     #[argh(switch)]
     pub alone: bool,
+    /// leave the part out by which the fleet leaves zones
+    #[argh(switch)]
+    pub no_localities: bool,
 }
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -9,5 +9,6 @@
 pub mod rig;
 pub mod views;
 pub mod weather;
+pub mod zones;
 
 pub use builtin::{builtin, builtins};
--- a/crates/lab/src/fleet/rig/copy.rs
+++ b/crates/lab/src/fleet/rig/copy.rs
@@ -4,6 +4,7 @@
 use super::words::Words;
 use crate::fleet::plan::FleetPlan;
 use crate::fleet::views::Truth;
+use crate::fleet::zones::Held;
 use crate::sockets::{Discovery, Entry, Peer, Sidecar, free};
 use rustix::process::Signal;
 use serde_json::Value;
@@ -25,6 +26,7 @@
     discovery: Arc<Discovery>,
     console: SocketAddr,
     with_fleet: bool,
+    zones: Vec<String>,
 }
 
 fn told(wrong: std::io::Error) -> String {
@@ -57,7 +59,14 @@
         let text = config(plan, ways, number, (listen, console, discovery.address), words);
         let file = format!("c{number}.toml");
         let sidecar = Sidecar::launch(ways.program, ways.dir, &file, &text, listen)?;
-        Ok(Copy { sidecar, truth: Truth::Runs, discovery, console, with_fleet: ways.with_fleet })
+        Ok(Copy {
+            sidecar,
+            truth: Truth::Runs,
+            discovery,
+            console,
+            with_fleet: ways.with_fleet,
+            zones: plan.zones.clone(),
+        })
     }
 
     pub fn must_run(&mut self) -> Result<(), String> {
@@ -122,6 +131,34 @@
         )
     }
 
+    /// What it holds of each zone; none where it can't be asked.
+    pub fn holds(&self) -> Option<Vec<Held>> {
+        if self.truth != Truth::Runs {
+            return None;
+        }
+        let told = self.ask("/zones")?;
+        let rows = told.get("zones")?.as_array()?;
+        let row = |zone: &String| {
+            let row = rows.iter().find(|row| row["zone"].as_str() == Some(zone))?;
+            Some(Held { share: row["share"].as_f64()?, operators: row["operators"].as_bool()? })
+        };
+        self.zones.iter().map(row).collect()
+    }
+
+    /// Operators say at its console that the fleet leaves a zone, or takes it back. Whether it says yes.
+    pub fn say_zone(&self, zone: &str, leave: bool) -> bool {
+        let path = if leave { "/zones/leave" } else { "/zones/return" };
+        let length = zone.len();
+        let said = format!("PUT {path} HTTP/1.1\r\nHost: lab\r\nContent-Length: {length}\r\n\r\n{zone}");
+        let call = || {
+            let mut peer = Peer::new(TcpStream::connect_timeout(&self.console, ASK_WITHIN).ok()?);
+            peer.patience(Some(ASK_WITHIN));
+            peer.write(said.as_bytes()).ok()?;
+            peer.answer().ok()?.status()
+        };
+        call() == Some(200)
+    }
+
     fn ask(&self, path: &str) -> Option<Value> {
         let stream = TcpStream::connect_timeout(&self.console, ASK_WITHIN).ok()?;
         let mut peer = Peer::new(stream);
@@ -177,5 +214,8 @@
             seeds.join(", ")
         );
     }
+    if ways.with_fleet && plan.localities && ways.with_localities {
+        text += "\n[localities]\n";
+    }
     text
 }
--- a/crates/lab/src/fleet/rig/mod.rs
+++ b/crates/lab/src/fleet/rig/mod.rs
@@ -10,6 +10,7 @@
 use super::plan::{Fault, FleetPlan, Kind};
 use super::views::{Allowed, Figures, Judge, Look, Set, Truth};
 use super::weather::{Fate, Party, Weather};
+use super::zones::{self, Lost};
 use crate::plan::{Repeats, Spread};
 use crate::referee::{Breach, Final};
 use crate::sockets::callers::{Asking, CallPlan, Done, Pace, run as run_callers};
@@ -59,6 +60,8 @@
     pub dir: &'a Path,
     /// Whether copies have the `[fleet]` part at all.
     pub with_fleet: bool,
+    /// Whether they leave zones as a fleet, where the plan says so.
+    pub with_localities: bool,
     /// How often all views are asked for: each asking costs the copies some time.
     pub look_every: Duration,
 }
@@ -85,6 +88,7 @@
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Played {
     pub figures: Figures,
+    pub zones: zones::Figures,
     pub seconds: Vec<Second>,
     pub seen: Vec<Seen>,
     pub broken_rules: [u64; 4],
@@ -103,6 +107,10 @@
     ways: &'a Ways<'a>,
     sky: Sky,
     words: Words,
+    sent: conns::Sent,
+    zones: zones::Judge<'a>,
+    /// Zones that operators took out of use, and the copy that they told.
+    said: Vec<(usize, usize)>,
     copies: Vec<Copy>,
     servers: Servers,
     ledger: Arc<Ledger>,
@@ -174,11 +182,13 @@
             servers.add(make, verbs(plan), ledger.clone()).map_err(told)?;
         }
         let behind: Vec<SocketAddr> = servers.servers.iter().map(|server| server.address).collect();
+        let sent = conns::Sent::default();
         let mut paths = Vec::new();
         let mut copies = Vec::new();
         for number in 0..plan.processes {
-            let led =
-                |(server, behind): (usize, &SocketAddr)| conns::path(number, server, *behind, &sky, &over);
+            let led = |(server, behind): (usize, &SocketAddr)| {
+                conns::path(number, server, *behind, &sky, &over, &sent)
+            };
             let own: Vec<SocketAddr> =
                 behind.iter().enumerate().map(led).collect::<std::io::Result<_>>().map_err(told)?;
             copies.push(Copy::start(plan, ways, number, &own, &words)?);
@@ -196,6 +206,9 @@
             ways,
             sky,
             words,
+            sent,
+            zones: zones::Judge::new(plan),
+            said: Vec::new(),
             copies,
             servers,
             ledger,
@@ -266,9 +279,11 @@
             std::mem::replace(&mut self.judge, Judge::new(Allowed { death: TICK, agree: TICK, cut: TICK }));
         let (answered, came) = *locked(&kept);
         let cpu = (self.cpu() - cpu_before).max(0.0);
+        let zones_judge = std::mem::replace(&mut self.zones, zones::Judge::new(self.plan));
         let sent = self.words.carried.load(Ordering::Relaxed) as f64;
         Ok(Played {
             figures: judge.close(),
+            zones: zones_judge.close(&self.sent.since(self.began)),
             seconds: locked(&seconds).clone(),
             seen: std::mem::take(&mut self.seen),
             broken_rules,
@@ -296,6 +311,9 @@
             if look_at <= now {
                 look_at = now + self.ways.look_every;
                 self.look(now.as_secs_f64());
+                if self.plan.localities {
+                    self.look_at_zones(now.as_secs_f64());
+                }
             }
             if now.as_secs() >= second {
                 second = now.as_secs() + 1;
@@ -354,7 +372,10 @@
             sky.begin(number);
             sky.parts()
         });
-        fault.servers.iter().for_each(|server| self.end_server(*server));
+        self.strike_servers(fault, true);
+        if fault.kind == Kind::Leave {
+            return self.say_zone(fault, true);
+        }
         if !fault.of_processes() {
             return Ok(());
         }
@@ -377,7 +398,10 @@
             sky.end(number);
             sky.parts()
         });
-        fault.servers.iter().for_each(|server| self.start_server(*server));
+        self.strike_servers(fault, false);
+        if fault.kind == Kind::Leave {
+            return self.say_zone(fault, false);
+        }
         if !fault.of_processes() {
             return Ok(());
         }
@@ -400,6 +424,64 @@
         Ok(())
     }
 
+    fn strike_servers(&self, fault: &Fault, begins: bool) {
+        for server in (0..self.plan.servers).filter(|server| fault.has_server(*server, &self.plan.zones)) {
+            match (fault.kind, begins) {
+                (Kind::Crash, true) => self.end_server(server),
+                (Kind::Crash, false) => self.start_server(server),
+                (Kind::Slow, _) => {
+                    let slow = fault.factor.filter(|_| begins).unwrap_or(1.0);
+                    self.servers.servers[server].change(|serving| serving.slow = slow);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The first of the fault's copies that runs is told.
+    fn say_zone(&mut self, fault: &Fault, leave: bool) -> Result<(), String> {
+        let zone = self.plan.zones.iter().position(|zone| Some(zone) == fault.zone.as_ref()).unwrap_or(0);
+        let runs = |copy: &usize| self.copies.get(*copy).is_some_and(|copy| copy.truth == Truth::Runs);
+        let named = fault.copies.iter().copied().find(runs);
+        let copy = named.or_else(|| (0..self.copies.len()).find(runs)).unwrap_or(0);
+        if !self.copies[copy].say_zone(&self.plan.zones[zone], leave) {
+            return Err(format!("c{copy} says no to operators' word on zone {}", self.plan.zones[zone]));
+        }
+        self.said.retain(|(known, _)| *known != zone);
+        if leave {
+            self.said.push((zone, copy));
+        }
+        Ok(())
+    }
+
+    /// Whether a zone is lost to each copy, by copy and zone.
+    fn lost(&self) -> Vec<Vec<Lost>> {
+        let zones = self.plan.zones.len();
+        let down: Vec<bool> = self.servers.servers.iter().map(|server| server.serving().down).collect();
+        let cut = |copy: usize, server: usize| {
+            let (copy, server) = (Party::Copy(copy), Party::Server(server));
+            self.sky.fate(copy, server).cut || self.sky.fate(server, copy).cut
+        };
+        let lost = |copy: usize, zone: usize| {
+            let mut servers = (0..self.plan.servers).filter(|server| server % zones == zone).peekable();
+            let any = servers.peek().is_some();
+            let said = self.said.iter().find(|(known, _)| *known == zone);
+            match () {
+                () if any && servers.all(|server| down[server] || cut(copy, server)) => Lost::Away,
+                () if said.is_some_and(|(_, told)| self.parts[*told] == self.parts[copy]) => Lost::Said,
+                () => Lost::No,
+            }
+        };
+        (0..self.copies.len()).map(|copy| (0..zones).map(|zone| lost(copy, zone)).collect()).collect()
+    }
+
+    fn look_at_zones(&mut self, now: f64) {
+        let held = self.copies.iter().map(Copy::holds).collect();
+        let runs = self.copies.iter().map(|copy| copy.truth == Truth::Runs).collect();
+        let look = zones::Look { at: now, runs, lost: self.lost(), held };
+        self.zones.look(&look);
+    }
+
     fn end_server(&self, server: usize) {
         self.servers.servers[server].change(|serving| serving.down = true);
     }
--- a/crates/membership/src/books.rs
+++ b/crates/membership/src/books.rs
@@ -225,18 +225,30 @@
 
     // What is told on
 
+    /// How many times each copy tells what is news.
+    pub fn times_told(&self) -> u32 {
+        (TELLS_EACH * ((self.live.len() + 2) as f64).log2()).ceil() as u32
+    }
+
     /// What is known of it by now is news. A suspicion is told fewer times: its epoch goes with every message.
     pub fn tell_on(&mut self, slot: usize) {
         let suspect = self.members[slot].standing == Standing::Suspect;
-        let each = if suspect { 1.0 } else { TELLS_EACH };
-        let times = (each * ((self.live.len() + 2) as f64).log2()).ceil() as u32;
+        let times = if suspect { self.times_told().div_ceil(2) } else { self.times_told() };
         // Of very much the digests tell the rest: told so often, it would take many times the budget.
         let times = if self.fresh.len() > MUCH { times.min(TELLS_OF_MUCH) } else { times };
+        self.members[slot].only_said = false;
         if std::mem::replace(&mut self.members[slot].tells, times) == 0 {
             self.fresh.push_front(slot);
         }
     }
 
+    /// Its word beside is news, if nothing else is.
+    pub fn tell_on_said(&mut self, slot: usize) {
+        let only = self.members[slot].tells == 0 || self.members[slot].only_said;
+        self.tell_on(slot);
+        self.members[slot].only_said = only;
+    }
+
     pub fn any_news(&self) -> bool {
         !self.fresh.is_empty()
     }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -17,5 +17,5 @@
 pub use budget::Budget;
 pub use counted::Counted;
 pub use membership::{About, Host, Membership, Spent};
-pub use wire::{MAGIC, MOST as MESSAGE_MOST, Unread, as_later, reads};
+pub use wire::{MAGIC, MOST as MESSAGE_MOST, SAID_MOST, Unread, as_later, reads};
 pub use word::{Address, Member, NAME_MOST, Standing};
--- a/crates/membership/src/membership/hearing.rs
+++ b/crates/membership/src/membership/hearing.rs
@@ -79,4 +79,14 @@
         let changed = of.books.change(slot, now, GRACE, |member| member.affirms(life_end, epoch, now));
         changed.into_iter().for_each(|(before, after)| of.told_of(slot, before, after));
     }
+    fn said(&mut self, target: Address, life_end: u16, said: Said, age: Duration) {
+        let of = &mut *self.of;
+        let Some(slot) = of.books.slot(target).filter(|_| said.bytes.len() <= wire::SAID_MOST) else {
+            return;
+        };
+        let (presses, at) = (said.presses, of.now.saturating_sub(age));
+        if of.books.get_mut(slot).says(life_end, said, at) && presses {
+            of.books.tell_on_said(slot);
+        }
+    }
 }
--- a/crates/membership/src/membership/mod.rs
+++ b/crates/membership/src/membership/mod.rs
@@ -13,7 +13,7 @@
 use crate::places;
 use crate::probes::{Probe, Prober, Probes};
 use crate::wire::{self, Head, Kind, Reader, Unread, Writer};
-use crate::word::{Address, Member, Standing, Word};
+use crate::word::{Address, Member, Said, Standing, Word};
 use rand::seq::index::sample;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -61,6 +61,9 @@
     host: H,
     fleet: Box<str>,
     own: Word,
+    /// Its own word beside, and how many times it is still told at once.
+    said: Said,
+    said_tells: u32,
     seeds: Vec<Address>,
     books: Books,
     chance: ChaCha8Rng,
@@ -117,6 +120,8 @@
             host,
             fleet: about.fleet.into(),
             own,
+            said: Said::default(),
+            said_tells: 0,
             seeds,
             books: Books::default(),
             chance,
@@ -206,6 +211,19 @@
         self.own.traffic = (per_s * 10.0).clamp(0.0, 65535.0) as u16;
     }
 
+    /// What else this copy says, at most 200 bytes: it goes with all that it sends, and others pass it on; at once where it
+    /// presses. Each replaces the one before; no bytes say nothing.
+    pub fn say(&mut self, bytes: &[u8], presses: bool) {
+        let bytes = &bytes[..bytes.len().min(wire::SAID_MOST)];
+        if *self.said.bytes == *bytes && !presses {
+            return;
+        }
+        self.said = Said { number: self.said.number.wrapping_add(1), presses, bytes: bytes.into() };
+        if presses {
+            self.said_tells = self.books.times_told();
+        }
+    }
+
     /// It ends: told to some, who tell it on; nobody is waited for.
     pub fn leave(&mut self, now: Duration) {
         self.now = now;
--- a/crates/membership/src/membership/telling.rs
+++ b/crates/membership/src/membership/telling.rs
@@ -36,10 +36,11 @@
             return;
         }
         self.news_at = self.now + NEWS_EVERY;
-        if !self.books.any_news() && self.differ_until <= self.now {
+        if !self.books.any_news() && self.differ_until <= self.now && self.said_tells == 0 {
             return;
         }
         for to in self.some_live(NEWS_TO, None) {
+            self.said_tells = self.said_tells.saturating_sub(1);
             if self.purse.spares(self.now) && self.purse.for_news(self.now) >= NEWS_LEAST {
                 self.send(to, Kind::News, 0, None, false);
             }
@@ -79,7 +80,11 @@
         self.own.beat += 1;
         self.own.affirmed = self.epoch;
         let head = Head { kind, number, epoch: self.epoch, digest: self.digest() };
-        Writer::new(head, &self.own, self.purse.for_news(self.now))
+        let mut writer = Writer::new(head, &self.own, self.purse.for_news(self.now));
+        if self.said.number > 0 {
+            writer.own_said(&self.own, &self.said);
+        }
+        writer
     }
 
     pub(super) fn finish(&mut self, to: Address, writer: Writer) {
@@ -125,7 +130,11 @@
         self.books.each_news(|member| {
             // Where views differ much, news alone would take too long: half of the room is for the whole.
             let full = differ && 2 * writer.room() < room;
-            !full && write(&mut writer, member, names(member))
+            let told = |writer: &mut Writer| match member.only_said && member.standing == Standing::Alive {
+                true => write_said(writer, member, now),
+                false => write(writer, member, names(member)),
+            };
+            !full && told(&mut writer)
         });
         if self.books.turns() > 0 && self.chance.random_ratio(1, 4) {
             // Copies that all told on in one order would tell each other the same.
@@ -140,7 +149,10 @@
         self.books.each_in_turn(|member| {
             let told = member.standing.counts() || differ;
             left -= usize::from(told);
-            !told || (left > 0 && write_in_turn(&mut writer, member, with_names))
+            !told
+                || (left > 0
+                    && write_in_turn(&mut writer, member, with_names)
+                    && write_said(&mut writer, member, now))
         });
         self.finish(to, writer);
     }
@@ -198,3 +210,9 @@
     }
     writer.word(&member.word, names)
 }
+
+/// What it says beside, if there is room for it. Of one who is gone nothing is passed on.
+fn write_said(writer: &mut Writer, member: &Member, now: Duration) -> bool {
+    let Some((said, at)) = member.said.as_ref().filter(|_| member.standing.counts()) else { return true };
+    writer.said(member.address(), member.life(), said, now.saturating_sub(*at))
+}
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -12,8 +12,9 @@
 //! | 18 to 25 | a digest of the members that the sender counts |
 //! | then | entries: a tag, a length, so many bytes; the first is the sender's own word |
 
-use crate::word::{Address, NAME_MOST, Word};
+use crate::word::{Address, NAME_MOST, Said, Word};
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 /// No message is longer.
 pub const MOST: usize = 1200;
@@ -30,6 +31,14 @@
 const AFFIRMED: u8 = 5;
 /// A short digest for each part of the ring.
 const PARTS: u8 = 6;
+/// What a member says beside, for whoever listens: its address and the end of its life's number, the word's own number, its
+/// age in steps of 10 ms, whether it presses, and the bytes.
+const SAID: u8 = 7;
+const SAID_HEAD: usize = 15;
+/// No such word is longer.
+pub const SAID_MOST: usize = 200;
+const AGE_STEP_MS: u64 = 10;
+const PRESSES: u8 = 1;
 const EACH: usize = 8;
 const EACH_MOST: usize = 31;
 /// A word without its names.
@@ -81,6 +90,8 @@
     fn parts(&mut self, parts: Vec<u16>);
     /// It said that it is alive in this epoch or later.
     fn affirmed(&mut self, target: Address, life_end: u16, epoch: u64);
+    /// What it said beside, so long ago.
+    fn said(&mut self, target: Address, life_end: u16, said: Said, age: Duration);
 }
 
 /// A message that is being written. What no longer fits is left out.
@@ -160,6 +171,25 @@
         })
     }
 
+    /// The sender's own word beside has room beside the news.
+    pub fn own_said(&mut self, own: &Word, said: &Said) {
+        self.most = (self.most + 2 + SAID_HEAD + said.bytes.len()).min(MOST);
+        self.said(own.address, own.life, said, Duration::ZERO);
+    }
+
+    pub fn said(&mut self, target: Address, life: u64, said: &Said, age: Duration) -> bool {
+        let bytes = &said.bytes[..said.bytes.len().min(SAID_MOST)];
+        let steps = (age.as_millis() as u64 / AGE_STEP_MS).min(u64::from(u16::MAX)) as u16;
+        self.entry(SAID, SAID_HEAD + bytes.len(), |out| {
+            put_address(out, target);
+            out.extend((life as u16).to_be_bytes());
+            out.extend(said.number.to_be_bytes());
+            out.extend(steps.to_be_bytes());
+            out.push(if said.presses { PRESSES } else { 0 });
+            out.extend(bytes);
+        })
+    }
+
     /// They have room beside the news.
     pub fn parts(&mut self, parts: &[u16]) {
         self.most = (self.most + 2 + 2 * parts.len()).min(MOST);
@@ -330,6 +360,13 @@
                     reader.affirmed(entry.address()?, entry.figure(2)? as u16, epoch);
                 }
             }
+            SAID => {
+                let (target, life_end) = (entry.address()?, entry.figure(2)? as u16);
+                let (number, steps, flags) =
+                    (entry.figure(4)? as u32, entry.figure(2)?, entry.figure(1)? as u8);
+                let said = Said { number, presses: flags & PRESSES != 0, bytes: entry.0.into() };
+                reader.said(target, life_end, said, Duration::from_millis(steps * AGE_STEP_MS));
+            }
             PARTS => {
                 let mut parts = Vec::with_capacity(length / 2);
                 while !entry.0.is_empty() {
@@ -369,6 +406,7 @@
         fn subject(&mut self, _: Address) {}
         fn affirmed(&mut self, _: Address, _: u16, _: u64) {}
         fn parts(&mut self, _: Vec<u16>) {}
+        fn said(&mut self, _: Address, _: u16, _: Said, _: Duration) {}
     }
     let (_, rest) = head(bytes, fleet)?;
     Ok(sender(rest).is_some_and(|(_, rest)| entries(rest, &mut Nobody).is_some()))
@@ -402,6 +440,9 @@
         fn affirmed(&mut self, target: Address, life_end: u16, epoch: u64) {
             self.0.push(format!("{target} {life_end} alive {epoch}"));
         }
+        fn said(&mut self, target: Address, life_end: u16, said: Said, age: Duration) {
+            self.0.push(format!("{target} {life_end} said {said:?} {age:?} ago"));
+        }
     }
 
     fn address(number: u16) -> Address {
--- a/crates/sidecar/src/console/calls.rs
+++ b/crates/sidecar/src/console/calls.rs
@@ -12,6 +12,15 @@
     Members {
         json: bool,
     },
+    /// How zones stand, as JSON or as text.
+    Zones {
+        json: bool,
+    },
+    /// The whole fleet takes a zone out of use, or puts it back.
+    Zone {
+        zone: String,
+        leave: bool,
+    },
     Maintenance {
         server: String,
         out: bool,
@@ -63,8 +72,8 @@
     let path = http::path_of(cmd.path.unwrap_or(""));
     let path = path.split('?').next().unwrap_or("");
     let allow = match path {
-        "/status" | "/maintenance" | "/fleet" => "GET",
-        "/maintenance/enter" | "/maintenance/exit" => "PUT",
+        "/status" | "/maintenance" | "/fleet" | "/zones" => "GET",
+        "/maintenance/enter" | "/maintenance/exit" | "/zones/leave" | "/zones/return" => "PUT",
         _ => return Err(turned(404, "no such call")),
     };
     if method != allow {
@@ -73,10 +82,14 @@
     match path {
         "/status" => Ok(Call::Status),
         "/maintenance" => Ok(Call::WhoIsOut),
-        "/fleet" => {
+        "/fleet" | "/zones" => {
             let accepts = cmd.headers.iter().filter(|header| header.name.eq_ignore_ascii_case("accept"));
             let json = accepts.map(|header| header.value).any(|value| holds(value, b"application/json"));
-            Ok(Call::Members { json })
+            Ok(if path == "/fleet" { Call::Members { json } } else { Call::Zones { json } })
+        }
+        "/zones/leave" | "/zones/return" => {
+            let zone = plain(body).ok_or_else(|| turned(400, "the body is no zone's name"))?;
+            Ok(Call::Zone { zone, leave: path == "/zones/leave" })
         }
         path => maintenance(body, path == "/maintenance/enter"),
     }
@@ -87,12 +100,15 @@
 }
 
 fn maintenance(body: &[u8], out: bool) -> Result<Call, Said> {
-    let server = std::str::from_utf8(body).map(str::trim).unwrap_or("");
-    let plain = (1..=ID_MOST).contains(&server.len()) && !server.chars().any(char::is_control);
-    if !plain {
-        return Err(turned(400, "the body is no endpoint's id"));
-    }
-    Ok(Call::Maintenance { server: server.to_string(), out })
+    let server = plain(body).ok_or_else(|| turned(400, "the body is no endpoint's id"))?;
+    Ok(Call::Maintenance { server, out })
+}
+
+/// A body that is a plain, short text.
+fn plain(body: &[u8]) -> Option<String> {
+    let text = std::str::from_utf8(body).map(str::trim).unwrap_or("");
+    let plain = (1..=ID_MOST).contains(&text.len()) && !text.chars().any(char::is_control);
+    plain.then(|| text.to_string())
 }
 
 #[cfg(test)]
@@ -114,6 +130,12 @@
             understand(b"GET /fleet HTTP/1.1\r\nAccept: text/html, Application/JSON;q=0.9\r\n\r\n", b"");
         assert_eq!(asks, Ok(Call::Members { json: true }));
         assert_eq!(told("PUT /fleet", ""), Err(405));
+        assert_eq!(told("GET /zones", ""), Ok(Call::Zones { json: false }));
+        let zone = |leave| Ok(Call::Zone { zone: "b".into(), leave });
+        assert_eq!(told("PUT /zones/leave", "b\n"), zone(true));
+        assert_eq!(told("PUT /zones/return", "b"), zone(false));
+        assert_eq!(told("PUT /zones/return", " "), Err(400));
+        assert_eq!(told("GET /zones/leave", "b"), Err(405));
         assert_eq!(told("PUT /maintenance/enter", "s1\r\n"), out("s1", true));
         assert_eq!(told("PUT /maintenance/exit", " s1 "), out("s1", false));
         assert_eq!(told("PUT /maintenance/exit", "\n"), Err(400));
--- a/crates/sidecar/src/console/mod.rs
+++ b/crates/sidecar/src/console/mod.rs
@@ -177,10 +177,33 @@
                     None => calls::turned(503, "the fleet's thread does not answer"),
                 },
             },
+            Call::Zones { json } => match &self.fleet {
+                None => calls::turned(404, "this copy is one of no fleet"),
+                Some(fleet) => match fleet.zones(json, OWNER_WITHIN).await {
+                    Some(text) if text.is_empty() => calls::turned(404, "the fleet leaves no zones"),
+                    Some(text) => calls::figures(&text, json),
+                    None => calls::turned(503, "the fleet's thread does not answer"),
+                },
+            },
+            Call::Zone { zone, leave } => self.zone_said(zone, leave).await,
             Call::Maintenance { server, out } => self.maintenance(server, out).await,
         }
     }
 
+    /// The word is the fleet's from here on: whether this copy lives or not.
+    async fn zone_said(&self, zone: String, leave: bool) -> calls::Said {
+        let Some(fleet) = &self.fleet else { return calls::turned(404, "this copy is one of no fleet") };
+        match fleet.zone_said(zone.clone(), leave, OWNER_WITHIN).await {
+            None => calls::turned(503, "the fleet's thread does not answer"),
+            Some(None) => calls::turned(404, "the fleet leaves no zones"),
+            Some(Some(false)) => calls::turned(404, "there is no such zone"),
+            Some(Some(true)) => {
+                tracing::info!("operators {} zone {zone}", if leave { "leave" } else { "take back" });
+                calls::said(200, "yes\n")
+            }
+        }
+    }
+
     async fn maintenance(&self, server: String, out: bool) -> calls::Said {
         if out && self.words.borrow().len() >= WORDS_MOST {
             return calls::turned(507, "too many endpoints are out");
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! command.
 
 mod said;
+mod zones;
 
 use crate::clock::Clock;
 use crate::launch::Fleet as Told;
@@ -10,12 +11,15 @@
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use landingspread_decisions::host::Copies;
+use landingspread_decisions::zones::{ZoneSeen, ZoneShare};
+use landingspread_localities::Paces;
 use landingspread_membership::{About, Address, Counted, Host, MESSAGE_MOST, Member, Membership};
 use std::io;
 use std::net::UdpSocket;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime};
+use zones::Zones;
 
 /// Calls from other threads wait in this number at most.
 const CALLS_MOST: usize = 64;
@@ -28,7 +32,13 @@
 /// How long a process that ends waits until its leaving has gone out.
 const LEAVE_WITHIN: Duration = Duration::from_millis(100);
 
-type Call = Box<dyn FnOnce(&mut Membership<Wire>, Duration) + Send>;
+/// All that the fleet's thread goes by.
+struct Parts {
+    membership: Membership<Wire>,
+    zones: Option<Zones>,
+}
+
+type Call = Box<dyn FnOnce(&mut Parts, Duration) + Send>;
 
 /// How other threads reach the fleet's.
 #[derive(Clone)]
@@ -37,7 +47,10 @@
 /// The decisions' side: what they hear, and where they say how much comes to them.
 pub struct Link {
     pub copies: Receiver<Copies>,
+    /// The shares of zones, where the fleet leaves any.
+    pub zones: Option<Receiver<Vec<ZoneShare>>>,
     traffic: Arc<AtomicU64>,
+    seen: Arc<Mutex<Vec<ZoneSeen>>>,
 }
 
 impl Link {
@@ -45,6 +58,11 @@
     pub fn say_traffic(&self, per_s: f64) {
         self.traffic.store(per_s.to_bits(), Ordering::Relaxed);
     }
+
+    /// How zones look to the decisions.
+    pub fn say_seen(&self, seen: Vec<ZoneSeen>) {
+        *self.seen.lock().unwrap_or_else(PoisonError::into_inner) = seen;
+    }
 }
 
 /// What the membership does to the outside.
@@ -108,7 +126,8 @@
     /// The members as text, or as JSON; none where the fleet's thread does not answer.
     pub async fn members(&self, json: bool, within: Duration) -> Option<String> {
         let (reply, told) = async_channel::bounded(1);
-        let ask: Call = Box::new(move |membership, now| {
+        let ask: Call = Box::new(move |parts, now| {
+            let membership = &parts.membership;
             let _ =
                 reply.try_send(if json { said::json(membership, now) } else { said::text(membership, now) });
         });
@@ -116,11 +135,34 @@
         crate::net::within::within(within, told.recv()).await?.ok()
     }
 
+    /// How zones stand; none where the fleet's thread does not answer, an empty text where the fleet leaves none.
+    pub async fn zones(&self, json: bool, within: Duration) -> Option<String> {
+        let (reply, told) = async_channel::bounded(1);
+        let ask: Call = Box::new(move |parts, now| {
+            let text = parts.zones.as_ref().map(|zones| zones.told(json, now)).unwrap_or_default();
+            let _ = reply.try_send(text);
+        });
+        self.0.try_send(ask).ok()?;
+        crate::net::within::within(within, told.recv()).await?.ok()
+    }
+
+    /// Operators take a zone out of use for the fleet, or put it back. Whether there is such a zone, and whether the fleet
+    /// leaves any; none where its thread does not answer.
+    pub async fn zone_said(&self, zone: String, leave: bool, within: Duration) -> Option<Option<bool>> {
+        let (reply, told) = async_channel::bounded(1);
+        let say: Call = Box::new(move |parts, now| {
+            let known = parts.zones.as_mut().map(|zones| zones.operators_say(now, &zone, leave));
+            let _ = reply.try_send(known);
+        });
+        self.0.try_send(say).ok()?;
+        crate::net::within::within(within, told.recv()).await?.ok()
+    }
+
     /// The process ends: told to others, and not waited for.
     pub async fn leave(&self) {
         let (done, gone) = async_channel::bounded(1);
-        let leave: Call = Box::new(move |membership, now| {
-            membership.leave(now);
+        let leave: Call = Box::new(move |parts, now| {
+            parts.membership.leave(now);
             let _ = done.try_send(());
         });
         if self.0.try_send(leave).is_ok() {
@@ -147,6 +189,7 @@
     seed: u64,
     clock: Clock,
     passed: Option<Passed>,
+    localities: Option<(Paces, Vec<String>)>,
 ) -> io::Result<(Door, Link)> {
     let (calls, called) = async_channel::bounded(CALLS_MOST);
     let (tell, copies) = async_channel::bounded(1);
@@ -162,6 +205,14 @@
         budget: told.budget,
         configured: told.configured,
     };
+    let seen = Arc::<Mutex<Vec<ZoneSeen>>>::default();
+    let (zones, shares) = match localities {
+        Some((paces, zones)) => {
+            let (tell, shares) = async_channel::bounded(1);
+            (Some(Zones::start(paces, zones, &about, seen.clone(), tell)), Some(shares))
+        }
+        None => (None, None),
+    };
     let own_traffic = traffic.clone();
     let listen = told.listen;
     let run = move || {
@@ -181,16 +232,17 @@
             };
             let membership = Membership::start(Wire { socket: sending }, about, seed, clock.now());
             let passed = by_others.map(|(_, datagrams)| datagrams);
-            let thread = Thread { membership, clock, called, tell, traffic: own_traffic };
+            let parts = Parts { membership, zones };
+            let thread = Thread { parts, clock, called, tell, traffic: own_traffic };
             thread.run(socket, passed).await;
         });
     };
     std::thread::Builder::new().name("fleet".into()).spawn(run)?;
-    Ok((Door(calls), Link { copies, traffic }))
+    Ok((Door(calls), Link { copies, zones: shares, traffic, seen }))
 }
 
 struct Thread {
-    membership: Membership<Wire>,
+    parts: Parts,
     clock: Clock,
     called: Receiver<Call>,
     tell: Sender<Copies>,
@@ -213,17 +265,19 @@
             let came = self.wait(tick_at, socket.as_ref(), passed.as_ref(), &mut bytes).await;
             let now = self.clock.now();
             match came {
-                Came::Datagram(length) => self.membership.heard(now, &bytes[..length]),
-                Came::Passed(bytes) => self.membership.heard(now, &bytes),
-                Came::Call(call) => call(&mut self.membership, now),
+                Came::Datagram(length) => self.parts.membership.heard(now, &bytes[..length]),
+                Came::Passed(bytes) => self.parts.membership.heard(now, &bytes),
+                Came::Call(call) => call(&mut self.parts, now),
                 Came::Time => {}
             }
             // A flood is always ready to be read: time goes on through it.
             if tick_at <= now {
                 tick_at = now + Membership::<Wire>::TICK;
-                self.membership.traffic(f64::from_bits(self.traffic.load(Ordering::Relaxed)));
-                self.membership.tick(now);
-                let copies = copies_of(&self.membership.counted());
+                let Parts { membership, zones } = &mut self.parts;
+                membership.traffic(f64::from_bits(self.traffic.load(Ordering::Relaxed)));
+                zones.iter_mut().for_each(|zones| zones.tick(now, membership));
+                membership.tick(now);
+                let copies = copies_of(&membership.counted());
                 if said != Some(copies) || said_at + TELL_EVERY <= now {
                     // One that still waits is older: the next tick tells it anew.
                     if self.tell.try_send(copies).is_ok() {
--- /dev/null
+++ b/crates/sidecar/src/fleet/zones.rs
@@ -0,0 +1,215 @@
+//! The fleet's verdicts on zones beside its membership: what the decisions see goes to the others, and the shares that come
+//! of all words go back to them. It owns the log lines and the page for operators; it must never decide anything.
+
+use super::Wire;
+use async_channel::Sender;
+use landingspread_decisions::zones::{ZoneSeen, ZoneShare};
+use landingspread_localities::{
+    About, Evidence, Host, Localities, Looks, Own, Paces, Peer, Standing, Verdict,
+};
+use landingspread_membership::{About as OfCopy, Address, Membership};
+use serde::Serialize;
+use std::fmt::Write;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// The decisions hear of unchanged shares this often.
+const TELL_EVERY: Duration = Duration::from_millis(500);
+
+struct Log;
+
+impl Host for Log {
+    fn passed(&mut self, zone: &str, verdict: &Verdict, evidence: &Evidence) {
+        let Verdict { stage, number, operators, departures, .. } = verdict;
+        let (near, all) = (evidence.near, evidence.all);
+        tracing::warn!(
+            zone,
+            stage = stage.name(),
+            share = stage.share(),
+            number,
+            operators,
+            departures,
+            near_silent = near.silent,
+            near_answered = near.answered,
+            all_silent = all.silent,
+            all_answered = all.answered,
+            "zones: passed"
+        );
+    }
+
+    fn heard(&mut self, zone: &str, verdict: &Verdict, by: &str) {
+        let Verdict { stage, number, operators, .. } = verdict;
+        tracing::warn!(
+            zone,
+            stage = stage.name(),
+            share = stage.share(),
+            number,
+            operators,
+            by,
+            "zones: heard"
+        );
+    }
+}
+
+pub struct Zones {
+    localities: Localities<Log>,
+    seen: Arc<Mutex<Vec<ZoneSeen>>>,
+    tell: Sender<Vec<ZoneShare>>,
+    told: Vec<ZoneShare>,
+    told_at: Option<Duration>,
+}
+
+fn id_of(address: Address) -> u64 {
+    u64::from(address.ip().to_bits()) << 16 | u64::from(address.port())
+}
+
+fn looks(seen: &ZoneSeen) -> Looks {
+    match (seen.silent, seen.answered) {
+        (Some(since), _) => Looks::Silent { since },
+        (None, Some(sent)) => Looks::Answers { sent, slow: seen.slow },
+        (None, None) => Looks::Unknown,
+    }
+}
+
+impl Zones {
+    pub fn start(
+        paces: Paces,
+        zones: Vec<String>,
+        of: &OfCopy,
+        seen: Arc<Mutex<Vec<ZoneSeen>>>,
+        tell: Sender<Vec<ZoneShare>>,
+    ) -> Zones {
+        let about = About { id: id_of(of.address), zone: of.zone.clone(), zones, paces };
+        Zones { localities: Localities::start(Log, about), seen, tell, told: Vec::new(), told_at: None }
+    }
+
+    pub fn tick(&mut self, now: Duration, membership: &mut Membership<Wire>) {
+        let own: Vec<Own> = {
+            let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+            let own =
+                |seen: &ZoneSeen| Own { zone: seen.zone as usize, ready: seen.ready, looks: looks(seen) };
+            seen.iter().map(own).collect()
+        };
+        let peers = membership.members().filter(|member| member.standing().counts()).map(|member| Peer {
+            id: id_of(member.address()),
+            name: member.name(),
+            zone: member.zone(),
+            said: member.said().map(|(said, _)| said),
+            age: member.said().map_or(Duration::ZERO, |(_, at)| now.saturating_sub(at)),
+        });
+        let news = self.localities.tick(now, &own, peers);
+        membership.say(self.localities.word(), news);
+        self.tell(now);
+    }
+
+    fn tell(&mut self, now: Duration) {
+        let share = |share: landingspread_localities::Share| ZoneShare {
+            zone: share.zone as u32,
+            share: share.share,
+            trial: share.trial,
+        };
+        let shares: Vec<ZoneShare> = self.localities.shares().into_iter().map(share).collect();
+        let due = self.told_at.is_none_or(|at| at + TELL_EVERY <= now);
+        // One that still waits is older: the next tick tells it anew.
+        if (due || shares != self.told) && self.tell.try_send(shares.clone()).is_ok() {
+            (self.told, self.told_at) = (shares, Some(now));
+        }
+    }
+
+    /// Whether there is such a zone.
+    pub fn operators_say(&mut self, now: Duration, zone: &str, leave: bool) -> bool {
+        self.localities.operators_say(now, zone, leave)
+    }
+
+    pub fn told(&self, json: bool, now: Duration) -> String {
+        let rows: Vec<Row> = self.localities.standings().map(|standing| Row::of(&standing, now)).collect();
+        let cut_off = self.localities.cut_off();
+        if json {
+            return serde_json::to_string(&Page { cut_off, zones: rows }).unwrap_or_default() + "\n";
+        }
+        let mut text = String::new();
+        if cut_off {
+            text += "this copy reaches no zone: it says nothing of any\n";
+        }
+        for row in &rows {
+            // Writing to a String cannot fail.
+            let _ = writeln!(text, "{row}");
+        }
+        text
+    }
+}
+
+#[derive(Serialize)]
+struct Page<'a> {
+    cut_off: bool,
+    zones: Vec<Row<'a>>,
+}
+
+/// Spans are seconds.
+#[derive(Serialize)]
+struct Row<'a> {
+    zone: &'a str,
+    verdict: &'static str,
+    share: f64,
+    number: u32,
+    operators: bool,
+    departures: u8,
+    since_s: Option<f64>,
+    trial: bool,
+    ready: usize,
+    looks: &'static str,
+    near_silent: u32,
+    near_answered: u32,
+    all_silent: u32,
+    all_answered: u32,
+}
+
+impl<'a> Row<'a> {
+    fn of(standing: &Standing<'a>, now: Duration) -> Row<'a> {
+        let Evidence { near, all, .. } = standing.evidence;
+        Row {
+            zone: standing.zone,
+            verdict: standing.stage.name(),
+            share: standing.share,
+            number: standing.number,
+            operators: standing.operators,
+            departures: standing.departures,
+            since_s: standing.since.map(|at| (now.saturating_sub(at).as_secs_f64() * 100.0).round() / 100.0),
+            trial: standing.trial,
+            ready: standing.ready,
+            looks: match standing.looks {
+                Looks::Unknown => "unknown",
+                Looks::Answers { slow: false, .. } => "answers",
+                Looks::Answers { slow: true, .. } => "slow",
+                Looks::Silent { .. } => "silent",
+            },
+            near_silent: near.silent,
+            near_answered: near.answered,
+            all_silent: all.silent,
+            all_answered: all.answered,
+        }
+    }
+}
+
+impl std::fmt::Display for Row<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Row { zone, verdict, share, number, departures, ready, looks, .. } = self;
+        write!(f, "{verdict:9} {zone:12} share {share:.2}, verdict {number}, {departures} departures")?;
+        match self.since_s {
+            Some(since) => write!(f, ", for {since:.1} s")?,
+            None => write!(f, ", as ever")?,
+        }
+        if self.operators {
+            write!(f, ", by operators")?;
+        }
+        if self.trial {
+            write!(f, ", this copy's turn to try")?;
+        }
+        let (near, all) = ((self.near_silent, self.near_answered), (self.all_silent, self.all_answered));
+        write!(
+            f,
+            "; {ready} servers listed, {looks} from here; silent to {} and answering {} of this zone, {} and {} of all",
+            near.0, near.1, all.0, all.1
+        )
+    }
+}
--- a/crates/sidecar/src/launch/checked.rs
+++ b/crates/sidecar/src/launch/checked.rs
@@ -3,6 +3,7 @@
 use crate::catalog::Catalog;
 use crate::clock::Clock;
 use landingspread_decisions::terms::Terms;
+use landingspread_localities::Paces;
 use landingspread_membership::{Address, Budget};
 use std::fmt;
 use std::net::SocketAddr;
@@ -87,6 +88,8 @@
     pub peers: Vec<SocketAddr>,
     /// None where the copy takes part in no fleet.
     pub fleet: Option<Fleet>,
+    /// None where zones are not left by the fleet.
+    pub localities: Option<Paces>,
     /// The header in which callers say a command's work, in milliseconds on a standard core.
     pub cost_header: Option<String>,
     /// The file through which what was learnt of endpoints outlives the process.
@@ -114,6 +117,9 @@
             let (name, listen, seeds) = (&fleet.name, fleet.listen, fleet.seeds.len());
             writeln!(f, "one of the fleet {name:?}, heard at {listen}, with {seeds} seeds")?;
         }
+        if self.localities.is_some() {
+            writeln!(f, "leaves and takes back the zones {} with the fleet", self.zones.join(", "))?;
+        }
         writeln!(
             f,
             "at most {sockets} sockets and {memory_mb} MB; {} servers known",
--- a/crates/sidecar/src/launch/file.rs
+++ b/crates/sidecar/src/launch/file.rs
@@ -42,6 +42,7 @@
     #[serde(default)]
     peers: Vec<SocketAddr>,
     fleet: Option<super::fleet::Part>,
+    localities: Option<super::localities::Part>,
     cost_header: Option<String>,
     learnt: Option<PathBuf>,
     console: Option<SocketAddr>,
@@ -284,6 +285,10 @@
     if let Some(fault) = file.fleet.as_ref().and_then(|fleet| fleet.first_fault(&file.peers, own)) {
         return Some(fault);
     }
+    let localities = file.localities.as_ref();
+    if let Some(fault) = localities.and_then(|part| part.first_fault(file.fleet.is_some(), &file.zones)) {
+        return Some(fault);
+    }
     if file.cost_header.as_ref().is_some_and(|name| name.is_empty() || name.contains([':', ' '])) {
         return found("cost_header", "it is no header's name");
     }
@@ -382,6 +387,7 @@
         max_open: file.limits.max_open as usize,
         terms,
         fleet,
+        localities: file.localities.map(super::localities::Part::checked),
         peers: file.peers,
         cost_header: file.cost_header,
         learnt: file.learnt,
@@ -488,6 +494,7 @@
                 Some(rest) if rest.contains(" = ") && !rest.contains(". ") => rest,
                 Some("[discovery]") => "[discovery]",
                 Some("[fleet]") => "[fleet]",
+                Some("[localities]") => "[localities]",
                 Some("[[tenants]]") => "[[tenants]]",
                 _ => line,
             })
--- a/crates/sidecar/src/launch/mod.rs
+++ b/crates/sidecar/src/launch/mod.rs
@@ -7,6 +7,7 @@
 mod checked;
 mod file;
 mod fleet;
+mod localities;
 mod platform;
 
 pub use checked::{Fault, Fleet, Launch, Verb};
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -85,7 +85,8 @@
         Some(peers) => Some(fleet::Passed { socket: peers.sending()?, datagrams }),
         None => None,
     };
-    fleet::open(told, &launch.name, launch.seed, launch.clock.clone(), passed).map(Some)
+    let localities = launch.localities.map(|paces| (paces, launch.zones.clone()));
+    fleet::open(told, &launch.name, launch.seed, launch.clock.clone(), passed, localities).map(Some)
 }
 
 /// Takes this process's part of what the sidecar has, as long as it runs.
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -20,6 +20,7 @@
 use landingspread_decisions::host::{Arrival, Copies, Ended, Host, Id, Listed, Load, Outcome, State};
 use landingspread_decisions::policy::Policy;
 use landingspread_decisions::words::Unheard;
+use landingspread_decisions::zones::ZoneShare;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -269,8 +270,12 @@
     Order(Order),
     Word(Word),
     Copies(Copies),
+    Zones(Vec<ZoneShare>),
 }
 
+/// How often the fleet is told how zones look.
+const SEEN_EVERY: Duration = Duration::from_millis(50);
+
 struct Owner {
     desk: Rc<RefCell<Desk>>,
     policy: Policy<Hand>,
@@ -279,6 +284,7 @@
     before: Before,
     operators: Operators,
     fleet: Option<fleet::Link>,
+    seen_at: Duration,
     save_to: Option<PathBuf>,
     save_at: Duration,
     saving: Saving,
@@ -310,7 +316,9 @@
     let before = before.unwrap_or_default();
     let (save_at, save_to) = (clock.now() + SAVE_FIRST, launch.learnt);
     let saving = Saving::of(deployment);
-    let mut owner = Owner { desk, policy, clock, before, operators, fleet, save_to, save_at, saving };
+    let seen_at = clock.now();
+    let mut owner =
+        Owner { desk, policy, clock, before, operators, fleet, seen_at, save_to, save_at, saving };
     owner.remember();
     let known = owner.note_addresses(launch.known);
     let now = owner.clock.now();
@@ -378,10 +386,21 @@
                     None => futures_lite::future::pending().await,
                 }
             };
-            match or(ordered, or(counted, or(said, elapsed))).await {
+            let zones = self.fleet.as_ref().and_then(|fleet| fleet.zones.clone());
+            let shared = async {
+                match zones {
+                    Some(zones) => match zones.recv().await {
+                        Ok(shares) => Some(Heard::Zones(shares)),
+                        Err(_) => futures_lite::future::pending().await,
+                    },
+                    None => futures_lite::future::pending().await,
+                }
+            };
+            match or(ordered, or(or(counted, shared), or(said, elapsed))).await {
                 Some(Heard::Order(order)) => self.operators_say(order),
                 Some(Heard::Word(word)) => self.hear(word),
                 Some(Heard::Copies(copies)) => self.copies_told(&copies),
+                Some(Heard::Zones(shares)) => self.policy.zones_told(self.clock.now(), &shares),
                 None => {}
             }
             // Looked at after each word: a long queue must not keep the module from its time.
@@ -389,6 +408,7 @@
             if self.next_wake().is_some_and(|at| at <= now) {
                 self.desk.borrow_mut().wakes.pop();
                 self.policy.woken(now);
+                self.say_seen(now);
                 self.save(now);
             }
         }
@@ -400,6 +420,14 @@
         self.fleet.iter().for_each(|fleet| fleet.say_traffic(asked));
     }
 
+    fn say_seen(&mut self, now: Duration) {
+        let Some(fleet) = self.fleet.as_ref().filter(|fleet| fleet.zones.is_some()) else { return };
+        if self.seen_at <= now {
+            self.seen_at = now + SEEN_EVERY;
+            fleet.say_seen(self.policy.zones_seen(now));
+        }
+    }
+
     fn save(&mut self, now: Duration) {
         if let Some(path) = self.save_to.clone().filter(|_| self.save_at <= now) {
             self.save_at = now + SAVE_EVERY;
--- a/crates/sidecar/tests/fleet.rs
+++ b/crates/sidecar/tests/fleet.rs
@@ -30,6 +30,7 @@
         old: Some(program()),
         dir: &dir,
         with_fleet: true,
+        with_localities: true,
         look_every: LOOK_EVERY,
     };
     let played = play(&plan, &ways, &mut |_| ()).expect("a run");
