--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -62,6 +62,9 @@
     /// where a page with plots goes
     #[argh(option)]
     pub report: Option<PathBuf>,
+    /// print each second too
+    #[argh(switch)]
+    pub seconds: bool,
 }
 
 /// make all runs of an experiment, on all cores
--- a/crates/lab/src/experiment/compare.rs
+++ b/crates/lab/src/experiment/compare.rs
@@ -92,7 +92,7 @@
     if told.is_empty() { String::new() } else { format!(" [{}]", told.join(", ")) }
 }
 
-/// Mean kept utility of each picker in each setting; behind each base, `picker`'s difference and its interval.
+/// Mean kept utility of each picker in each setting, and the relays of a run to servers that could not be reached; behind each base, `picker`'s difference and its interval.
 pub fn table(results: &Results, picker: Named) -> String {
     let pickers = &results.header.experiment.pickers;
     let mut text = String::from("| case |");
@@ -115,6 +115,10 @@
                 let (low, high) = difference.interval;
                 let _ = write!(text, " ({:+.3}: {low:+.3} to {high:+.3})", difference.mean);
             }
+            let vain: u64 = rows_of(results, &setting, *named).map(|row| row.totals.vain).sum();
+            if vain > 0 {
+                let _ = write!(text, ", {:.0} relays in vain", vain as f64 / kept.len().max(1) as f64);
+            }
             text += &broken(rows_of(results, &setting, *named));
             text += " |";
         }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -43,6 +43,18 @@
     if let Some(path) = &run.report {
         report(run, setting, &played, path)?;
     }
+    for (at, second) in played.seconds.iter().enumerate().filter(|_| run.seconds) {
+        println!(
+            "{at:4} s  came {:5}  answered {:5}  declined {:4}  terminated {:3}  lost {:3}  earned {:.3}  p99 {:6.1} ms",
+            second.came,
+            second.answered,
+            second.declined,
+            second.terminated,
+            second.lost,
+            second.earned / second.offered.max(1e-9),
+            second.p99
+        );
+    }
     let totals = serde_json::to_string_pretty(&played.totals).map_err(|wrong| wrong.to_string())?;
     println!("{totals}");
     println!("rules broken {:?}", played.breach_counts);
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -59,6 +59,11 @@
     pub p999: f64,
     /// Commands that clients had no copy for, or the world no room.
     pub unheard: u64,
+    /// Relays to servers that could not be reached, and when the last of them was sent, in seconds since the start.
+    #[serde(default)]
+    pub vain: u64,
+    #[serde(default)]
+    pub vain_last: f64,
     pub tenants: Vec<f64>,
 }
 
@@ -157,8 +162,13 @@
         }
     }
 
-    pub fn relayed(&mut self, now: Duration) {
+    /// `vain`: its server can't be reached from there.
+    pub fn relayed(&mut self, now: Duration, vain: bool) {
         self.totals.relays += u64::from(now >= self.settle);
+        if vain && now >= self.settle {
+            self.totals.vain += 1;
+            self.totals.vain_last = now.as_secs_f64();
+        }
     }
 
     pub fn unheard(&mut self, now: Duration) {
--- a/crates/localities/src/localities.rs
+++ b/crates/localities/src/localities.rs
@@ -11,8 +11,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Copies take turns of this length at trials.
-const TURN: Duration = Duration::from_secs(1);
+/// Copies take turns at trials: all zones' together make one in this span.
+const TRIAL_EACH: Duration = Duration::from_millis(250);
 /// Answers to what was sent so soon after a zone was left may be to what was sent before: clocks and words are that rough.
 const SOON: Duration = Duration::from_millis(200);
 /// A step that nothing speaks against, nor for, is taken after this many times its length.
@@ -38,7 +38,7 @@
 
 impl Default for Paces {
     fn default() -> Paces {
-        Paces { wait: Duration::from_secs(3), step: Duration::from_secs(1) }
+        Paces { wait: Duration::from_secs(3), step: Duration::from_millis(500) }
     }
 }
 
@@ -341,9 +341,8 @@
                 if evidence.contradicts(near) {
                     return self.pass(now, zone, Stage::Whole);
                 }
-                let trials = count(observers(&self.said, own, heard), own, id, rule::trials_span(since));
-                let failed = rule::failed(observers(&self.said, own, heard), own, id, since);
-                if held >= self.wait(known.as_ref()) && trials.tried(near, failed) {
+                let tried = rule::tried(observers(&self.said, own, heard), (own, id), since, near);
+                if held >= self.wait(known.as_ref()) && tried {
                     self.pass(now, zone, Stage::Step(1));
                 }
             }
@@ -385,7 +384,8 @@
         if self.stage(zone) != Stage::Left || known.verdict.stage != Stage::Left {
             return None;
         }
-        let turn = (now.saturating_sub(known.passed).as_millis() / TURN.as_millis()) as u64;
+        let length = TRIAL_EACH * self.ids.len().max(1) as u32;
+        let turn = (now.saturating_sub(known.passed).as_micros() / length.as_micros()) as u64;
         let order = |id: u64| (mixed(&[id, u64::from(self.ids[zone]), u64::from(known.verdict.number)]), id);
         let own = order(self.about.id);
         let near = heard.iter().filter(|peer| peer.zone == self.own);
--- a/crates/localities/src/rule.rs
+++ b/crates/localities/src/rule.rs
@@ -11,11 +11,9 @@
 /// And so many of all who know, where the copies of more than one zone say so.
 const SILENT_SHARE: f64 = 0.4;
 /// More copies than these are answered in a zone that they left only where commands of before are: trials come in turn.
-const TRIALS_AT_ONCE: u32 = 3;
+const TRIALS_AT_ONCE: u32 = 5;
 /// Trials answered this long ago still count.
 const TRIALS_FOR: Duration = Duration::from_secs(4);
-/// A trial that failed this long ago still does.
-const FAILED_FOR: Duration = Duration::from_millis(1500);
 
 /// One copy's newest word, as another has it.
 pub struct Observer<'a> {
@@ -97,11 +95,6 @@
         self.near.answered > TRIALS_AT_ONCE.max(near_copies / 2)
     }
 
-    /// Whether trials let it come back: two copies' were answered (or one's, where there is one) and none failed.
-    pub fn tried(&self, near_copies: u32, failed: u32) -> bool {
-        self.near.answered >= 2.min(near_copies) && failed == 0
-    }
-
     /// Whether it bears the next step.
     pub fn bears(&self) -> bool {
         let few = self.near == Tally::default();
@@ -110,19 +103,27 @@
     }
 }
 
-/// For how long what trials found counts, since the zone was left so long ago.
-pub fn trials_span(left_for: Duration) -> Duration {
-    left_for.min(TRIALS_FOR)
-}
-
-/// How many near observers saw a trial fail of late.
-pub fn failed<'a>(
+/// Whether trials let a zone come back that was left so long ago: those of two copies (of one, where there is one) were
+/// answered, and none failed after them.
+pub fn tried<'a>(
     observers: impl Iterator<Item = Observer<'a>>,
-    own: u32,
-    zone: u32,
+    (own, zone): (u32, u32),
     left_for: Duration,
-) -> u32 {
-    count(observers, own, zone, FAILED_FOR.min(left_for)).near.silent
+    near_copies: u32,
+) -> bool {
+    let (mut answered, mut failed) = (Vec::new(), Duration::MAX);
+    for observer in observers.filter(|observer| observer.zone == own && !observer.said.cut_off) {
+        let Some(word) = observer.said.looks.iter().find(|word| word.zone == zone) else { continue };
+        match word.looks {
+            Looks::Answers { sent, .. } => answered.push(sent + observer.age),
+            Looks::Silent { since } => failed = failed.min(since + observer.age),
+            Looks::Unknown => {}
+        }
+    }
+    answered.retain(|ago| *ago <= left_for.min(TRIALS_FOR));
+    answered.sort();
+    let wanted = near_copies.clamp(1, 2) as usize;
+    answered.get(wanted - 1).is_some_and(|ago| *ago < failed)
 }
 
 #[cfg(test)]
@@ -186,6 +187,24 @@
         }
     }
 
+    #[test]
+    fn two_trials_that_were_answered_after_the_last_failure_let_a_zone_come_back() {
+        let ms = Duration::from_millis;
+        let trials = |ages: &[(bool, u64)], copies: u32| {
+            let look = |(answered, ago): &(bool, u64)| match answered {
+                true => Looks::Answers { sent: ms(*ago), slow: false },
+                false => Looks::Silent { since: ms(*ago) },
+            };
+            let said: Vec<Said> = ages.iter().map(|age| said(look(age))).collect();
+            let of = |said| Observer { zone: OWN, said, age: Duration::ZERO };
+            tried(said.iter().map(of), (OWN, LOST), ms(10_000), copies)
+        };
+        assert!(trials(&[(true, 100), (true, 1100), (false, 2100)], 8));
+        assert!(!trials(&[(true, 100), (true, 2100), (false, 1100)], 8), "one failed between them");
+        assert!(!trials(&[(true, 100), (false, 1100)], 8) && trials(&[(true, 100)], 1));
+        assert!(!trials(&[(true, 100), (true, 4100)], 8), "too long ago");
+    }
+
     #[test]
     fn old_signs_and_those_of_a_copy_that_is_cut_off_count_for_nothing() {
         let old = Looks::Silent { since: Duration::from_millis(1950) };
