--- a/crates/lab/src/fleet/page.rs
+++ b/crates/lab/src/fleet/page.rs
@@ -43,6 +43,10 @@
         "<p>Green: counts whom it should. Red: errs in some, darker in more. Orange: stands still. Grey: is down. White: \
          could not be asked. Blue lines: faults begin and end.</p>",
     );
+    if plan.localities {
+        html += &zones(plan, played)?;
+        html.push_str("<p>A zone's share of what it would get, on average over all copies: 0 where all have left it.</p>");
+    }
     html += &service(plan, played)?;
     faults(&mut html, plan)?;
     figures(&mut html, played)?;
@@ -96,6 +100,33 @@
     }
 }
 
+fn zones(plan: &FleetPlan, played: &Played) -> Result<String, Wrong> {
+    const COLOURS: [RGBColor; 6] =
+        [FAULT, ERRS, RIGHT, STILL, RGBColor(204, 121, 167), RGBColor(86, 180, 233)];
+    let mut svg = String::new();
+    {
+        let root = SVGBackend::with_string(&mut svg, (WIDTH, 180)).into_drawing_area();
+        let mut chart = ChartBuilder::on(&root)
+            .caption("shares of zones", ("sans-serif", 16))
+            .x_label_area_size(30)
+            .y_label_area_size(40)
+            .build_cartesian_2d(0.0..plan.seconds, 0.0..1.05)?;
+        chart.configure_mesh().disable_x_mesh().draw()?;
+        for (zone, name) in plan.zones.iter().enumerate() {
+            let colour = COLOURS[zone % COLOURS.len()];
+            let points: Vec<(f64, f64)> =
+                played.shares.iter().map(|(at, shares)| (*at, shares[zone])).collect();
+            let series = chart.draw_series(LineSeries::new(points, colour.stroke_width(2)))?;
+            series
+                .label(name.as_str())
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour.stroke_width(2)));
+        }
+        chart.configure_series_labels().border_style(GONE).background_style(WHITE).draw()?;
+        root.present()?;
+    }
+    Ok(svg)
+}
+
 fn service(plan: &FleetPlan, played: &Played) -> Result<String, Wrong> {
     let most = played.seconds.iter().map(|second| second.came).max().unwrap_or(1).max(1);
     let mut svg = String::new();
--- a/crates/lab/src/fleet/rig/mod.rs
+++ b/crates/lab/src/fleet/rig/mod.rs
@@ -89,6 +89,8 @@
 pub struct Played {
     pub figures: Figures,
     pub zones: zones::Figures,
+    /// At each look, by zone: its share as the copies that could be asked hold it, on average.
+    pub shares: Vec<(f64, Vec<f64>)>,
     pub seconds: Vec<Second>,
     pub seen: Vec<Seen>,
     pub broken_rules: [u64; 4],
@@ -125,6 +127,7 @@
     started: Vec<usize>,
     ended: Vec<usize>,
     seen: Vec<Seen>,
+    shares: Vec<(f64, Vec<f64>)>,
     /// Until when each copy counts as disturbed.
     disturbed: Arc<Mutex<BTreeMap<SocketAddr, f64>>>,
 }
@@ -224,6 +227,7 @@
             started: Vec::new(),
             ended: Vec::new(),
             seen: Vec::new(),
+            shares: Vec::new(),
             disturbed: Arc::default(),
         })
     }
@@ -286,6 +290,7 @@
         Ok(Played {
             figures: judge.close(),
             zones: zones_judge.close(&self.sent.since(self.began)),
+            shares: std::mem::take(&mut self.shares),
             seconds: locked(&seconds).clone(),
             seen: std::mem::take(&mut self.seen),
             broken_rules,
@@ -486,7 +491,11 @@
     }
 
     fn look_at_zones(&mut self, now: f64) {
-        let held = self.copies.iter().map(Copy::holds).collect();
+        let held: Vec<Option<Vec<zones::Held>>> = self.copies.iter().map(Copy::holds).collect();
+        let asked: Vec<&Vec<zones::Held>> = held.iter().flatten().collect();
+        let mean =
+            |zone: usize| asked.iter().map(|held| held[zone].share).sum::<f64>() / asked.len().max(1) as f64;
+        self.shares.push((now, (0..self.plan.zones.len()).map(mean).collect()));
         let runs = self.copies.iter().map(|copy| copy.truth == Truth::Runs).collect();
         let look = zones::Look { at: now, runs, lost: self.lost(), held };
         self.zones.look(&look);
