A zone is lost to half of its near copies or a fifth of all, and to none that has just started

Drawn lies in virtual time (a seventh of 24 copies say at random that zones are silent, a third of words lost, copies restarted and apart) made copies leave zones that nobody had lost: at 0.3 s, when views were nearly empty, and at each step of a return, when little is known of now. By what was seen: three silent copies were enough where few knew anything.

--- /dev/null
+++ b/crates/lab/tests/zones.rs
@@ -0,0 +1,66 @@
+//! Zones and the fleet in virtual time: which are left, and which are not. Seeds are fixed: each run is the same each time.
+
+use landingspread_lab::experiment::{find, play_one};
+use landingspread_lab::pickers::Named;
+use landingspread_lab::plan::{Fault, Scenario};
+use landingspread_lab::world::Run;
+use rayon::iter::{IntoParallelIterator, ParallelIterator};
+
+fn case(name: &str) -> Scenario {
+    let ready = find("fleet-zones").expect("it is built in");
+    let setting = ready.settings.into_iter().find(|setting| setting.case == name);
+    setting.expect("a case").scenario
+}
+
+fn left(run: &Run) -> Vec<String> {
+    let left =
+        run.marks.iter().filter(|mark| mark.note.starts_with("mark zone") && mark.note.ends_with("left"));
+    left.map(|mark| format!("{:.1} s c{}: {}", mark.at, mark.copy, mark.note)).collect()
+}
+
+fn fault(text: &str) -> Fault {
+    toml::from_str(text).expect("a fault")
+}
+
+#[test]
+fn a_lost_zone_costs_a_third_of_what_it_did_and_no_rule() {
+    for name in ["silent", "ended", "words-lost", "flapping", "surge"] {
+        let scenario = case(name);
+        let vain = |picker: Named, seed: u64| {
+            let run = play_one(&scenario, picker, seed);
+            assert_eq!(run.breach_counts, [0; 4], "{name} seed {seed}: {:?}", run.breaches);
+            run.totals.vain
+        };
+        let of = |picker: Named| (1..=4u64).into_par_iter().map(|seed| vain(picker, seed)).sum::<u64>();
+        let (with, without) = (of(Named::LandingspreadZones), of(Named::LandingspreadFleet));
+        assert!(with > 0 && with * 2 < without, "{name}: {with} relays in vain, {without} without the fleet");
+    }
+}
+
+#[test]
+fn nobody_leaves_a_zone_that_nobody_lost() {
+    let mut calm = case("calm");
+    calm.faults = vec![
+        fault("kind = \"words_lost\"\nat = 5\nfor = 25\nshare = 0.3"),
+        fault("kind = \"copies_restarted\"\nat = 8\ncount = 4\nseconds = 2"),
+        fault("kind = \"copies_apart\"\nat = 15\nfor = 6\ncount = 1"),
+    ];
+    (1..=12u64).into_par_iter().for_each(|seed| {
+        for picker in [Named::LandingspreadZones, Named::LandingspreadZonesLied] {
+            let run = play_one(&calm, picker, seed);
+            assert_eq!(left(&run), Vec::<String>::new(), "{} seed {seed}", picker.name());
+        }
+    });
+    // That lies are told, and that a true loss is found through them.
+    let silent = play_one(&case("silent"), Named::LandingspreadZonesLied, 1);
+    assert!(!left(&silent).is_empty());
+}
+
+#[test]
+fn a_slow_zone_is_not_left() {
+    let slow = case("slow");
+    (1..=6u64).into_par_iter().for_each(|seed| {
+        let run = play_one(&slow, Named::LandingspreadZones, seed);
+        assert_eq!(left(&run), Vec::<String>::new(), "seed {seed}");
+    });
+}
--- a/crates/localities/src/localities.rs
+++ b/crates/localities/src/localities.rs
@@ -132,6 +132,7 @@
     said: Said,
     word: Vec<u8>,
     said_at: Duration,
+    began: Option<Duration>,
     cut_off: bool,
 }
 
@@ -159,6 +160,7 @@
             said: Said::default(),
             word: Vec::new(),
             said_at: Duration::ZERO,
+            began: None,
             cut_off: false,
         }
     }
@@ -172,6 +174,7 @@
     /// Takes in how zones look to this copy and what the others say. `true`: its own word has news that others should hear
     /// soon.
     pub fn tick<'a>(&mut self, now: Duration, own: &[Own], peers: impl Iterator<Item = Peer<'a>>) -> bool {
+        self.began.get_or_insert(now);
         for seen in own {
             if let Some(known) = self.looks.get_mut(seen.zone) {
                 *known = *seen;
@@ -326,6 +329,9 @@
     fn judge(&mut self, now: Duration, zone: usize, heard: &[Heard]) {
         let (id, own) = (self.ids[zone], self.own);
         let near = 1 + heard.iter().filter(|peer| peer.zone == own).count() as u32;
+        let all = 1 + heard.len() as u32;
+        // Who has just started knows few of the others, and has heard less of what they say.
+        let settled = self.began.is_some_and(|began| began + SPAN <= now);
         let known = self.verdicts.get(&id).copied();
         let stage = known.map_or(Stage::Whole, |known| known.verdict.stage);
         let held = known.map_or(Duration::MAX, |known| now.saturating_sub(known.passed));
@@ -347,7 +353,9 @@
                     self.pass(now, zone, Stage::Step(1));
                 }
             }
-            _ if evidence.lost(near) && self.others_are_in_use(zone) => self.pass(now, zone, Stage::Left),
+            _ if evidence.lost(near, all) && settled && self.others_are_in_use(zone) => {
+                self.pass(now, zone, Stage::Left);
+            }
             Stage::Step(_) => {
                 let step = self.about.paces.step;
                 let untried = evidence.near == rule::Tally::default() && held >= step * STEP_UNTRIED;
