--- a/crates/lab/src/fleet/builtin.rs
+++ b/crates/lab/src/fleet/builtin.rs
@@ -1,8 +1,9 @@
 //! The plans of fleets that come with the lab.
 
-const PLANS: [(&str, &str); 9] = [
+const PLANS: [(&str, &str); 10] = [
     ("members", include_str!("../../plans/fleet/members.toml")),
     ("zones", include_str!("../../plans/fleet/zones.toml")),
+    ("zones-calm", include_str!("../../plans/fleet/zones-calm.toml")),
     ("kills", include_str!("../../plans/fleet/kills.toml")),
     ("cuts", include_str!("../../plans/fleet/cuts.toml")),
     ("cold", include_str!("../../plans/fleet/cold.toml")),
