Trials of a zone that is left where checks are not allowed; numbers of verdicts are bounded

Where checks are not allowed a trial is one pure command; its server's weight was the zone's share, 0, so that none was ever drawn and the zone could come back by other copies' word alone. Seen on reading the weight again; a marked server's weight does not go by the share now. With it tests of the decisions: nothing but one check a turn goes to a zone that is left (200 commands, new and restarted servers among them), and marks elsewhere go on. A forged verdict with the greatest number would have held a copy that had just started for ever: 2^24 beyond what is known is the most.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -1068,7 +1068,7 @@
 
     fn weight(&self, cmd: &Cmd, server: &Server, mean: f64) -> f64 {
         let far = if server.zone == self.terms.zone { 0.0 } else { self.terms.prices.crossing };
-        let price = (-far * CROSSING_AVERSION).exp() * self.zones.share(server.zone);
+        let price = (-far * CROSSING_AVERSION).exp() * self.zones.weight(server);
         if let Some(takes) = self.takes(cmd, server) {
             return price * takes.max(1e-6).powi(-LOOK_SHARPNESS);
         }
--- a/crates/decisions/src/zones.rs
+++ b/crates/decisions/src/zones.rs
@@ -2,7 +2,7 @@
 //! it; the verdicts are the fleet's, and a server of a zone that is left is held marked: no draw takes it, and it is looked
 //! at only when this copy has the turn. Nothing here costs anything before `zones_told` is first called.
 
-use crate::fleet::Slot;
+use crate::fleet::{Server, Slot};
 use crate::host::{Host, Outcome};
 use crate::policy::Policy;
 use std::time::Duration;
@@ -66,6 +66,11 @@
         self.0.iter().find(|known| known.zone == zone).map_or(1.0, |known| known.share)
     }
 
+    /// What a server's weight counts for. A marked one is drawn for trials only: its zone's share is no matter there.
+    pub fn weight(&self, server: &Server) -> f64 {
+        if server.mark().is_some() { 1.0 } else { self.share(server.zone) }
+    }
+
     pub fn left(&self, zone: u32) -> bool {
         self.share(zone) <= 0.0
     }
@@ -226,7 +231,7 @@
         if !self.zones.any_left() {
             return;
         }
-        let free = |server: &&crate::fleet::Server| self.zones.left(server.zone) && server.mark().is_none();
+        let free = |server: &&Server| self.zones.left(server.zone) && server.mark().is_none();
         let slots = self.fleet.ready_ones().filter(free).filter_map(|server| self.fleet.slot(&server.id));
         for slot in slots.collect::<Vec<_>>() {
             self.fleet.set_mark(slot, self.new_mark(slot));
--- a/crates/decisions/tests/decisions/main.rs
+++ b/crates/decisions/tests/decisions/main.rs
@@ -4,3 +4,4 @@
 mod plain;
 mod rules;
 mod scripted;
+mod zones;
--- a/crates/localities/src/localities.rs
+++ b/crates/localities/src/localities.rs
@@ -23,8 +23,8 @@
 /// After a further departure a zone waits this many times as long, and no longer than this.
 const WAIT_GROWS: u32 = 8;
 const WAIT_MOST: Duration = Duration::from_secs(60);
-/// No fleet passes so many verdicts between two words; a number beyond it is none.
-const NUMBERS_AT_ONCE: u32 = 1 << 16;
+/// No fleet passes so many verdicts between two words, nor before a copy's first; a number beyond it is none.
+const NUMBERS_AT_ONCE: u32 = 1 << 24;
 /// A copy's word is made anew this often at least, as ages go on.
 const SAY_EVERY: Duration = Duration::from_millis(200);
 
@@ -278,8 +278,8 @@
             let Some(zone) = self.ids.iter().position(|id| *id == verdict.zone) else { continue };
             let books = if verdict.operators { &self.operators } else { &self.verdicts };
             let known = books.get(&verdict.zone).map(|known| known.verdict);
-            let far =
-                known.is_some_and(|known| verdict.number > known.number.saturating_add(NUMBERS_AT_ONCE));
+            let last = known.map_or(0, |known| known.number);
+            let far = verdict.number > last.saturating_add(NUMBERS_AT_ONCE);
             let new = known.is_none_or(|known| newer(verdict, &known));
             if far || !new || !(verdict.operators || same) {
                 continue;
