--- a/crates/membership/tests/few.rs
+++ b/crates/membership/tests/few.rs
@@ -153,3 +153,38 @@
     assert_eq!(first.members().count(), 10_000);
     assert!(first.host().said.contains(&"full 64".to_string()));
 }
+
+fn said(copy: &Membership<Post>, number: u32) -> Option<Vec<u8>> {
+    let member = copy.members().find(|member| member.address() == address(number))?;
+    member.said().map(|(said, _)| said.to_vec())
+}
+
+#[test]
+fn what_a_member_says_beside_reaches_all_and_only_its_newest_counts() {
+    let mut copies: Vec<_> =
+        (1..=3).map(|at| copy(at, &format!("c{at}"), 100 + u64::from(at), "f")).collect();
+    pass(&mut copies, 0, 2000, never);
+    assert_eq!(said(&copies[1], 1), None, "nothing is said where nobody says anything");
+    copies[0].say(b"one", false);
+    pass(&mut copies, 2000, 3000, never);
+    assert_eq!(said(&copies[2], 1).as_deref(), Some(&b"one"[..]));
+    // The third hears the first by the second alone, and at once where it presses.
+    let apart = |from: Address, to: Address| [from, to] == [address(1), address(3)];
+    let before = copies[0].spent().datagrams;
+    copies[0].say(b"two", true);
+    pass(&mut copies, 3000, 3200, apart);
+    assert!(copies[0].spent().datagrams > before);
+    assert_eq!(said(&copies[2], 1).as_deref(), Some(&b"two"[..]));
+    // An age goes with it: by way of others it is no newer.
+    copies[0].say(b"three", true);
+    pass(&mut copies, 3200, 3300, apart);
+    pass(&mut copies, 3300, 3800, |from, _| from == address(1));
+    let member = copies[2].members().find(|member| member.address() == address(1)).expect("a member");
+    let (words, at) = member.said().expect("words");
+    assert!(words == b"three" && (ms(3190)..=ms(3310)).contains(&at), "{at:?}");
+    // Another process at the address has said nothing yet.
+    copies[0] = copy(1, "c1", 900, "f");
+    pass(&mut copies, 3800, 4800, never);
+    assert_eq!(said(&copies[2], 1), None);
+    assert_eq!(said(&copies[1], 1), None);
+}
