What was not written is taken back once nothing is owed; a restart ends in time

Need: acceptance now fails what is sent on 0.3 s after its caller left. Forced on real sockets (a server whose system lets no dial through, a program that stands still while things cross), 504 leavings on the last landing with calling off allowed and 504 without, seven ways and three kinds of verb: "cancelling allowed: false, Closes: 72 left, 0 written within 0.3 s, 72 later" (the same for HalfCloses, Resets, Crosses, Unread); "true, Crosses: 72 later"; "FullAhead: 144 later" and "MidBody: 72 later" in both. Causes, each at its lines: - Policy::close calls off only where the settings allow it, and Desk::finish left a relay that still dialled to be written when its connection came up. That permission is about what an endpoint has: Desk::withdraw now takes back what was not written whole at the final word and at the caller's leaving. - Ahead::until_gone stopped looking once its buffer was full, and feed read nothing while no piece was taken: the end lies behind unread bytes. Both look for it there now (net/leaving.rs, a poll for the end that reads nothing). - A connection that comes up in the poll in which the caller's end is read: the relay looks itself before its first byte, where the command has waited for 10 ms or more. - A drain, a list without the server, a new address or operators' maintenance left relays that still dialled to that server: with a long DialTimeout they began past the grace. Desk::withdraw_from; failing line "left: Some(503), right: Some(200)" and a command at the drained server. - Desk::cancel said of a long body that it could be sent again: failing line "a final word is owed" (none came). - After SIGTERM a half head, a half body or a trickle was waited for past SIGKILL ("play 11: it runs past 1.5s", 24 of 24), and accept, cancelled while it made room, dropped the connection in its hand (read, not forced by a test). Accept now ends by itself once nobody waits, and what came in part is let go of once all that is taken has its word. Ruled out by the same tests: a held command in the instant of its turn (passed before).

--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -5,6 +5,7 @@
 use super::buffers::{Buffer, HOLD_MOST, Place, SIZE, Stock};
 use super::endpoints::{Answer, Next, Outgoing, Rest};
 use super::http::{self, Bad, Coming, Marked};
+use super::leaving::{self, Asker};
 use super::owner::{Came, Final, Queue, Word};
 use super::within::within;
 use crate::clock::Clock;
@@ -32,6 +33,8 @@
 /// What comes after an error is read off for so long and so far before the connection is closed on it.
 const LINGER: Duration = Duration::from_millis(500);
 const LINGER_MOST: usize = 1024 * 1024;
+/// The process ends before it is killed.
+const LINGER_AT_END: Duration = Duration::from_millis(50);
 const IDLE_MOST: Duration = Duration::from_secs(300);
 /// A new connection's first command follows at once where it comes at all. Longer, a crowd of silent ones would
 /// hold up those who come after it.
@@ -54,6 +57,9 @@
     all_due: Cell<Option<Duration>>,
     /// From now on each answer is its connection's last.
     parting: Cell<bool>,
+    /// Closed once no more connections are taken, and once no more commands are.
+    taking: Gate,
+    reading: Gate,
     /// Connections that wait for a command, strangers first and then the longest, each with the word that
     /// closes it.
     idle: RefCell<BTreeMap<(bool, u64), Sender<()>>>,
@@ -68,6 +74,28 @@
     executor: Rc<LocalExecutor<'static>>,
 }
 
+/// Open until it is closed for good; who waits for that is told.
+struct Gate(Sender<()>, Receiver<()>);
+
+impl Gate {
+    fn open() -> Gate {
+        let (close, closed) = async_channel::bounded(1);
+        Gate(close, closed)
+    }
+
+    fn close(&self) {
+        self.0.close();
+    }
+
+    fn is_closed(&self) -> bool {
+        self.0.is_closed()
+    }
+
+    async fn closed(&self) {
+        let _ = self.1.recv().await;
+    }
+}
+
 /// When the last part came, and the word that closes the connection.
 struct HalfWay {
     came: Rc<Cell<Duration>>,
@@ -108,6 +136,8 @@
             open: Cell::new(0),
             all_due: Cell::new(None),
             parting: Cell::new(false),
+            taking: Gate::open(),
+            reading: Gate::open(),
             idle: RefCell::default(),
             half_way: RefCell::default(),
             fresh: Cell::new(0),
@@ -118,6 +148,8 @@
         }
     }
 
+    /// Takes connections until it is told to end. One that is taken is never dropped unheard, and what the system has
+    /// taken by then is taken too, as its clients may have written their commands already.
     pub async fn accept(self: Rc<Self>, listener: Async<TcpListener>) {
         loop {
             let Some(place) = self.stock.for_callers.take() else {
@@ -125,8 +157,12 @@
                 Timer::after(NO_ROOM_YET).await;
                 continue;
             };
-            match listener.accept().await {
-                Ok((stream, _)) => {
+            let ends = async {
+                self.taking.closed().await;
+                None
+            };
+            match or(async { Some(listener.accept().await) }, ends).await {
+                Some(Ok((stream, _))) => {
                     // Whoever comes when only spare places are left and all others are at work is heard all
                     // the same and turned away in words: a connection left unaccepted would lose what its
                     // client has written to it.
@@ -134,19 +170,26 @@
                     self.fresh.set(self.fresh.get() + 1);
                     self.executor.spawn(self.clone().talk(stream, place, crowded)).detach();
                 }
-                Err(wrong) => {
+                Some(Err(wrong)) => {
                     tracing::warn!("accept: {wrong}");
                     Timer::after(NO_ROOM_YET).await;
                 }
+                None => return,
             }
         }
     }
 
+    /// Ends `accept` once nobody waits to be taken.
+    pub fn take_no_more(&self) {
+        self.taking.close();
+    }
+
     /// Makes room where only spare places are left. In a crowd that has just come it waits for who of them says
     /// nothing, rather than close callers who spoke well; for a few it must not, or taking stands still.
     async fn no_place_left(&self) -> bool {
         while self.stock.for_callers.only_spare_ones_left() {
-            if !self.close_strangers() && self.fresh.get() < CROWD {
+            let crowd = self.close_strangers() || self.fresh.get() >= CROWD;
+            if !crowd || self.taking.is_closed() {
                 return !self.close_any();
             }
             Timer::after(NO_ROOM_YET).await;
@@ -199,17 +242,27 @@
         self.all_due.set(Some(self.clock.now() + within));
     }
 
-    /// Closes what waits, makes each answer its connection's last and comes back when nobody is left.
+    /// Closes what waits, makes each answer its connection's last and comes back when nobody is left. Once all that was
+    /// taken has its final word, what has come only in part is no longer waited for.
     pub async fn ended(&self) {
         self.part();
         while self.stock.for_callers.taken() > 0 {
             while self.close_longest_idle() {}
+            if self.left_to_end() == Some(Duration::ZERO) {
+                self.reading.close();
+            }
             Timer::after(NO_ROOM_YET).await;
         }
     }
 
+    /// None where no end is in sight.
+    fn left_to_end(&self) -> Option<Duration> {
+        self.all_due.get().map(|all_due| all_due.saturating_sub(self.clock.now()))
+    }
+
     async fn talk(self: Rc<Self>, stream: Async<TcpStream>, _place: Place, crowded: bool) {
         let _ = stream.get_ref().set_nodelay(true);
+        let stream = Rc::new(stream);
         let mut since = Some(self.clock.now());
         let mut ahead = None;
         while ahead.is_some() || self.something_comes(&stream, since).await {
@@ -255,7 +308,7 @@
     /// connection may carry another.
     async fn one_message(
         &self,
-        stream: &Async<TcpStream>,
+        stream: &Rc<Async<TcpStream>>,
         since: Option<Duration>,
         crowded: bool,
         ahead: Option<Buffer>,
@@ -264,10 +317,17 @@
             self.turn_away(stream, &Turned(503, "no buffer is free"), false).await;
             return None;
         };
-        let read = match since {
-            Some(since) => self.read_from_stranger(stream, buffer, since).await,
-            None => self.read(stream, buffer, READ_WITHIN, &|| ()).await,
+        let read = async {
+            match since {
+                Some(since) => self.read_from_stranger(stream, buffer, since).await,
+                None => self.read(stream, buffer, READ_WITHIN, &|| ()).await,
+            }
+        };
+        let too_late = async {
+            self.reading.closed().await;
+            Err(Some(Turned(503, "ending")))
         };
+        let read = or(read, too_late).await;
         let (coming, asked) = match read {
             Ok(read) => read,
             Err(None) => return None,
@@ -407,7 +467,7 @@
     /// `coming` is whole, or too long to be held: then the rest of it goes on as it comes.
     async fn carry(
         &self,
-        stream: &Async<TcpStream>,
+        stream: &Rc<Async<TcpStream>>,
         cmd: Cmd,
         mut coming: Coming,
         crowded: bool,
@@ -428,17 +488,26 @@
         let body = coming.take(&self.stock).await;
         let (give, next) = async_channel::bounded(1);
         let rest = (!whole).then(|| Rest { next, marked, left, spent: Cell::new(false) });
-        let outgoing = Outgoing { head, body, rest, careful };
+        let outgoing = Outgoing { head, body, rest, careful, asker: Asker::of(stream) };
         let (caller, word) = async_channel::bounded(1);
         self.queue.tell(Word::Came(Box::new(Came { number, arrival, outgoing, caller })));
         let heard = async { word.recv().await.map_err(|_| Bad::Ended) };
         let goes = async {
             if !whole {
-                self.feed(stream, &mut coming, &give).await?;
+                let too_late = async {
+                    self.reading.closed().await;
+                    Err(Bad::Late)
+                };
+                or(self.feed(stream, &mut coming, &give), too_late).await?;
                 let due = self.due(left);
                 self.queue.tell(Word::Whole(id.clone(), number, due));
-                let _ = give.send(Next::End(self.clock.instant(due))).await;
                 ahead.add(coming.behind());
+                let end = async {
+                    // Nobody takes it any more where the command is over.
+                    let _ = give.send(Next::End(self.clock.instant(due))).await;
+                    Ok(())
+                };
+                or(end, gone(stream)).await?;
             }
             ahead.until_gone(stream).await;
             Err(Bad::Ended)
@@ -456,7 +525,7 @@
         let keep = self.may_keep(&coming, crowded) && !ahead.lost.get();
         let Some(keep) = self.last_word(stream, word, verb, keep, coming.minor).await else { return false };
         if !keep {
-            linger(stream).await;
+            self.linger(stream).await;
         }
         keep
     }
@@ -470,12 +539,17 @@
     ) -> Result<(), Bad> {
         while !coming.whole() {
             within(READ_WITHIN, coming.more(stream)).await.unwrap_or(Err(Bad::Late))?;
-            for piece in coming.take(&self.stock).await {
-                if give.send(Next::Piece(piece)).await.is_err() {
-                    // The command is over, and its final word on its way.
-                    futures_lite::future::pending::<()>().await;
+            let hand_on = async {
+                for piece in coming.take(&self.stock).await {
+                    if give.send(Next::Piece(piece)).await.is_err() {
+                        // The command is over, and its final word on its way.
+                        futures_lite::future::pending::<()>().await;
+                    }
                 }
-            }
+                Ok(())
+            };
+            // Where nothing is taken nothing is read, and the caller's leaving would go unseen.
+            or(hand_on, gone(stream)).await?;
         }
         Ok(())
     }
@@ -547,11 +621,27 @@
         tracing::debug!(status, why, "turned away");
         let keep = self.say(stream, *status, b"", format!("{why}\n").as_bytes(), keep).await;
         if !keep {
-            linger(stream).await;
+            self.linger(stream).await;
         }
         keep
     }
 
+    /// Closing on bytes that nobody read resets the connection, and with it the answer on its way.
+    async fn linger(&self, mut stream: &Async<TcpStream>) {
+        let _ = stream.get_ref().shutdown(Shutdown::Write);
+        let read_off = async {
+            let (mut bytes, mut all) = ([0; 4096], 0);
+            while let Ok(count @ 1..) = stream.read(&mut bytes).await {
+                all += count;
+                if all > LINGER_MOST {
+                    break;
+                }
+            }
+        };
+        let left = self.left_to_end().map_or(LINGER, |left| left + LINGER_AT_END);
+        within(LINGER.min(left), read_off).await;
+    }
+
     async fn say(
         &self,
         stream: &Async<TcpStream>,
@@ -598,21 +688,33 @@
         held.iter_mut().for_each(|buffer| buffer.fill(bytes.len()));
     }
 
+    /// How much more may be read; nothing where what is held is full, or there is no buffer to hold it.
     fn room(&self) -> usize {
-        self.bytes.borrow_mut().as_mut().map_or(SIZE, |held| held.spare().len())
+        let mut held = self.bytes.borrow_mut();
+        if held.is_none() {
+            *held = self.stock.buffer();
+        }
+        held.as_mut().filter(|_| !self.lost.get()).map_or(0, |held| held.spare().len())
     }
 
-    /// Comes back when the caller has left. What it writes ahead would hide that, so it is read as far as there is room.
+    /// Comes back when the caller has left. What it writes ahead would hide that, so it is read as far as there is room;
+    /// past that the end is looked for behind what is not read.
     async fn until_gone(&self, mut stream: &Async<TcpStream>) {
         let mut bytes = [0; 1024];
-        while self.room() > 0 && !self.lost.get() {
+        while matches!(stream.peek(&mut [0]).await, Ok(1..)) {
             let most = self.room().min(bytes.len());
+            if most == 0 {
+                if leaving::ended(stream) {
+                    return;
+                }
+                Timer::after(leaving::LOOK_EVERY).await;
+                continue;
+            }
             match stream.read(&mut bytes[..most]).await {
                 Ok(count @ 1..) => self.add(&bytes[..count]),
                 _ => return,
             }
         }
-        futures_lite::future::pending::<()>().await;
     }
 
     fn kept(self, keep: bool) -> Option<Option<Buffer>> {
@@ -620,19 +722,10 @@
     }
 }
 
-/// Closing on bytes that nobody read resets the connection, and with it the answer on its way.
-async fn linger(mut stream: &Async<TcpStream>) {
-    let _ = stream.get_ref().shutdown(Shutdown::Write);
-    let read_off = async {
-        let (mut bytes, mut all) = ([0; 4096], 0);
-        while let Ok(count @ 1..) = stream.read(&mut bytes).await {
-            all += count;
-            if all > LINGER_MOST {
-                break;
-            }
-        }
-    };
-    within(LINGER, read_off).await;
+/// Ends with the caller's connection, seen without reading from it.
+async fn gone(stream: &Async<TcpStream>) -> Result<(), Bad> {
+    leaving::until_ended(stream).await;
+    Err(Bad::Ended)
 }
 
 /// What is said of a message that is none; None where its sender has gone.
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -4,6 +4,7 @@
 
 use super::buffers::{HOLD_MOST, Place, Stock};
 use super::http::{self, Bad, Coming, Marked, Piece};
+use super::leaving::Asker;
 use super::within::within;
 use crate::launch::Launch;
 use async_channel::Receiver;
@@ -38,7 +39,9 @@
 /// How far a relay has come. What is not written whole has never run.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Stage {
+    /// Not a byte of it is written.
     Unwritten,
+    Begun,
     Written,
     Ended,
 }
@@ -51,6 +54,7 @@
     pub rest: Option<Rest>,
     /// A break in the middle would end it, as it is not sent again elsewhere.
     pub careful: bool,
+    pub asker: Asker,
 }
 
 /// The rest of a body, as the caller's side reads it. What is taken from it is gone: there is no other relay then.
@@ -69,7 +73,7 @@
 }
 
 impl Outgoing {
-    fn unsent(&self) -> bool {
+    pub fn unsent(&self) -> bool {
         self.rest.as_ref().is_none_or(|rest| !rest.spent.get())
     }
 }
@@ -222,7 +226,12 @@
             let left = cmd.rest.as_ref().map_or(left, |rest| rest.left).as_millis();
             [&cmd.head[..], format!("X-Expires-In-Ms: {left}\r\n\r\n").as_bytes()].concat()
         };
-        let write = async |conn: &Conn| self.write(conn, &head(), cmd, until).await;
+        // Its caller may have left in the very moment in which the connection came up.
+        let owed = || !cmd.asker.left();
+        let write = async |conn: &Conn| {
+            stage.set(Stage::Begun);
+            self.write(conn, &head(), cmd, until).await
+        };
         // What came in pieces is due only from here on.
         let late = async || match &cmd.rest {
             None => futures_lite::future::pending().await,
@@ -233,7 +242,7 @@
             late().await;
             Outcome::Timeout
         };
-        match self.once(to, cmd.careful, write, written).await {
+        match self.once(to, cmd.careful, owed, write, written).await {
             Ok((mut coming, conn)) => {
                 let (outcome, load) = read_outcome(&coming.head);
                 let wanted = outcome == Outcome::Ok;
@@ -328,10 +337,15 @@
         &self,
         to: &Target,
         careful: bool,
+        owed: impl FnOnce() -> bool,
         write: impl AsyncFnOnce(&Conn) -> Result<(), Outcome>,
         written: impl AsyncFnOnce() -> Outcome,
     ) -> Result<(Coming, Conn), Outcome> {
         let (conn, idle) = self.connection(to, careful).await?;
+        if !owed() {
+            self.keep(to, conn);
+            return Err(Outcome::Moot);
+        }
         let buffer = self.stock.buffer().ok_or(Outcome::Moot)?;
         let over = Cell::new(false);
         let writes = async {
@@ -373,11 +387,13 @@
         let write = async |conn: &Conn| {
             http::write(&conn.stream, head.as_bytes(), b"").await.map_err(|_| Outcome::ConnectFailed)
         };
-        let (mut answer, conn) =
-            match self.once(to, false, write, async || futures_lite::future::pending().await).await {
-                Ok(answer) => answer,
-                Err(outcome) => return (outcome, Load::default()),
-            };
+        let (mut answer, conn) = match self
+            .once(to, false, || true, write, async || futures_lite::future::pending().await)
+            .await
+        {
+            Ok(answer) => answer,
+            Err(outcome) => return (outcome, Load::default()),
+        };
         if self.hold(to, &mut answer, conn, false).await.is_err() {
             return (Outcome::Reset, Load::default());
         }
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod endpoints;
 pub mod http;
 mod learnt;
+mod leaving;
 pub mod owner;
 mod peers;
 pub mod within;
@@ -45,6 +46,8 @@
 /// The last part of it is for what is open, the first for taking: callers who keep their connections are
 /// answered here while another sidecar, stopped before this one, is not back yet.
 const FINISHING: Duration = Duration::from_millis(1500);
+/// How long it takes at most to take those who have connected by then.
+const LAST_TAKEN: Duration = Duration::from_millis(200);
 /// New connections go on coming for up to 0.4 s.
 const GO_ON_TAKING: Duration = Duration::from_millis(600);
 
@@ -109,6 +112,14 @@
     }
 }
 
+/// Lets go of the listener once those who wait at it are taken. Those in no time are not: their number has no bound.
+async fn stop_taking(callers: &Callers, accepting: Task<()>) {
+    callers.take_no_more();
+    if within::within(LAST_TAKEN, accepting).await.is_none() {
+        tracing::warn!("SIGTERM: more callers wait than could be taken within {LAST_TAKEN:?}");
+    }
+}
+
 /// The listener for callers, and whether it is one that another process may listen at too.
 fn listener(launch: &Launch) -> io::Result<Async<TcpListener>> {
     match handover::inherited(launch.inherited, launch.listen) {
@@ -217,12 +228,12 @@
     let taking = until_killed.saturating_sub(FINISHING).max(GO_ON_TAKING);
     if presence.is_some_and(|presence| presence.borrow_mut().another()) {
         // The other process has the listener too, and takes those who come.
-        accepting.cancel().await;
+        stop_taking(&callers, accepting).await;
         callers.part();
         Timer::after(taking).await;
     } else {
         Timer::after(taking).await;
-        accepting.cancel().await;
+        stop_taking(&callers, accepting).await;
     }
     callers.ended().await;
     tracing::info!("all taken commands have their answers");
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -6,7 +6,7 @@
 use super::endpoints::{Answer, End, Endpoints, Outgoing, Stage, Target};
 use super::learnt::{self, Before, SAVE_EVERY, SAVE_FIRST, Saving};
 use super::peers::Peers;
-use crate::catalog::{Catalog, Entry};
+use crate::catalog::Catalog;
 use crate::clock::Clock;
 use crate::console::Order;
 use crate::fleet;
@@ -148,9 +148,31 @@
             // A caller that has just left hears nothing more.
             let _ = open.caller.try_send(word);
         }
+        self.withdraw(cmd);
         self.forget_ended(cmd);
     }
 
+    /// Nothing is owed any more: what was not written whole is taken back, whether relays may be called off or not. That
+    /// is about what an endpoint has; this it never had.
+    fn withdraw(&mut self, cmd: &Id) {
+        let Some(open) = self.open.get(cmd) else { return };
+        let unwritten = |shot: &Shot| matches!(shot.stage.get(), Stage::Unwritten | Stage::Begun);
+        let numbers: Vec<u32> =
+            (0..).zip(&open.shots).filter(|(_, shot)| unwritten(shot)).map(|(number, _)| number).collect();
+        numbers.into_iter().for_each(|number| self.cancel(cmd, number));
+    }
+
+    /// Nothing new goes to this server: a relay whose connection is not up yet would begin there whenever it is.
+    fn withdraw_from(&mut self, server: &Id) {
+        let waits = |shot: &Shot| shot.server == *server && shot.stage.get() == Stage::Unwritten;
+        let of = |(cmd, open): (&Id, &Open)| {
+            let shots = (0u32..).zip(&open.shots).filter(|(_, shot)| waits(shot));
+            shots.map(|(number, _)| (cmd.clone(), number)).collect::<Vec<_>>()
+        };
+        let waiting: Vec<(Id, u32)> = self.open.iter().flat_map(of).collect();
+        waiting.into_iter().for_each(|(cmd, number)| self.cancel(&cmd, number));
+    }
+
     fn forget_ended(&mut self, cmd: &Id) {
         let over = |open: &Open| open.finished && open.shots.iter().all(|shot| shot.ended);
         if self.open.get(cmd).is_some_and(over) {
@@ -191,16 +213,17 @@
     }
 
     fn cancel(&mut self, cmd: &Id, number: u32) {
-        let shot = self.open.get_mut(cmd).and_then(|open| open.shots.get_mut(number as usize));
-        let Some(shot) = shot else { return };
+        let Some(open) = self.open.get_mut(cmd) else { return };
+        let Some(shot) = open.shots.get_mut(number as usize) else { return };
         // Another outcome may be on the queue already: then that one stands.
         let outcome = match shot.stage.replace(Stage::Ended) {
             Stage::Ended => return,
             Stage::Written => Outcome::Cancelled,
-            Stage::Unwritten => Outcome::Moot,
+            Stage::Unwritten | Stage::Begun => Outcome::Moot,
         };
         shot.task = None;
-        self.queue.tell(Word::Ended(cmd.clone(), number, Box::new(End::bare(outcome))));
+        let end = End { spent: !open.outgoing.unsent(), ..End::bare(outcome) };
+        self.queue.tell(Word::Ended(cmd.clone(), number, Box::new(end)));
     }
 }
 
@@ -352,6 +375,9 @@
             let since = now.saturating_sub(order.recorded.unwrap_or_default());
             self.policy.use_again(now, &id, since)
         };
+        if order.out {
+            self.desk.borrow_mut().withdraw_from(&id);
+        }
         // What is kept to a server that is restarted is worth nothing.
         self.desk.borrow().outside.endpoints.forget(&id);
         let _ = order.known.try_send(known);
@@ -475,22 +501,32 @@
         }
     }
 
-    /// A server that is gone, or not in a whole list, is forgotten: new ones come under new ids all day.
+    /// A server that is gone, or not in a whole list, is forgotten: new ones come under new ids all day. What waits for a
+    /// connection to one that takes nothing new, or that has moved, is taken back.
     fn note_addresses(&mut self, catalog: Catalog) -> Vec<Listed> {
-        let Desk { addresses, outside: Outside { endpoints, .. }, .. } = &mut *self.desk.borrow_mut();
-        let gone = |entry: &Entry| entry.listed.state == State::Gone;
+        let desk = &mut *self.desk.borrow_mut();
+        let mut left = Vec::new();
+        let Desk { addresses, outside: Outside { endpoints, .. }, .. } = desk;
         let old = if catalog.whole { std::mem::take(addresses) } else { BTreeMap::new() };
         for entry in &catalog.entries {
-            if gone(entry) {
-                addresses.remove(&entry.listed.server);
-                endpoints.forget(&entry.listed.server);
-            } else {
-                addresses.insert(entry.listed.server.clone(), entry.address);
+            let server = &entry.listed.server;
+            let before = match entry.listed.state {
+                State::Gone => {
+                    endpoints.forget(server);
+                    addresses.remove(server)
+                }
+                _ => addresses.insert(server.clone(), entry.address),
+            };
+            let moved = before.or(old.get(server).copied()).is_some_and(|before| before != entry.address);
+            if moved || entry.listed.state != State::Ready {
+                left.push(server.clone());
             }
         }
-        old.keys()
-            .filter(|server| !addresses.contains_key(*server))
-            .for_each(|server| endpoints.forget(server));
+        for server in old.into_keys().filter(|server| !addresses.contains_key(server)) {
+            endpoints.forget(&server);
+            left.push(server);
+        }
+        left.iter().for_each(|server| desk.withdraw_from(server));
         catalog.entries.into_iter().map(|entry| entry.listed).collect()
     }
 
@@ -526,6 +562,7 @@
         let left = |open: &&mut Open| open.number == number && !open.finished;
         let Some(open) = desk.open.get_mut(id).filter(left) else { return };
         open.finished = true;
+        desk.withdraw(id);
         drop(desk);
         self.policy.client_left(now, id);
         self.desk.borrow_mut().forget_ended(id);
