Learnt files tell deployments apart by all that is set of verbs, tenants and limits

Cause: learnt::deployment named the tier and the verbs only, so that two customers whose names agree took over each other's marks and paces. The failing line, with only the first verb's limit, a tenant's name or the most relays changed: "both are new: 0 and 20". The name now holds a digest of the verbs' terms, tenants, quotas, what is allowed, the cold rule and prices. Not in it: the number of copies and discovery's address, which change within one deployment (SIGHUP); of ids that the new list does not name nothing is taken over anyway. The maintenance record stays bound to the sidecar's name alone: it must hold over an upgrade that changes limits, and an operator's ban errs to the safe side. The test takes the name from the program's own file instead of writing it down.

--- a/crates/sidecar/src/net/learnt.rs
+++ b/crates/sidecar/src/net/learnt.rs
@@ -6,6 +6,7 @@
 use landingspread_decisions::carried::Learnt;
 use landingspread_decisions::host::Id;
 use serde::{Deserialize, Serialize};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::Read;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -55,10 +56,18 @@
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// What tells one deployment from another: the tier that is sent to, and its verbs.
+/// What tells one deployment from another: the tier that is sent to, its verbs, and all that is set of them, of tenants and
+/// of limits. How many copies there are changes within one, and so does discovery's address, by SIGHUP.
 pub fn deployment(launch: &Launch) -> String {
     let verbs: Vec<&str> = launch.verbs.iter().map(|verb| verb.name.as_str()).collect();
-    format!("tier {} of {}", launch.terms.tier, verbs.join(" "))
+    let terms = &launch.terms;
+    let set = format!(
+        "{:?} {:?} {:?} {:?} {:?} {:?}",
+        terms.verbs, launch.tenants, terms.quotas, terms.allowed, terms.cold, terms.prices
+    );
+    let mut hasher = DefaultHasher::new();
+    set.hash(&mut hasher);
+    format!("tier {} of {}, set as {:016x}", terms.tier, verbs.join(" "), hasher.finish())
 }
 
 fn usable(path: &Path, deployment: &str) -> Result<Saved, String> {
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -499,25 +499,38 @@
     let kept = std::env::temp_dir().join(format!("landingspread-learnt-{}.json", discovery.address));
     let unix =
         std::time::SystemTime::now().duration_since(std::time::SystemTime::UNIX_EPOCH).expect("a time");
+    let start = |change: &dyn Fn(&mut Value)| {
+        Sidecar::start_as(&known, discovery.address, |config| {
+            moved(config);
+            config["settings"]["Report"] = json!({"How": "none"});
+            config["learnt"] = json!(kept);
+            change(config);
+        })
+    };
+    // The file says whose it is in words of its own.
+    let _ = std::fs::remove_file(&kept);
+    let (mut of, first) = (String::new(), start(&|_| ()));
+    within("it keeps what it learns", || {
+        let saved: Option<Value> = serde_json::from_slice(&std::fs::read(&kept).unwrap_or_default()).ok();
+        of = saved.and_then(|saved| Some(saved["deployment"].as_str()?.to_string())).unwrap_or_default();
+        !of.is_empty()
+    });
+    drop(first);
     let saved = |age_ms: u128| {
-        let of = "tier 0 of view hold confirm";
         json!({"version": 2, "deployment": of, "saved_unix_ms": (unix.as_millis() - age_ms) as u64, "servers": [
             {"id": "s1", "started_unix_ms": 0, "slowness": 2.0, "marked": true},
             {"id": "s2", "started_unix_ms": 0, "slowness": 1.0, "marked": false}]})
     };
-    let play = |text: &str| {
+    let play_as = |text: &str, change: &dyn Fn(&mut Value)| {
         std::fs::write(&kept, text).expect("a file");
-        let sidecar = Sidecar::start_as(&known, discovery.address, |config| {
-            moved(config);
-            config["settings"]["Report"] = json!({"How": "none"});
-            config["learnt"] = json!(kept);
-        });
+        let sidecar = start(change);
         let before = (slow.count(), well.count());
         for number in 0..20 {
             assert_eq!(sidecar.cmd("view", &format!("f{number}"), 1500), 200);
         }
         ((slow.count() - before.0, well.count() - before.1), sidecar)
     };
+    let play = |text: &str| play_as(text, &|_| ());
     let (went, _sidecar) = play(&saved(1000).to_string());
     assert_eq!(went, (0, 20), "the marked one gets nothing before its checks have passed");
     within("it keeps what it learns", || {
@@ -536,6 +549,16 @@
         let ((first, second), _sidecar) = play(&text);
         assert!(first > 0 && second > 0, "both are new: {first} and {second}");
     }
+    // So is what another customer's process left, whose tier and verbs have the same names.
+    let others: [&dyn Fn(&mut Value); 3] = [
+        &|config| config["settings"]["Verbs"][0]["TimeLimit"] = json!(1_900_000),
+        &|config| config["settings"]["Tenants"][0]["Name"] = json!("other"),
+        &|config| config["settings"]["PolicyLimits"]["MostRelays"] = json!(5),
+    ];
+    for change in others {
+        let ((first, second), _sidecar) = play_as(&saved(1000).to_string(), change);
+        assert!(first > 0 && second > 0, "both are new: {first} and {second}");
+    }
     let _ = std::fs::remove_file(&kept);
 }
 
