After SIGTERM commands with more time than the process has get a word in time

Cause: after SIGTERM only what came from then on was due before the kill (Callers::due). A command that was open already with a longer limit than the 3 s that a kill is put off for at most had no final word by then, nor did the process end. Forced on sockets with limits of 9 s, servers that hang and one that lets no dial through; the failing line: "cancelling allowed: true, command 0: None after 5.1 s". Change: Policy::ends_by caps what is open (ending.rs, a file of its own; policy.rs has one word more); the owner ends relays that are out then, as by their time: what was not written is taken back, what may have run is terminated unless it may be repeated. What is being passed on goes on. Without SIGTERM nothing changes. Result: 18 commands of three kinds, calling off allowed and not: each 502 or 503 in time, exit code 0 within 3.7 s.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -4,6 +4,7 @@
 mod book;
 pub mod carried;
 mod copies;
+mod ending;
 mod fleet;
 pub mod host;
 pub mod policy;
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -121,7 +121,7 @@
     pub(crate) fleet: Fleet,
     pub(crate) aside: Aside,
     pub(crate) zones: Zones,
-    cmds: BTreeMap<Id, Cmd>,
+    pub(crate) cmds: BTreeMap<Id, Cmd>,
     held: Vec<Id>,
     pub(crate) verbs: Vec<VerbRecord>,
     pub(crate) seen: Seen,
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -239,7 +239,9 @@
 
     /// Commands are taken as before, but each is due within this span.
     pub fn begin_to_end(&self, within: Duration) {
-        self.all_due.set(Some(self.clock.now() + within));
+        let at = self.clock.now() + within;
+        self.all_due.set(Some(at));
+        self.queue.tell(Word::EndsBy(at));
     }
 
     /// Closes what waits, makes each answer its connection's last and comes back when nobody is left. Once all that was
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -67,6 +67,10 @@
     Peer(u32, Vec<u8>),
     Listed(Catalog),
     ListFailed,
+    /// The process ends: by then all that is open has its final word.
+    EndsBy(Duration),
+    /// It is that time.
+    AllDue,
 }
 
 /// The sending side of the owner's queue. It has no bound of its own: each open socket has at most one word
@@ -133,6 +137,8 @@
     open: BTreeMap<Id, Open>,
     addresses: BTreeMap<Id, SocketAddr>,
     wakes: BinaryHeap<Reverse<Duration>>,
+    /// No relay lasts longer.
+    ends_by: Duration,
     outside: Outside,
     executor: Rc<LocalExecutor<'static>>,
     queue: Queue,
@@ -188,6 +194,7 @@
         };
         let number = open.shots.len() as u32;
         let not_past = if not_past.is_zero() { open.due } else { not_past.min(open.due) };
+        let not_past = not_past.min(self.ends_by);
         let stage = Rc::new(Cell::new(Stage::Unwritten));
         let address = self.addresses.get(server).copied();
         let may_go = !open.finished && now < not_past && open.shots.len() < self.most_relays;
@@ -212,13 +219,29 @@
         open.shots.push(shot);
     }
 
+    /// The process ends: what is out of commands that came before it was told so ends as by its time. What is being
+    /// passed on has its final word and goes on.
+    fn end_relays(&mut self) {
+        let of = |(cmd, open): (&Id, &Open)| {
+            let out = (0u32..).zip(&open.shots).filter(|(_, shot)| !shot.ended && !open.finished);
+            out.map(|(number, _)| (cmd.clone(), number)).collect::<Vec<_>>()
+        };
+        let out: Vec<(Id, u32)> = self.open.iter().flat_map(of).collect();
+        out.iter().for_each(|(cmd, number)| self.stop(cmd, *number, Outcome::Timeout));
+    }
+
     fn cancel(&mut self, cmd: &Id, number: u32) {
+        self.stop(cmd, number, Outcome::Cancelled);
+    }
+
+    /// Ends a relay here, by this outcome if it may have run.
+    fn stop(&mut self, cmd: &Id, number: u32, written: Outcome) {
         let Some(open) = self.open.get_mut(cmd) else { return };
         let Some(shot) = open.shots.get_mut(number as usize) else { return };
         // Another outcome may be on the queue already: then that one stands.
         let outcome = match shot.stage.replace(Stage::Ended) {
             Stage::Ended => return,
-            Stage::Written => Outcome::Cancelled,
+            Stage::Written => written,
             Stage::Unwritten | Stage::Begun => Outcome::Moot,
         };
         shot.task = None;
@@ -330,6 +353,7 @@
         open: BTreeMap::new(),
         addresses: BTreeMap::new(),
         wakes: BinaryHeap::new(),
+        ends_by: Duration::MAX,
         outside,
         executor,
         queue,
@@ -488,6 +512,8 @@
             }
             Word::Peer(peer, words) => self.peer_said(now, peer, &words),
             Word::ListFailed => self.policy.list_call_failed(now),
+            Word::EndsBy(at) => self.ends_by(now, at),
+            Word::AllDue => self.desk.borrow_mut().end_relays(),
         }
     }
 
@@ -530,6 +556,18 @@
         catalog.entries.into_iter().map(|entry| entry.listed).collect()
     }
 
+    fn ends_by(&mut self, now: Duration, at: Duration) {
+        self.policy.ends_by(now, at);
+        let mut desk = self.desk.borrow_mut();
+        desk.ends_by = at;
+        let (queue, due) = (desk.queue.clone(), self.clock.instant(at));
+        let tell = async move {
+            Timer::at(due).await;
+            queue.tell(Word::AllDue);
+        };
+        desk.executor.spawn(tell).detach();
+    }
+
     fn cmd_came(&mut self, now: Duration, came: Came) {
         let Came { number, arrival, outgoing, caller } = came;
         let mut desk = self.desk.borrow_mut();
--- a/crates/sidecar/tests/endings.rs
+++ b/crates/sidecar/tests/endings.rs
@@ -451,3 +451,52 @@
     assert!(end.success(), "play {number}: {end}");
     drop((half, body));
 }
+
+/// What was open when the signal came, and due only after the process is killed, is owed a word before that too.
+#[test]
+fn after_sigterm_commands_with_more_time_than_the_process_has_hear_a_word_before_it_is_killed() {
+    for cancel in [true, false] {
+        let mut gate = Gate::closed();
+        let hangs = endpoint(Does::Wait(20_000));
+        let discovery = list_source();
+        let known = catalog(1, &[("s1", hangs.address, "ready"), ("s2", gate.address, "ready")]);
+        let mut sidecar = Sidecar::start_as(&known, discovery.address, |config| {
+            roomy(config, cancel);
+            config["settings"]["PolicyLimits"]["DialTimeout"] = json!(30_000_000);
+            for verb in config["settings"]["Verbs"].as_array_mut().expect("verbs") {
+                (verb["TimeLimit"], verb["ResponseGoal"]) = (json!(9_000_000), json!(9_000_000));
+            }
+        });
+        let ask = |number: usize| {
+            let mut stream = sidecar.open().expect("a connection");
+            let text = cmd(VERBS[number % 3], &format!("t{number}"), 9000);
+            stream.write_all(text.as_bytes()).expect("it is written");
+            stream
+        };
+        let mut open: Vec<TcpStream> = (0..9).map(ask).collect();
+        within("some hang and some dial", || hangs.count() > 0 && dialling(gate.address) > 0);
+        sidecar.signal("-TERM");
+        let told = Instant::now();
+        for (number, stream) in open.iter_mut().enumerate() {
+            let word = answer(stream).map(|(status, ..)| status);
+            // Only what is known not to have run, or may be repeated, is harmless to ask for again.
+            let wanted = matches!(word, Some(503)) || (VERBS[number % 3] != "view" && word == Some(502));
+            assert!(
+                wanted,
+                "cancelling allowed: {cancel}, command {number}: {word:?} after {:?}",
+                told.elapsed()
+            );
+        }
+        let end = loop {
+            if let Some(end) = sidecar.child.try_wait().expect("a child") {
+                break end;
+            }
+            assert!(told.elapsed() < ms(3700), "it runs past the time of its kill");
+            thread::sleep(ms(5));
+        };
+        assert!(end.success(), "{end}");
+        gate.open();
+        thread::sleep(ms(300));
+        assert!(gate.came().is_empty());
+    }
+}
