A 200 before a command's last byte is another's late copy and is not passed on

Cause, found by reading for what crosses on kept connections: Endpoints::once took any answer that came while the message was still written. An endpoint begins with the last byte; a 200 before that is a second copy of the answer before it, later than the 3 ms of quiet that is looked for. Forced with a body of 200 kB of which half has come; the failing line: "assertion failed: view, left: Some(200), right: Some(503)". Now it counts as no connection: nothing can have run, the connection is closed, and the command is declined where its body cannot be sent again. Ruled out for bodies that are held: they are written in one poll, before a look.

--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -366,6 +366,10 @@
             self.breaks.borrow_mut().add(idle, broke);
         }
         match answer {
+            // It began before there was anything to answer: a late copy of another command's.
+            Ok(coming) if !over.get() && http::status(&coming.head) == Some(200) => {
+                Err(Outcome::ConnectFailed)
+            }
             Ok(mut coming) => {
                 coming.keep &= over.get();
                 Ok((coming, conn))
--- a/crates/sidecar/tests/endings.rs
+++ b/crates/sidecar/tests/endings.rs
@@ -557,3 +557,38 @@
         assert!(gate.came().is_empty(), "cancelling allowed: {cancel}: {:?}", gate.came());
     }
 }
+
+#[test]
+fn an_answer_that_comes_before_its_commands_last_byte_is_no_answer_to_it() {
+    // A second copy of the first answer, so late that the next command has begun.
+    let listener = free();
+    let at = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut peer = Peer::new(stream);
+                if matches!(peer.command(), Ok(Some(_))) && peer.write(OK).is_ok() {
+                    let _ = peer.stream.peek(&mut [0]);
+                    let _ = peer.write(OK);
+                    let _ = peer.command();
+                }
+            });
+        }
+    });
+    for (number, verb) in VERBS.into_iter().enumerate() {
+        let discovery = list_source();
+        let known = catalog(1, &[("s1", at, "ready")]);
+        let sidecar = Sidecar::start_as(&known, discovery.address, |config| roomy(config, true));
+        assert_eq!(sidecar.cmd("hold", &format!("f{number}"), 1500), 200);
+        thread::sleep(ms(20));
+        let mut stream = sidecar.open().expect("a connection");
+        let text = cmd(verb, &format!("n{number}"), 1500).replace("Content-Length: 4\r\n", "");
+        let (head, _) = text.split_once("\r\n\r\n").expect("a head");
+        stream
+            .write_all(format!("{head}\r\nContent-Length: 200000\r\n\r\n").as_bytes())
+            .expect("it is written");
+        stream.write_all(&[b'x'; 100_000]).expect("it is written");
+        // Nothing of it can have run: to ask again is harmless.
+        assert_eq!(answer(&mut stream).map(|(status, ..)| status), Some(503), "{verb}");
+    }
+}
