--- a/crates/sidecar/tests/endings.rs
+++ b/crates/sidecar/tests/endings.rs
@@ -18,6 +18,8 @@
 /// A dial that was not let through is tried again by the system after 1 s: this much later it would be there.
 const LOOKED_FOR: Duration = Duration::from_millis(1400);
 
+/// Checks have no id.
+const CHECK: &str = "a check";
 const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 /// A server whose system takes no connection until the gate is opened: dials to it hang.
@@ -60,8 +62,10 @@
         });
     }
 
+    /// Of commands, whole or not.
     fn came(&self) -> Vec<(String, Instant)> {
-        self.came.lock().expect("a lock").clone()
+        let came = self.came.lock().expect("a lock");
+        came.iter().filter(|(id, _)| id != CHECK).cloned().collect()
     }
 }
 
@@ -75,7 +79,8 @@
             came.len() - 1
         };
         let Ok(Some(heard)) = peer.command() else { return };
-        came.lock().expect("a lock")[at].0 = heard.header("x-trace-id").unwrap_or("").to_string();
+        let name = if heard.path() == "/ping" { CHECK } else { heard.header("x-trace-id").unwrap_or("") };
+        came.lock().expect("a lock")[at].0 = name.to_string();
         while !answers.load(Ordering::Relaxed) {
             thread::sleep(ms(5));
         }
@@ -500,3 +505,90 @@
         assert!(gate.came().is_empty());
     }
 }
+
+#[test]
+fn the_other_relay_of_a_pair_is_not_begun_once_the_command_is_answered() {
+    for cancel in [true, false] {
+        let mut gate = Gate::closed();
+        let well = endpoint(Does::Wait(30));
+        let discovery = list_source();
+        let known = catalog(1, &[("s1", well.address, "ready")]);
+        let sidecar = Sidecar::start_as(&known, discovery.address, |config| {
+            roomy(config, cancel);
+            config["settings"]["PolicyLimits"]["ParallelTries"] = json!(true);
+        });
+        for number in 0..20 {
+            assert_eq!(sidecar.cmd("view", &format!("w{number}"), 3900), 200);
+        }
+        let before = discovery.seen().0;
+        let both = [("s1", well.address, "ready"), ("s2", gate.address, "ready")];
+        discovery.write(2, catalog(2, &both).to_string());
+        within("the list is taken", || discovery.seen().0 > before);
+        // Those that are drawn to the gate are overdue soon, and are answered by the other server meanwhile.
+        let mut pairs = 0;
+        for number in 0..60 {
+            let mut stream = sidecar.open().expect("a connection");
+            let text = cmd("view", &format!("p{number}"), 3900);
+            stream.write_all(text.as_bytes()).expect("it is written");
+            let dialled = loop {
+                let mut byte = [0];
+                let _ = stream.set_read_timeout(Some(ms(5)));
+                let dials = dialling(gate.address) > 0;
+                if dials || matches!(stream.peek(&mut byte), Ok(1)) {
+                    break dials;
+                }
+            };
+            let _ = stream.set_read_timeout(Some(BOUNDED));
+            assert_eq!(answer(&mut stream).map(|(status, ..)| status), Some(200), "command {number}");
+            if dialled {
+                pairs += 1;
+                // Its own time is 4 s.
+                let answered = Instant::now();
+                while dialling(gate.address) > 0 {
+                    assert!(answered.elapsed() < ms(1000), "cancelling allowed: {cancel}: it dials on");
+                    thread::sleep(ms(5));
+                }
+            }
+        }
+        assert!(pairs > 0, "some are drawn to the gate");
+        println!("cancelling allowed: {cancel}: {pairs} pairs");
+        gate.open();
+        thread::sleep(LOOKED_FOR);
+        assert!(gate.came().is_empty(), "cancelling allowed: {cancel}: {:?}", gate.came());
+    }
+}
+
+#[test]
+fn an_answer_that_comes_before_its_commands_last_byte_is_no_answer_to_it() {
+    // A second copy of the first answer, so late that the next command has begun.
+    let listener = free();
+    let at = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut peer = Peer::new(stream);
+                if matches!(peer.command(), Ok(Some(_))) && peer.write(OK).is_ok() {
+                    let _ = peer.stream.peek(&mut [0]);
+                    let _ = peer.write(OK);
+                    let _ = peer.command();
+                }
+            });
+        }
+    });
+    for (number, verb) in VERBS.into_iter().enumerate() {
+        let discovery = list_source();
+        let known = catalog(1, &[("s1", at, "ready")]);
+        let sidecar = Sidecar::start_as(&known, discovery.address, |config| roomy(config, true));
+        assert_eq!(sidecar.cmd("hold", &format!("f{number}"), 1500), 200);
+        thread::sleep(ms(20));
+        let mut stream = sidecar.open().expect("a connection");
+        let text = cmd(verb, &format!("n{number}"), 1500).replace("Content-Length: 4\r\n", "");
+        let (head, _) = text.split_once("\r\n\r\n").expect("a head");
+        stream
+            .write_all(format!("{head}\r\nContent-Length: 200000\r\n\r\n").as_bytes())
+            .expect("it is written");
+        stream.write_all(&[b'x'; 100_000]).expect("it is written");
+        // Nothing of it can have run: to ask again is harmless.
+        assert_eq!(answer(&mut stream).map(|(status, ..)| status), Some(503), "{verb}");
+    }
+}
