--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -3,7 +3,15 @@
 //! figure that was neither measured nor derived from the protocol.
 
 mod fit;
+mod page;
+mod sheet;
+mod size;
 mod slope;
+mod sums;
 
 pub use fit::{Fit, Point};
-pub use slope::{Role, Slope, Slopes, Source};
+pub use page::{Section, figure, put, sections, text};
+pub use sheet::{BUDGET_BYTES_PER_S, BY, Cell, Line, sheet, unread};
+pub use size::{Assumption, BUILT_IN, Case, Operators, Pairing, Size};
+pub use slope::{BUILT_IN as BUILT_IN_SLOPES, Role, Slope, Slopes, Source};
+pub use sums::{Class, Moment, Sums};
--- a/crates/capacity/src/slope.rs
+++ b/crates/capacity/src/slope.rs
@@ -7,6 +7,9 @@
 use std::collections::BTreeSet;
 use std::fmt::{self, Write};
 
+/// The built-in file.
+pub const BUILT_IN: &str = include_str!("slopes.toml");
+
 /// Who spends it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -25,6 +25,28 @@
     Bench(Bench),
     Fleet(Fleet),
     Check(Check),
+    Capacity(Capacity),
+}
+
+/// what each role needs at a size, from measured slopes, beside the operators' bounds; as Markdown
+#[derive(FromArgs)]
+#[argh(subcommand, name = "capacity")]
+pub struct Capacity {
+    /// the size; the built-in one where it is not given
+    #[argh(option)]
+    pub size: Option<PathBuf>,
+    /// the slopes that scale wrote; the built-in ones where it is not given
+    #[argh(option)]
+    pub slopes: Option<PathBuf>,
+    /// slopes with the mechanism that was missing first
+    #[argh(option)]
+    pub after: Option<PathBuf>,
+    /// a page whose tables are to be replaced, in place of printing them
+    #[argh(option)]
+    pub into: Option<PathBuf>,
+    /// print the built-in size as a file to start from
+    #[argh(switch)]
+    pub show: bool,
 }
 
 /// try everything that can come between a few copies and their verdicts on zones, up to a depth
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,6 +1,7 @@
 //! The lab's command line. It owns the choice between sub-commands and what is printed; all else is the library's.
 
 mod args;
+mod capacity;
 mod cases;
 mod fleets;
 mod live;
@@ -134,6 +135,7 @@
         Wanted::Demo(Demo {}) => live::demo(),
         Wanted::Load(wanted) => live::load(wanted),
         Wanted::Bench(wanted) => live::bench(wanted),
+        Wanted::Capacity(wanted) => capacity::capacity(wanted),
         Wanted::Fleet(_) | Wanted::Check(_) => Ok(()),
     };
     match done {
