Capacity: slopes after the missing mechanism are built in too, names that rows read, repeats over the depth

A page with needs after could not agree with the command, as the slopes after were an option only: they have a built-in file now (empty), as today's slopes have. The page lists the names that rows read, so that whoever writes slopes meets them; a slope of another name or unit is shown as read by no row.

Derived row: a tier may repeat a tenth of what may have run; 17 tiers that all do make 5.05 relays at the bottom of a call at the top, 4.6 times the goal of 1.1 (landingspread-lab capacity).

--- a/crates/capacity/src/lib.rs
+++ b/crates/capacity/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use fit::{Fit, Point};
 pub use page::{Section, figure, put, sections, text};
-pub use sheet::{BUDGET_BYTES_PER_S, BY, Cell, Line, sheet, unread};
+pub use sheet::{BUDGET_BYTES_PER_S, BY, Cell, Line, figures, sheet, unread};
 pub use size::{Assumption, BUILT_IN, Case, Operators, Pairing, Size};
-pub use slope::{BUILT_IN as BUILT_IN_SLOPES, Role, Slope, Slopes, Source};
+pub use slope::{AFTER as BUILT_IN_AFTER, BUILT_IN as BUILT_IN_SLOPES, Role, Slope, Slopes, Source};
 pub use sums::{Class, Moment, Sums};
--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -1,7 +1,7 @@
 //! The tables as Markdown. It owns how they are written and between which marks they stand in a page; it must never
 //! work a figure out.
 
-use crate::sheet::{Cell, Line, sheet, unread};
+use crate::sheet::{Cell, Line, figures, sheet, unread};
 use crate::size::{Case, Size};
 use crate::slope::{Role, Slopes};
 use crate::sums::{Moment, Sums};
@@ -69,14 +69,10 @@
     text
 }
 
-/// All tables: `after` has the slopes with the mechanism that was missing first, where those were measured.
-pub fn sections(size: &Size, today: &Slopes, after: Option<&Slopes>) -> Vec<Section> {
-    let none = Slopes::default();
-    let sheets: Vec<(&Case, Vec<Line>, Vec<Line>)> = size
-        .cases
-        .iter()
-        .map(|case| (case, sheet(size, case, today), sheet(size, case, after.unwrap_or(&none))))
-        .collect();
+/// All tables: `after` has the slopes with the mechanism that was missing first; none where it was not measured.
+pub fn sections(size: &Size, today: &Slopes, after: &Slopes) -> Vec<Section> {
+    let sheets: Vec<(&Case, Vec<Line>, Vec<Line>)> =
+        size.cases.iter().map(|case| (case, sheet(size, case, today), sheet(size, case, after))).collect();
     let mut sections = vec![("size".into(), of_size(size)), ("bounds".into(), bounds(&sheets))];
     for role in Role::ALL {
         let tables = sheets.iter().map(|(case, lines, _)| {
@@ -86,10 +82,12 @@
         sections.push((role.name().into(), tables.collect::<Vec<_>>().join("\n")));
     }
     sections.push(("slopes".into(), of_slopes(today, "today")));
-    if let Some(after) = after {
-        sections.push(("slopes-after".into(), of_slopes(after, "after")));
-    }
-    let all = today.slopes.iter().chain(after.iter().flat_map(|after| &after.slopes));
+    sections.push(("slopes-after".into(), of_slopes(after, "after")));
+    let names = figures()
+        .into_iter()
+        .map(|(role, figure, unit)| vec![role.to_string(), format!("`{figure}`"), unit.into()]);
+    sections.push(("figures".into(), table(&["role", "figure", "unit"], names)));
+    let all = today.slopes.iter().chain(&after.slopes);
     let predicted = all.flat_map(|slope| slope.predictions().map(move |found| (slope, found)));
     let predicted: Vec<Vec<String>> = predicted
         .map(|(slope, (at, predicted, measured))| {
--- a/crates/capacity/src/sheet.rs
+++ b/crates/capacity/src/sheet.rs
@@ -208,10 +208,15 @@
     main: bool,
 }
 
+/// Further relays of commands that may have run, as a share of the commands taken: what the decisions allow a tier.
+const REPEATS: f64 = 0.1;
+/// Our own goal for relays at the bottom over calls at the top, whatever the depth.
+const DEPTH_GOAL: f64 = 1.1;
 /// What `[fleet]` lets a process send a second where its configuration says nothing else: the budget of the membership.
 pub const BUDGET_BYTES_PER_S: f64 = 98_304.0;
 
 const A_PROCESS: &str = "a process, a list and a fleet for each service called";
+const PATH: &str = "the sidecar's own path: one read, one owner, one write each way";
 const RING: &str = "membership: one ring of all, if it were so";
 const WATCH: &str = "discovery: a watch for each pair; eight machines share them by no mechanism of ours";
 const NONE: &str = "none: SIGHUP reads `discovery` only";
@@ -261,10 +266,29 @@
         held(of("memory", "MB", each(&["memory"])), MEMORY),
         held(of("memory, calling most", "MB", most(&["memory"])), MEMORY),
         of("wake-ups", "wake-ups/s", each(&["wake_ups"])),
+        held(
+            row(
+                Role::Sidecar,
+                "relays at the bottom over calls at the top, as each tier may repeat",
+                "relays/call",
+                Derived(
+                    |at| (1.0 + REPEATS).powf(at.operators.deep as f64),
+                    "1.1 a tier for relays that may have run, to the power of the depth; those that never ran come on top",
+                ),
+                "a budget of repeats at each tier, none over the depth",
+            ),
+            |_| DEPTH_GOAL,
+        ),
         of("processor time of its calls", "cores", each(&["calls_cpu"])),
-        of("added to a call, median", "ms", Measured(&["added_p50"], Shape::OneFleet)),
+        row(Role::Sidecar, "added to a call, median", "ms", Measured(&["added_p50"], Shape::OneFleet), PATH),
         held(
-            of("added to a call, 99 in 100", "ms", Measured(&["added_p99"], Shape::OneFleet)),
+            row(
+                Role::Sidecar,
+                "added to a call, 99 in 100",
+                "ms",
+                Measured(&["added_p99"], Shape::OneFleet),
+                PATH,
+            ),
             |operators| operators.added_ms,
         ),
     ]
@@ -518,22 +542,29 @@
     }
 }
 
+/// The names that rows read: role, figure and unit, each once, in the order of the rows.
+pub fn figures() -> Vec<(Role, &'static str, &'static str)> {
+    let mut all = Vec::new();
+    for row in rows() {
+        let (Need::Measured(figures, _) | Need::NothingUnless(figures, _)) = row.need else { continue };
+        for figure in figures {
+            if !all.contains(&(row.role, *figure, row.unit)) {
+                all.push((row.role, *figure, row.unit));
+            }
+        }
+    }
+    all
+}
+
 /// The slopes that no row reads, by their place in the file: of a figure or unit that no row has, or over something that
 /// none knows.
 pub fn unread(slopes: &Slopes) -> Vec<usize> {
-    let rows = rows();
-    let fits = |slope: &Slope, row: &Row| {
-        let figures = match row.need {
-            Need::Derived(..) => return false,
-            Need::Measured(figures, _) | Need::NothingUnless(figures, _) => figures,
-        };
-        let named = |figure: &&str| {
-            let rest = slope.figure.strip_prefix(figure);
-            let moment = |rest: &str| Moment::ALL.iter().any(|moment| rest == format!("_{}", moment.key()));
-            rest.is_some_and(|rest| rest.is_empty() || moment(rest))
-        };
-        slope.role == row.role && slope.unit == row.unit && figures.iter().any(named)
+    let names = figures();
+    let fits = |slope: &Slope, (role, figure, unit): &(Role, &str, &str)| {
+        let rest = slope.figure.strip_prefix(figure);
+        let moment = |rest: &str| Moment::ALL.iter().any(|moment| rest == format!("_{}", moment.key()));
+        slope.role == *role && slope.unit == *unit && rest.is_some_and(|rest| rest.is_empty() || moment(rest))
     };
-    let known = |slope: &Slope| BY.contains(&slope.by.as_str()) && rows.iter().any(|row| fits(slope, row));
+    let known = |slope: &Slope| BY.contains(&slope.by.as_str()) && names.iter().any(|name| fits(slope, name));
     slopes.slopes.iter().enumerate().filter(|(_, slope)| !known(slope)).map(|(at, _)| at).collect()
 }
--- a/crates/capacity/src/slope.rs
+++ b/crates/capacity/src/slope.rs
@@ -10,6 +10,9 @@
 /// The built-in file.
 pub const BUILT_IN: &str = include_str!("slopes.toml");
 
+/// The built-in file of slopes with the mechanism that was missing first.
+pub const AFTER: &str = include_str!("after.toml");
+
 /// Who spends it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/capacity/tests/sheets.rs
+++ b/crates/capacity/tests/sheets.rs
@@ -138,7 +138,7 @@
     let mut near = slope((Role::Fleet, "cpu"), ("cores", "copies"), (0.01, 0.001));
     near.left_out = vec![Point { by: 3000.0, runs: vec![2.9] }, Point { by: 8100.0, runs: vec![5.0] }];
     let slopes = Slopes { slopes: vec![near] };
-    let parts = sections(&built_in(), &slopes, None);
+    let parts = sections(&built_in(), &slopes, &Slopes::default());
     let predicted = &parts.iter().find(|(name, _)| name == "predicted").expect("the part").1;
     assert!(predicted.contains("| 3,000 | 3.01 cores | 2.9 | +3.8% | within 15% |"), "{predicted}");
     assert!(predicted.contains("| +62.2% | off by more than 15% |"), "{predicted}");
@@ -146,7 +146,7 @@
 
 #[test]
 fn pages_take_tables_between_their_marks_and_nowhere_else() {
-    let parts = sections(&built_in(), &Slopes::default(), None);
+    let parts = sections(&built_in(), &Slopes::default(), &Slopes::default());
     let page = format!("# Before\n\n{}\nafter\n", text(&parts));
     let stale = page.replace("| sidecar |", "| sidecart |");
     assert_ne!(stale, page);
@@ -180,3 +180,19 @@
     ];
     assert_eq!(told, wanted);
 }
+
+#[test]
+fn needs_after_stand_beside_those_of_today() {
+    let after = Slopes {
+        slopes: vec![slope((Role::Configuration, "in_force_last"), ("s", "sidecars"), (0.5, 0.001))],
+    };
+    let parts = sections(&built_in(), &Slopes::default(), &after);
+    let bounds = &parts.iter().find(|(name, _)| name == "bounds").expect("the part").1;
+    let force = bounds.lines().find(|line| line.contains("until in force everywhere")).expect("the row");
+    assert!(
+        force.contains("| 10 | none |") && force.contains("plain: 8.6 (calm); bad: 8.6 (calm)"),
+        "{force}"
+    );
+    let watches = bounds.lines().find(|line| line.contains("state: watches")).expect("the row");
+    assert!(watches.contains("| not measured |"), "what is derived is no need after: {watches}");
+}
--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -38,7 +38,7 @@
     /// the slopes that scale wrote; the built-in ones where it is not given
     #[argh(option)]
     pub slopes: Option<PathBuf>,
-    /// slopes with the mechanism that was missing first
+    /// slopes with the mechanism that was missing first; the built-in ones where it is not given
     #[argh(option)]
     pub after: Option<PathBuf>,
     /// a page whose tables are to be replaced, in place of printing them
--- a/crates/lab/src/capacity.rs
+++ b/crates/lab/src/capacity.rs
@@ -2,7 +2,7 @@
 //! all arithmetic is the capacity crate's.
 
 use crate::args::Capacity;
-use landingspread_capacity::{BUILT_IN, BUILT_IN_SLOPES, Size, Slopes, put, sections, text};
+use landingspread_capacity::{BUILT_IN, BUILT_IN_AFTER, BUILT_IN_SLOPES, Size, Slopes, put, sections, text};
 use landingspread_files::{Wrong, text_of};
 use std::path::Path;
 
@@ -27,8 +27,9 @@
     let size = found(wanted.size.as_deref(), ("the built-in size", BUILT_IN), Size::read)?;
     let built_in = ("the built-in slopes", BUILT_IN_SLOPES);
     let slopes = found(wanted.slopes.as_deref(), built_in, Slopes::read)?;
-    let after = wanted.after.as_deref().map(|path| found(Some(path), ("", ""), Slopes::read)).transpose()?;
-    let sections = sections(&size, &slopes, after.as_ref());
+    let built_in = ("the built-in slopes after", BUILT_IN_AFTER);
+    let after = found(wanted.after.as_deref(), built_in, Slopes::read)?;
+    let sections = sections(&size, &slopes, &after);
     let Some(path) = &wanted.into else {
         print!("{}", text(&sections));
         return Ok(());
