--- a/crates/capacity/src/sheet.rs
+++ b/crates/capacity/src/sheet.rs
@@ -216,7 +216,7 @@
 pub const BUDGET_BYTES_PER_S: f64 = 98_304.0;
 
 const A_PROCESS: &str = "a process, a list and a fleet for each service called";
-const PATH: &str = "the sidecar's own path: one read, one owner, one write each way";
+const PATH: &str = "the sidecar's own path, by its one owner";
 const RING: &str = "membership: one ring of all, if it were so";
 const WATCH: &str = "discovery: a watch for each pair; eight machines share them by no mechanism of ours";
 const NONE: &str = "none: SIGHUP reads `discovery` only";
