Tests hand programs addresses that nobody has bound: some ended with "address in use"

What was seen: a test bound a free port, let it go and told a program to listen there. 30,000 starts by a hundred threads that start and end programs all the while, on a machine with other work: 48 ended with "Address already in use"; nobody looked whether they still ran, so a test waited 5 s and said "it is ready". None of the 30,000 was slow: the longest that a start took until ready was 0.87 s. The cause: a thread that starts a program hands it a copy of every descriptor between fork and exec; another thread's listener that is let go meanwhile stays open in that child, and the program that was told its address can't bind it. Taking turns only made such crossings rarer (2,000 starts in rounds of a hundred: none).

Now an address for a program is made from the process's number and a count, with a port below the system's own range: it is unique and was never bound. The lab's own processes and the copies' datagram addresses go the same way.

Tests wait for a process by one method, which fails at once when it has ended, and tells its log and how long it ran and was queued for a processor; it waits 5 s as before.

--- a/crates/lab/src/fleet/rig/copy.rs
+++ b/crates/lab/src/fleet/rig/copy.rs
@@ -5,7 +5,7 @@
 use crate::fleet::plan::FleetPlan;
 use crate::fleet::views::Truth;
 use crate::fleet::zones::Held;
-use crate::sockets::{Discovery, Entry, Peer, Sidecar, free};
+use crate::sockets::{Discovery, Entry, Peer, Sidecar, unused};
 use rustix::process::Signal;
 use serde_json::Value;
 use std::fmt::Write;
@@ -54,8 +54,7 @@
                 started: None,
             });
         }
-        let address = || free().and_then(|listener| listener.local_addr()).map_err(told);
-        let (listen, console) = (address()?, address()?);
+        let (listen, console) = (unused().into(), unused().into());
         let text = config(plan, ways, number, (listen, console, discovery.address), words);
         let file = format!("c{number}.toml");
         let sidecar = Sidecar::launch(ways.program, ways.dir, &file, &text, listen)?;
--- a/crates/lab/src/fleet/rig/words.rs
+++ b/crates/lab/src/fleet/rig/words.rs
@@ -3,7 +3,7 @@
 
 use super::Sky;
 use crate::fleet::weather::{Fate, Party};
-use crate::sockets::free_datagrams;
+use crate::sockets::{free_datagrams, unused};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
@@ -50,10 +50,7 @@
 
 impl Words {
     pub fn start(copies: usize, sky: &Sky, seed: u64) -> io::Result<Words> {
-        let held: Vec<(UdpSocket, SocketAddrV4)> =
-            (0..copies).map(|_| free_datagrams()).collect::<io::Result<_>>()?;
-        let own: Vec<SocketAddrV4> = held.iter().map(|(_, address)| *address).collect();
-        drop(held);
+        let own: Vec<SocketAddrV4> = (0..copies).map(|_| unused()).collect();
         let fronts: Vec<(UdpSocket, SocketAddrV4)> =
             (0..copies).map(|_| free_datagrams()).collect::<io::Result<_>>()?;
         let senders = own.iter().enumerate().map(|(copy, address)| (SocketAddr::V4(*address), copy));
--- a/crates/lab/src/sockets/bench.rs
+++ b/crates/lab/src/sockets/bench.rs
@@ -6,7 +6,7 @@
 use super::fleet::{Doing, Fleet, Make};
 use super::ledger::Ledger;
 use super::load::{Figures, LoadPlan, load};
-use super::ports::free;
+use super::ports::unused;
 use super::settings::{Told, config_of};
 use crate::plan::{Repeats, Scenario, Spread};
 use std::net::SocketAddr;
@@ -97,7 +97,7 @@
         });
     }
     let plan: Scenario = crate::plan::parse("bench", PLAN).map_err(|wrong| wrong.to_string())?;
-    let listen = free().and_then(|listener| listener.local_addr()).map_err(|wrong| wrong.to_string())?;
+    let listen = unused().into();
     let told = Told {
         name: "bench",
         listen,
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -22,7 +22,7 @@
 pub use ledger::Ledger;
 pub use load::{Figures, LoadPlan, load};
 pub use message::{Heard, Peer, read};
-pub use ports::{free, free_datagrams, nobody};
+pub use ports::{free, free_datagrams, nobody, unused};
 pub use scene::{Scene, Seen, play, run_dir};
 pub use scripted::{Does, Scripted};
 pub use settings::{Told, config_of};
--- a/crates/lab/src/sockets/scene.rs
+++ b/crates/lab/src/sockets/scene.rs
@@ -7,7 +7,7 @@
 use super::discovery::{Discovery, Entry, Trouble};
 use super::fleet::{Doing, Fleet, Make, Server, Verbs};
 use super::ledger::Ledger;
-use super::ports::free;
+use super::ports::unused;
 use super::settings::{Told, config_of};
 use crate::plan::{Fault, Kind, Scenario, span};
 use crate::referee::Final;
@@ -181,7 +181,7 @@
         let copies = self.plan.front.copies;
         let one = |ordinal: usize| {
             let name = format!("t{number}n{ordinal}");
-            let listen = free().and_then(|listener| listener.local_addr()).map_err(io_told)?;
+            let listen = unused().into();
             let told = Told {
                 name: &name,
                 listen,
--- a/crates/sidecar/tests/fleet.rs
+++ b/crates/sidecar/tests/fleet.rs
@@ -3,7 +3,7 @@
 
 use landingspread_lab::fleet::plan::read;
 use landingspread_lab::fleet::rig::{LOOK_EVERY, Played, Ways, play, run_dir};
-use landingspread_lab::sockets::{Peer, Sidecar, free, free_datagrams};
+use landingspread_lab::sockets::{Peer, Sidecar, free_datagrams, unused};
 use landingspread_membership::{About, Address, Budget, Host, Membership, as_later};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::path::Path;
@@ -153,12 +153,11 @@
 }
 
 fn addresses(count: usize) -> Vec<Address> {
-    let held: Vec<_> = (0..count).map(|_| free_datagrams().expect("a socket")).collect();
-    held.iter().map(|(_, address)| *address).collect()
+    (0..count).map(|_| unused()).collect()
 }
 
 fn address() -> SocketAddr {
-    free().expect("a port").local_addr().expect("an address")
+    unused().into()
 }
 
 /// A process with a server that nobody asks, with `before` among the first keys and `after` at the end.
--- a/crates/sidecar/tests/helpers/mod.rs
+++ b/crates/sidecar/tests/helpers/mod.rs
@@ -5,8 +5,8 @@
 use serde_json::{Value, json};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -69,25 +69,54 @@
 
     /// Its configuration may be changed before it starts.
     pub fn start_as(known: &Value, discovery: SocketAddr, change: impl FnOnce(&mut Value)) -> Sidecar {
-        let address = free().local_addr().expect("an address");
+        let address = nobody();
         let file = std::env::temp_dir().join(format!("landingspread-{address}.json"));
         let mut config = told(known, address, discovery);
         change(&mut config);
-        let sidecar = Sidecar::spawn(address, file, &config, &[]);
-        within("it is ready", || sidecar.status("GET /_health HTTP/1.1\r\n\r\n") == Some(200));
+        let mut sidecar = Sidecar::spawn(address, file, &config, &[]);
+        sidecar.wait_ready();
         sidecar
     }
 
+    /// One that ends, or does not answer in time, is told with its log and with what the system gave it: a process that
+    /// stood in the queue for a processor is told apart from one that waited for something else.
+    pub fn wait_ready(&mut self) {
+        let begun = Instant::now();
+        while self.status("GET /_health HTTP/1.1\r\n\r\n") != Some(200) {
+            let in_time = self.running() && begun.elapsed() < BOUNDED;
+            assert!(in_time, "it is not ready after {:?}: {}", begun.elapsed(), self.account());
+            thread::sleep(ms(5));
+        }
+    }
+
+    /// How long it ran and how long it was queued for a processor, in nanoseconds, and its log.
+    pub fn account(&self) -> String {
+        let read = |path: PathBuf| std::fs::read_to_string(path).unwrap_or_default();
+        let scheduled = read(format!("/proc/{}/schedstat", self.child.id()).into());
+        format!("ran, queued, turns: {}\n{}", scheduled.trim(), read(self.log()))
+    }
+
+    fn log(&self) -> PathBuf {
+        self.file.with_extension("log")
+    }
+
     /// Starts it with these variables besides, and does not wait.
     pub fn spawn(address: SocketAddr, file: PathBuf, config: &Value, told: &[(&str, String)]) -> Sidecar {
         std::fs::write(&file, config.to_string()).expect("a file");
-        let mut program = Command::new(env!("CARGO_BIN_EXE_landingspread"));
-        program.arg("serve").env("NODE_CONFIG", &file).env_remove("TMPDIR").stderr(Stdio::null());
-        program.envs(told.iter().map(|(name, text)| (*name, text)));
-        let child = program.spawn().expect("the program starts");
+        Sidecar::spawn_by(address, file, told)
+    }
+
+    /// The same by a file that is there already.
+    pub fn spawn_by(address: SocketAddr, file: PathBuf, told: &[(&str, String)]) -> Sidecar {
+        let child = started(&file, told);
         Sidecar { address, child, file }
     }
 
+    /// Begins the next life of one that has ended, and does not wait.
+    pub fn start_again(&mut self) {
+        self.child = started(&self.file, &[]);
+    }
+
     pub fn status(&self, text: &str) -> Option<u16> {
         self.ask(text).map(|(status, _, _)| status)
     }
@@ -132,11 +161,21 @@
     }
 }
 
+/// The program by this file, its log beside it.
+fn started(file: &Path, told: &[(&str, String)]) -> Child {
+    let mut program = Command::new(env!("CARGO_BIN_EXE_landingspread"));
+    program.arg("serve").env("NODE_CONFIG", file).env_remove("TMPDIR");
+    program.stderr(std::fs::File::create(file.with_extension("log")).expect("a log"));
+    program.envs(told.iter().map(|(name, text)| (*name, text)));
+    program.spawn().expect("the program starts")
+}
+
 impl Drop for Sidecar {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.file);
+        let _ = std::fs::remove_file(self.log());
     }
 }
 
@@ -158,9 +197,9 @@
     }
 }
 
-/// An address where nobody listens.
+/// An address where nobody listens, and which a program may be told to listen at.
 pub fn nobody() -> SocketAddr {
-    free().local_addr().expect("an address")
+    sockets::nobody()
 }
 
 pub fn within(what: &str, mut holds: impl FnMut() -> bool) {
--- a/crates/sidecar/tests/operators.rs
+++ b/crates/sidecar/tests/operators.rs
@@ -16,7 +16,7 @@
 use std::time::Instant;
 
 fn address() -> SocketAddr {
-    free().local_addr().expect("an address")
+    nobody()
 }
 
 /// One call; an answer later than a second counts as none.
