--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -9,6 +9,7 @@
 mod holds;
 mod launch;
 mod net;
+mod start;
 
 use argh::FromArgs;
 use std::net::SocketAddr;
@@ -74,6 +75,7 @@
 struct Version {}
 
 fn serve(file: Option<&Path>) -> Result<(), String> {
+    let start = start::Start::begin();
     let level = launch::log_level().map_err(|wrong| wrong.to_string())?;
     let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
     let log = log.with_max_level(level);
@@ -83,8 +85,9 @@
         log.init();
     }
     let launch = launch::read(file).map_err(|wrong| wrong.to_string())?;
+    start.configuration_read();
     tracing::info!(name = launch.name, listen = %launch.listen, "starting");
-    net::serve(launch, file).map_err(|wrong| wrong.to_string())
+    net::serve(launch, file, start).map_err(|wrong| wrong.to_string())
 }
 
 fn main() -> ExitCode {
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -10,6 +10,7 @@
 use super::within::within;
 use crate::clock::Clock;
 use crate::launch::{Launch, Verb};
+use crate::start::Start;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -71,6 +72,7 @@
     numbers: Cell<u64>,
     stock: Rc<Stock>,
     queue: Queue,
+    start: Rc<Start>,
     executor: Rc<LocalExecutor<'static>>,
 }
 
@@ -125,6 +127,7 @@
         launch: &Launch,
         stock: Rc<Stock>,
         queue: Queue,
+        start: Rc<Start>,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Callers {
         Callers {
@@ -144,6 +147,7 @@
             numbers: Cell::new(0),
             stock,
             queue,
+            start,
             executor,
         }
     }
@@ -347,7 +351,11 @@
             Asked::Health if self.all_due.get().is_some() => {
                 self.turn_away(stream, &Turned(503, "ending"), false).await
             }
-            Asked::Health => self.say(stream, 200, b"", b"ready\n", keep).await,
+            Asked::Health => {
+                let ahead = self.say(stream, 200, b"", b"ready\n", keep).await;
+                self.start.health_answered();
+                ahead
+            }
             Asked::Cmd(_) if crowded || self.open.get() >= self.max_open => {
                 self.turn_away(stream, &Turned(503, "too many commands are open"), keep).await
             }
--- a/crates/sidecar/src/net/discovery.rs
+++ b/crates/sidecar/src/net/discovery.rs
@@ -9,6 +9,7 @@
 use crate::catalog::Catalog;
 use crate::clock::Clock;
 use crate::launch::Launch;
+use crate::start::Start;
 use async_channel::Receiver;
 use async_io::Async;
 use std::io::BufReader;
@@ -35,11 +36,12 @@
     clock: Clock,
     stock: Rc<Stock>,
     queue: Queue,
+    start: Rc<Start>,
 }
 
 impl Discovery {
     /// None where the configuration names no discovery: the servers it lists are all there are.
-    pub fn new(launch: &Launch, stock: Rc<Stock>, queue: Queue) -> Option<Discovery> {
+    pub fn new(launch: &Launch, stock: Rc<Stock>, queue: Queue, start: Rc<Start>) -> Option<Discovery> {
         let address = launch.discovery?;
         let (zones, clock) = (launch.zones.clone(), launch.clock.clone());
         // A process that takes over is told the whole list at once, and need not wait for a change to know that it
@@ -47,7 +49,7 @@
         let generation = Some(launch.known.generation).filter(|_| launch.inherited.is_none());
         let share = Duration::from_secs_f64(launch.terms.balancers / CALLS_A_SECOND);
         let wait = share.clamp(WATCH_LEAST, WATCH_MOST);
-        Some(Discovery { address, generation, wait, zones, clock, stock, queue })
+        Some(Discovery { address, generation, wait, zones, clock, stock, queue, start })
     }
 
     /// Another discovery may count its generations from elsewhere, and may have heard of drains that the old
@@ -78,6 +80,7 @@
             let (generation, entries) = (catalog.generation, catalog.entries.len());
             tracing::debug!(generation, whole = catalog.whole, entries, "a list");
             self.generation = Some(generation);
+            self.start.list_came();
             self.queue.tell(Word::Listed(catalog));
         }
     }
@@ -92,6 +95,7 @@
         let query = self.generation.map(query).unwrap_or_default();
         let head = format!("GET /catalog/members{query} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
         in_time(UP_IN, http::write(&conn, head.as_bytes(), b"")).await?;
+        self.start.discovery_called();
         let answer = http::read_long(&conn, &self.stock, self.stock.buffers_for_a_list());
         let (status, keep, mut rsp) = in_time(self.wait + IN_TURN, answer).await?;
         if status != Some(200) {
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -17,6 +17,7 @@
 use crate::handover::record::Record;
 use crate::handover::{self, LOOK_EVERY, Presence};
 use crate::launch::{self, Launch};
+use crate::start::Start;
 use async_channel::Receiver;
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
@@ -55,9 +56,9 @@
 const LIST_WITHIN: Duration = Duration::from_millis(1500);
 
 /// Serves until SIGTERM; `file` is what SIGHUP reads again.
-pub fn serve(launch: Launch, file: Option<&Path>) -> io::Result<()> {
+pub fn serve(launch: Launch, file: Option<&Path>, start: Start) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(run(launch, file, executor.clone())))
+    async_io::block_on(executor.run(run(launch, file, Rc::new(start), executor.clone())))
 }
 
 /// The task that follows a discovery, where there is one.
@@ -131,18 +132,21 @@
 async fn run(
     mut launch: Launch,
     file: Option<&Path>,
+    start: Rc<Start>,
     executor: Rc<LocalExecutor<'static>>,
 ) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Hup])?;
     let listener = listener(&launch)?;
+    start.listener_bound();
     let takes_over = launch.inherited.is_some();
     let stock = Stock::new(&launch);
     let endpoints = Rc::new(Endpoints::new(&launch, stock.clone()));
     let (queue, words) = owner::queue();
     let longest = launch.verbs.iter().map(|verb| verb.limit).max().unwrap_or_default().min(LIMIT_MOST);
     let (ask, asked) = async_channel::bounded(1);
-    let mut discovery = Discovery::new(&launch, stock.clone(), queue.clone());
-    let callers = Rc::new(Callers::new(&launch, stock.clone(), queue.clone(), executor.clone()));
+    let mut discovery = Discovery::new(&launch, stock.clone(), queue.clone(), start.clone());
+    let callers =
+        Rc::new(Callers::new(&launch, stock.clone(), queue.clone(), start.clone(), executor.clone()));
     let presence = presence(&launch).map(|presence| Rc::new(RefCell::new(presence)));
     if let Some(presence) = presence.clone() {
         executor.spawn(share(presence, stock, callers.clone(), endpoints.clone())).detach();
@@ -180,7 +184,7 @@
         Console { serving: serving.clone(), orders, record, fleet: door.clone() }.open(at)?;
     }
     let some_known = !launch.known.entries.is_empty();
-    let outside = Outside { endpoints, peers, fleet: link, ask: ask.clone() };
+    let outside = Outside { endpoints, peers, fleet: link, ask: ask.clone(), start };
     let operators = Operators { orders: ordered, recorded, listed };
     executor.spawn(owner::own(launch, outside, operators, executor.clone(), queue, words)).detach();
     let accepting = executor.spawn({
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -13,6 +13,7 @@
 use crate::handover::record::Words;
 use crate::holds::must_hold;
 use crate::launch::Launch;
+use crate::start::Start;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -119,6 +120,7 @@
     /// None where this copy is one of no fleet.
     pub fleet: Option<fleet::Link>,
     pub ask: Sender<()>,
+    pub start: Rc<Start>,
 }
 
 /// What operators said, and are to be told.
@@ -361,6 +363,7 @@
     let policy = Policy::start(Hand(desk.clone()), launch.terms, launch.seed, clock.now());
     let before = launch.learnt.as_ref().map(|path| learnt::read(path, &deployment, &clock));
     let before = before.unwrap_or_default();
+    desk.borrow().outside.start.kept_files_read();
     let (save_at, save_to) = (clock.now() + SAVE_FIRST, launch.learnt);
     let saving = Saving::of(deployment);
     let seen_at = clock.now();
