A list call that took long to fail is made again within 4 s of its beginning

Cause: the pause after a failed list call counted from the failure alone: a call that was silent for 3 s and then paused for up to 4 s left a change unheard for over 7 s after discovery could be reached; a dial of 1 s, for 5 s.

Change: from the beginning of a failed call to that of the next there are at most 4 s (the pause is never shorter than after a first failure, 0.25 to 0.5 s). Calls that fail at once pause as before: 2 to 4 s in the end. The pause is still drawn from the upper half of its span, by each copy for itself, and one draw is made for it as before.

--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -99,6 +99,14 @@
     /// When to call next; `None` while a call is out or the subscription stands.
     pub next: Option<Duration>,
     pub failures: u32,
+    /// When the last call began: where a list came it is followed by another at once.
+    pub began: Duration,
+}
+
+impl Asking {
+    pub fn anew(began: Duration) -> Asking {
+        Asking { began, ..Asking::default() }
+    }
 }
 
 /// What ends within this span is a jump when it is so many times the usual.
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -62,6 +62,9 @@
 /// Credits a second for the first command to a server that operators use again.
 const AWAITED: f64 = 0.33;
 const SWEEP: Duration = Duration::from_millis(20);
+/// Seconds from a failed list call to the next, at most, and from the beginning of one that took longer to fail.
+const PAUSE_FIRST: f64 = 0.5;
+const CALLS_APART: f64 = 4.0;
 
 /// So much of the goal may go into checks before a draw, where they alone tell what servers hold.
 const LOOKS_COST: f64 = 0.012;
@@ -163,7 +166,7 @@
             looks,
             spare_looks: looks as f64,
             spare_relays: RELAY_BURST,
-            asking: Asking::default(),
+            asking: Asking::anew(now),
             sharers: 1.0,
             choose_at: now,
             mean_out: Average { mean: 0.0, at: now },
@@ -189,6 +192,7 @@
         (self.swept, self.late) = (now, late.max(self.late / 2));
         self.host.wake_in(self.sweep_span());
         if self.asking.next.take_if(|at| *at <= now).is_some() {
+            self.asking.began = now;
             self.host.subscribe();
         }
         self.watch_relays();
@@ -225,13 +229,12 @@
     }
 
     pub fn list_told(&mut self, now: Duration, entries: &[Listed]) {
-        self.asking = Asking::default();
+        self.asking = Asking::anew(now);
         self.list_cached(now, entries);
     }
 
     pub fn list_changed(&mut self, now: Duration, entries: &[Listed]) {
-        self.now = now;
-        self.asking = Asking::default();
+        (self.now, self.asking) = (now, Asking::anew(now));
         self.take_entries(entries);
     }
 
@@ -245,7 +248,10 @@
     pub fn list_call_failed(&mut self, now: Duration) {
         self.now = now;
         // Calls that all come again at once would fail again together.
-        let longest = 0.5 * f64::from(1u32 << self.asking.failures.min(3));
+        let longest = PAUSE_FIRST * f64::from(1u32 << self.asking.failures.min(3));
+        // What it took to fail has spread them already, and must not add to the time in which a change goes unheard.
+        let lasted = now.saturating_sub(self.asking.began).as_secs_f64();
+        let longest = longest.min(CALLS_APART - lasted).max(PAUSE_FIRST);
         self.asking.failures += 1;
         self.asking.next = Some(now + Duration::from_secs_f64(longest * (0.5 + 0.5 * self.chance())));
     }
--- a/crates/decisions/tests/decisions/plain.rs
+++ b/crates/decisions/tests/decisions/plain.rs
@@ -240,6 +240,47 @@
     assert_eq!(scene.script.0.borrow().list_calls, 2);
 }
 
+/// The times from the beginning of a list call to that of the next one, of calls that each fail after such a span.
+fn calls_apart(seed: u64, fails_after: u64, calls: usize) -> Vec<u128> {
+    let mut scene = Scene::new(terms("zone", "Discovery=subscribe"), "zone", seed, 2);
+    let calls_made = |scene: &Scene| scene.script.0.borrow().list_calls;
+    let mut began = Vec::new();
+    while began.len() <= calls {
+        let before = calls_made(&scene);
+        while calls_made(&scene) == before {
+            scene.pass(ms(20));
+        }
+        began.push(scene.now());
+        scene.pass(ms(fails_after));
+        scene.policy.list_call_failed(scene.now());
+    }
+    began.windows(2).map(|pair| (pair[1] - pair[0]).as_millis()).collect()
+}
+
+#[test]
+fn list_calls_that_fail_begin_at_most_four_seconds_apart_however_long_each_takes_to_fail() {
+    for fails_after in [0, 200, 1000, 2000, 3000, 3400] {
+        for seed in 0..20 {
+            let apart = calls_apart(seed, fails_after, 8);
+            assert!(apart.iter().all(|ms| *ms <= 4020), "after {fails_after} ms: {apart:?}");
+        }
+    }
+    // One that takes longer still, as in the largest fleets, is followed by the shortest pause.
+    assert!(calls_apart(7, 4000, 8).iter().all(|ms| (4250..=4520).contains(ms)));
+}
+
+#[test]
+fn three_hundred_copies_whose_calls_failed_come_again_spread_out() {
+    for (fails_after, most) in [(0, 40), (1000, 45), (3000, 110)] {
+        let mut last: Vec<_> = (0..300).map(|seed| calls_apart(seed, fails_after, 5)[4]).collect();
+        last.sort();
+        let densest = |from: &u128| last.iter().filter(|ms| (*from..from + 100).contains(ms)).count();
+        let densest = last.iter().map(densest).max().expect("calls");
+        println!("after {fails_after} ms: {densest} of 300 within 0.1 s, {} to {} ms", last[0], last[299]);
+        assert!(densest <= most, "{densest} of 300 within 0.1 s after {fails_after} ms");
+    }
+}
+
 #[test]
 fn settings_that_cannot_be_read_are_named() {
     let wrong = |text: &str| Terms::decode(text).map(drop).map_err(|wrong| wrong.to_string());
