--- a/crates/sidecar/tests/helpers/mod.rs
+++ b/crates/sidecar/tests/helpers/mod.rs
@@ -1,6 +1,8 @@
 //! What the tests over sockets share: the program as a child, its configuration, the lab's stand-ins.
 #![allow(dead_code)] // each test program uses a part
 
+pub mod gate;
+
 use landingspread_lab::sockets::{self, Discovery, Does, Heard, Peer, Scripted};
 use serde_json::{Value, json};
 use std::io::Write;
@@ -140,6 +142,13 @@
     }
 }
 
+/// For how long its thread has been ready to run and was given no processor so far.
+pub fn waited(sidecar: &Sidecar) -> Duration {
+    let path = format!("/proc/{}/schedstat", sidecar.child.id());
+    let told = std::fs::read_to_string(path).expect("the system tells it");
+    Duration::from_nanos(told.split_whitespace().nth(1).and_then(|text| text.parse().ok()).expect("a figure"))
+}
+
 pub fn answer(stream: &mut TcpStream) -> Option<(u16, Heard, Vec<u8>)> {
     let mut head = Peer::new(stream.try_clone().ok()?).answer().ok()?;
     let body = std::mem::take(&mut head.body);
