A repeat whose connection comes up past its window is not written

A receipted command that may have run is sent again only within the time for which its repeats are dropped. The module looks at that when it asks for the repeat; the first byte goes out when the connection is up, as late as the time of a dial (up to 1.5 s and more), and nothing looked again. Of a pair the same: the first attempt's connection may come up long after the second has begun.

Each relay now looks right before its first byte: past the window, counted from the first byte of each other relay of the command that may have run, it is told as not run there (moot), so that the module declines or ends the command as its group allows, and nothing is held against the server. What the module leaves for its own clock (the resolution) is left here too. A relay that is known not to have run opens no window.

--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -3,7 +3,7 @@
 //! connection that waits, answer a taken command by its own choice, or reach the module but by the queue.
 
 use super::buffers::{Buffer, HOLD_MOST, Place, SIZE, Stock};
-use super::endpoints::{Answer, Next, Outgoing, Rest};
+use super::endpoints::{Answer, Next, Outgoing, Rest, Window};
 use super::http::{self, Bad, Coming, Marked};
 use super::leaving::{self, Asker};
 use super::owner::{Came, Final, Queue, Word};
@@ -16,6 +16,7 @@
 use futures_lite::AsyncReadExt;
 use futures_lite::future::or;
 use landingspread_decisions::host::{Arrival, Id};
+use landingspread_decisions::terms::{self, Repeats};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -49,6 +50,8 @@
 pub struct Callers {
     clock: Clock,
     verbs: Vec<Verb>,
+    /// Of each verb, for how long repeats are dropped, if it is receipted.
+    windows: Vec<Option<Duration>>,
     tenants: Vec<String>,
     cost_header: Option<String>,
     max_open: usize,
@@ -127,9 +130,15 @@
         queue: Queue,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Callers {
+        let window = |verb: &terms::Verb| match verb.repeats {
+            // What the module leaves for its own clock is left here too.
+            Repeats::Receipted(_) => Some(verb.memory.saturating_sub(launch.terms.resolution)),
+            Repeats::Pure | Repeats::Effectful => None,
+        };
         Callers {
             clock: launch.clock.clone(),
             verbs: launch.verbs.clone(),
+            windows: launch.terms.verbs.iter().map(window).collect(),
             tenants: launch.tenants.clone(),
             cost_header: launch.cost_header.clone(),
             max_open: launch.max_open,
@@ -490,7 +499,8 @@
         let body = coming.take(&self.stock).await;
         let (give, next) = async_channel::bounded(1);
         let rest = (!whole).then(|| Rest { next, marked, left, spent: Cell::new(false) });
-        let outgoing = Outgoing { head, body, rest, careful, asker: Asker::of(stream) };
+        let window = Window::of(self.windows.get(verb).copied().flatten());
+        let outgoing = Outgoing { head, body, rest, careful, asker: Asker::of(stream), window };
         let (caller, word) = async_channel::bounded(1);
         self.queue.tell(Word::Came(Box::new(Came { number, arrival, outgoing, caller })));
         let heard = async { word.recv().await.map_err(|_| Bad::Ended) };
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -55,6 +55,37 @@
     /// A break in the middle would end it, as it is not sent again elsewhere.
     pub careful: bool,
     pub asker: Asker,
+    pub window: Window,
+}
+
+/// How long a receipted command's repeats are dropped, counted from the first byte of each relay that may have run. The
+/// module decides by when relays are asked for; a connection may come up so much later.
+pub struct Window {
+    /// None for what is not receipted.
+    span: Option<Duration>,
+    /// The first byte of each relay, by number, but of those that are known not to have run.
+    begun: RefCell<BTreeMap<u32, Instant>>,
+}
+
+impl Window {
+    pub fn of(span: Option<Duration>) -> Window {
+        Window { span, begun: RefCell::default() }
+    }
+
+    /// Whether this relay's first byte may go out now; it counts as gone then.
+    fn begin(&self, relay: u32) -> bool {
+        let Some(span) = self.span else { return true };
+        let (mut begun, now) = (self.begun.borrow_mut(), Instant::now());
+        let open = begun.values().all(|at| now.saturating_duration_since(*at) < span);
+        if open {
+            begun.insert(relay, now);
+        }
+        open
+    }
+
+    pub fn never_ran(&self, relay: u32) {
+        self.begun.borrow_mut().remove(&relay);
+    }
 }
 
 /// The rest of a body, as the caller's side reads it. What is taken from it is gone: there is no other relay then.
@@ -201,6 +232,7 @@
         self: &Rc<Self>,
         to: &Target,
         cmd: &Outgoing,
+        number: u32,
         not_past: Instant,
         stage: &Cell<Stage>,
     ) -> End {
@@ -209,7 +241,7 @@
             Timer::at(not_past).await;
             End::bare(if stage.get() == Stage::Written { Outcome::Timeout } else { Outcome::ConnectFailed })
         };
-        let exchange = self.exchange(to, cmd, &until, stage);
+        let exchange = self.exchange(to, cmd, number, &until, stage);
         let end = if cmd.rest.is_none() { or(exchange, late).await } else { exchange.await };
         End { spent: !cmd.unsent(), ..end }
     }
@@ -218,6 +250,7 @@
         self: &Rc<Self>,
         to: &Target,
         cmd: &Outgoing,
+        number: u32,
         until: &Cell<Instant>,
         stage: &Cell<Stage>,
     ) -> End {
@@ -226,8 +259,9 @@
             let left = cmd.rest.as_ref().map_or(left, |rest| rest.left).as_millis();
             [&cmd.head[..], format!("X-Expires-In-Ms: {left}\r\n\r\n").as_bytes()].concat()
         };
-        // Its caller may have left in the very moment in which the connection came up.
-        let owed = || !cmd.asker.left();
+        // Its caller may have left in the very moment in which the connection came up, and its repeats may no longer be
+        // dropped by then.
+        let owed = || !cmd.asker.left() && cmd.window.begin(number);
         let write = async |conn: &Conn| {
             stage.set(Stage::Begun);
             self.write(conn, &head(), cmd, until).await
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -206,7 +206,7 @@
                 let by = self.clock.instant(not_past);
                 let target = Target { server: server.clone(), address };
                 shot.task = Some(self.executor.spawn(async move {
-                    let end = endpoints.relay(&target, &outgoing, by, &stage).await;
+                    let end = endpoints.relay(&target, &outgoing, number, by, &stage).await;
                     stage.set(Stage::Ended);
                     queue.tell(Word::Ended(cmd, number, Box::new(end)));
                 }));
@@ -617,6 +617,9 @@
         must_hold!(!shot.ended, "relay {number} of {id} ends once");
         shot.ended = true;
         shot.task = None;
+        if outcome.never_ran() {
+            open.outgoing.window.never_ran(number);
+        }
         let (server, latency) = (shot.server.clone(), now.saturating_sub(shot.sent));
         if let Some(answer) = answer
             && !open.finished
