Capacity: rows for followers of control machines, with machines killed, and a sidecar's part of it

The mechanism that is built first is measured by followers over all eight machines (fan-out), which no row read. One follower a sidecar and one a process stand apart, as a process serves one service today. All are 'none' or 'not measured' until slopes of it are there.

--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -10,6 +10,9 @@
 /// How far a prediction may be off before the page has to say why.
 const TRUSTED: f64 = 0.15;
 
+/// What carries configuration once it was measured.
+const AFTER: &str = "control machines, by versions that each sidecar acknowledges";
+
 /// A part of a page: its name, and what stands between its marks.
 pub type Section = (String, String);
 
@@ -199,8 +202,12 @@
             }
         });
         let after: Option<Vec<String>> = after.collect();
+        let carried = match &after {
+            Some(_) if first.role == Role::Configuration => format!("{}; after: {AFTER}", first.carried),
+            _ => first.carried.into(),
+        };
         row.push(after.map_or("not measured".into(), |after| after.join("; ")));
-        row.push(first.carried.into());
+        row.push(carried);
         rows.push(row);
     }
     table(&heads, rows)
--- a/crates/capacity/src/sheet.rs
+++ b/crates/capacity/src/sheet.rs
@@ -10,8 +10,16 @@
 use crate::sums::{Moment, Sums};
 
 /// What may be varied, and in which order slopes of one figure are joined.
-pub const BY: [&str; 7] =
-    ["copies", "sidecars", "watches", "endpoints", "changes_per_s", "lines_per_s", "calls_per_s"];
+pub const BY: [&str; 8] = [
+    "copies",
+    "sidecars",
+    "followers",
+    "watches",
+    "endpoints",
+    "changes_per_s",
+    "lines_per_s",
+    "calls_per_s",
+];
 
 /// Those that differ from moment to moment.
 const RATES: [&str; 2] = ["changes_per_s", "lines_per_s"];
@@ -134,10 +142,12 @@
     MostCalling,
     /// One process in one ring of all copies.
     Ring,
-    /// One machine of so many that are left, before all watches.
+    /// One machine of so many that are left, before all watches; 0 where all are.
     Machine { left: u64 },
-    /// All of the eight machines.
+    /// All of the eight machines, with one follower for each sidecar.
     AllMachines,
+    /// The same with one for each process, as the program stands.
+    AllProcesses,
 }
 
 impl Shape {
@@ -145,7 +155,11 @@
         match self {
             Shape::Processes => at.sums.called,
             Shape::MostCalling => at.sums.called_most,
-            Shape::OneFleet | Shape::Ring | Shape::Machine { .. } | Shape::AllMachines => 1.0,
+            Shape::OneFleet
+            | Shape::Ring
+            | Shape::Machine { .. }
+            | Shape::AllMachines
+            | Shape::AllProcesses => 1.0,
         }
     }
 
@@ -164,8 +178,12 @@
         };
         let all = |left: u64| of_all(left.max(1) as f64);
         match self {
+            // Followers are counted over all eight machines: one that is left alone has eight times its part.
+            Shape::Machine { left: 1 } if by == "followers" => Some(sums.pairs * at.machines()),
+            Shape::AllProcesses | Shape::Machine { .. } if by == "followers" => Some(sums.pairs),
+            Shape::AllMachines if by == "followers" => Some(sums.endpoints),
             Shape::Machine { left } => all(if left == 0 { at.operators.control_machines } else { left }),
-            Shape::AllMachines => all(1),
+            Shape::AllMachines | Shape::AllProcesses => all(1),
             Shape::Ring => match by {
                 "copies" => Some(sums.endpoints),
                 "endpoints" => Some(sums.called * sums.listed),
@@ -175,6 +193,7 @@
             Shape::Processes | Shape::OneFleet | Shape::MostCalling => match by {
                 "copies" => Some(sums.sharers),
                 "endpoints" => Some(sums.listed),
+                "followers" => Some(sums.pairs),
                 "changes_per_s" if role == Role::Fleet => {
                     Some(at.member_changes() * (sums.sharers / sums.endpoints).min(1.0))
                 }
@@ -241,6 +260,7 @@
 
 const BYTES: fn(&Operators) -> f64 = |operators| operators.sidecar_bytes_per_s;
 const CORES: fn(&Operators) -> f64 = |operators| operators.sidecar_cores;
+const SOON: fn(&Operators) -> f64 = |operators| operators.in_force_s;
 const MEMORY: fn(&Operators) -> f64 = |operators| operators.sidecar_mb;
 
 fn sidecar() -> Vec<Row> {
@@ -395,6 +415,7 @@
     let a_machine = |figures| NothingUnless(figures, Shape::Machine { left: 0 });
     let alone = |figures| NothingUnless(figures, Shape::Machine { left: 1 });
     let all = |figures| NothingUnless(figures, Shape::AllMachines);
+    let each = |figures| NothingUnless(figures, Shape::Processes);
     let sends = "changes times sidecars that call what each concerns, if sent to those alone";
     let bytes = "the same times bytes of one change, over the machines";
     vec![
@@ -405,9 +426,28 @@
             "bytes/s",
             Derived(|at| at.sends() * at.case.change_bytes as f64 / at.machines(), bytes),
         ),
-        held(of("until in force everywhere", "s", all(&["in_force_last"])), |operators| operators.in_force_s),
+        held(of("until in force everywhere", "s", all(&["in_force_last"])), SOON),
         of("until in force, median", "s", all(&["in_force_median"])),
         of("until in force, 99 in 100", "s", all(&["in_force_p99"])),
+        held(
+            of(
+                "until in force everywhere, a follower for each process",
+                "s",
+                NothingUnless(&["in_force_last"], Shape::AllProcesses),
+            ),
+            SOON,
+        ),
+        held(of("until in force everywhere, one of eight killed", "s", all(&["in_force_one_killed"])), SOON),
+        held(
+            of("until in force everywhere, seven of eight killed", "s", all(&["in_force_seven_killed"])),
+            SOON,
+        ),
+        held(
+            of("bytes out and in, a sidecar", "bytes/s", each(&["follower_bytes_out", "follower_bytes_in"])),
+            BYTES,
+        ),
+        held(of("processor time, a sidecar", "cores", each(&["follower_cpu"])), CORES),
+        held(of("memory, a sidecar", "MB", each(&["follower_memory"])), MEMORY),
         of("messages in, one of eight", "messages/s", a_machine(&["messages_in"])),
         of("messages out, one of eight", "messages/s", a_machine(&["messages_out"])),
         shown(of("bytes out, one of eight", "bytes/s", a_machine(&["bytes_out"]))),
--- a/crates/capacity/tests/sheets.rs
+++ b/crates/capacity/tests/sheets.rs
@@ -193,6 +193,32 @@
         force.contains("| 10 | none |") && force.contains("plain: 8.6 (calm); bad: 8.6 (calm)"),
         "{force}"
     );
+    assert!(force.contains("after: control machines"), "{force}");
     let watches = bounds.lines().find(|line| line.contains("state: watches")).expect("the row");
     assert!(watches.contains("| not measured |"), "what is derived is no need after: {watches}");
 }
+
+#[test]
+fn followers_are_counted_over_all_machines_and_one_left_has_eight_times_its_part() {
+    let size = built_in();
+    let followers = ("s", "followers");
+    let slopes = Slopes {
+        slopes: vec![
+            slope((Role::Configuration, "in_force_last"), followers, (0.5, 0.0001)),
+            slope((Role::Configuration, "memory"), ("MB", "followers"), (5.0, 0.001)),
+            slope((Role::Configuration, "follower_cpu"), ("cores", "followers"), (0.0001, 0.0)),
+        ],
+    };
+    assert!(unread(&slopes).is_empty());
+    let sums = Sums::of(&size.operators, &size.cases[0]);
+    let lines = sheet(&size, &size.cases[0], &slopes);
+    let calm = |what: &str| value(row(&lines, Role::Configuration, what).cells[0]);
+    assert!(near(calm("until in force everywhere"), 0.5 + 0.81));
+    assert!(near(calm("until in force everywhere, a follower for each process"), 0.5 + 0.0001 * sums.pairs));
+    assert!(near(calm("memory, one of eight"), 5.0 + 0.001 * sums.pairs));
+    assert!(near(calm("memory, one left of eight"), 5.0 + 0.008 * sums.pairs));
+    assert!(
+        near(calm("processor time, a sidecar"), 0.0001 * sums.called),
+        "a follower for each of its processes"
+    );
+}
