A caller who writes ahead without end no longer keeps all others waiting

One thread serves all. A caller who writes messages ahead and reads the words on them as fast as they come never has to be waited for, so its task went on in one go, from one message to the next. While that lasted nobody else was read, answered, taken or seen to have left. Seen by a flood of health checks, which are answered here; the loop in `talk` had no wait in it once bytes were ahead.

After each message with bytes ahead all others have their turn now.

--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -14,7 +14,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::AsyncReadExt;
-use futures_lite::future::or;
+use futures_lite::future::{or, yield_now};
 use landingspread_decisions::host::{Arrival, Id};
 use landingspread_decisions::terms::{self, Repeats};
 use std::cell::{Cell, RefCell};
@@ -279,6 +279,10 @@
         while ahead.is_some() || self.something_comes(&stream, since).await {
             let Some(behind) = self.one_message(&stream, since, crowded, ahead).await else { return };
             (ahead, since) = (behind, None);
+            // One who writes ahead and reads as fast is never waited for: all others would wait instead.
+            if ahead.is_some() {
+                yield_now().await;
+            }
         }
     }
 
