An answer without end no longer keeps all others waiting

An answer that is passed on as it comes was read and written in one go as long as neither side had to be waited for. With an endpoint and a caller as fast as this one that goes on for some tenths of a second at a time, in which nobody else's end is seen.

After each piece all others have their turn now.

Forced: 60 callers leave one by one while their commands wait for a connection beside such an answer.

--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -621,6 +621,8 @@
                 return None;
             }
             written = self.write(stream, b"", &answer, marked).await;
+            // Where both sides are as fast as this one nothing here waits, and all others would.
+            yield_now().await;
         }
         let ended = written && within(WRITE_WITHIN, http::write_end(stream, marked)).await.is_some();
         answer.finish();
--- a/crates/sidecar/tests/floods.rs
+++ b/crates/sidecar/tests/floods.rs
@@ -7,7 +7,7 @@
 use helpers::*;
 use landingspread_lab::sockets::{Does, Peer};
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
@@ -63,11 +63,10 @@
     ends.store(true, Ordering::Relaxed);
 }
 
-#[test]
-fn an_answer_without_end_holds_up_nobody() {
-    let (well, endless) = (endpoint(Does::Answer), free());
+/// Answers a POST without end, until it is told to end.
+fn endless(ends: &Arc<AtomicBool>) -> SocketAddr {
+    let endless = free();
     let at = endless.local_addr().expect("an address");
-    let ends = Arc::new(AtomicBool::new(false));
     let told = ends.clone();
     thread::spawn(move || {
         for stream in endless.incoming().flatten() {
@@ -85,6 +84,14 @@
             });
         }
     });
+    at
+}
+
+#[test]
+fn an_answer_without_end_holds_up_nobody() {
+    let well = endpoint(Does::Answer);
+    let ends = Arc::new(AtomicBool::new(false));
+    let at = endless(&ends);
     let (sidecar, discovery) = Sidecar::with(&[("s1", at)]);
     let mut stream = sidecar.open().expect("a connection");
     stream.write_all(cmd("hold", "endless", 1900).as_bytes()).expect("it is written");
@@ -218,3 +225,44 @@
     }
     println!("{plays} left, the last dial was seen {longest:?} later");
 }
+
+#[test]
+fn who_leaves_beside_an_answer_without_end_is_seen_to_have_gone() {
+    let ends = Arc::new(AtomicBool::new(false));
+    let (at, gate) = (endless(&ends), Gate::closed());
+    let discovery = list_source();
+    let known = catalog(1, &[("s1", at, "ready")]);
+    let sidecar = Sidecar::start_as(&known, discovery.address, |config| roomy(config, false));
+    let mut stream = sidecar.open().expect("a connection");
+    stream.write_all(cmd("hold", "endless", 3900).as_bytes()).expect("it is written");
+    let read = Arc::<AtomicUsize>::default();
+    drain(stream.try_clone().expect("a second hand"), read.clone());
+    within("it is passed on", || read.load(Ordering::Relaxed) > 4 * 1024 * 1024);
+    let before = discovery.seen().0;
+    discovery.write(2, many_at(gate.address, 24).to_string().replace("\"generation\":1", "\"generation\":2"));
+    within("the list is taken", || discovery.seen().0 > before);
+    let (mut longest, mut late) = (ms(0), Vec::new());
+    for number in 0..60 {
+        let mut stream = sidecar.open().expect("a connection");
+        let text = cmd(VERBS[number % VERBS.len()], &format!("e{number}"), 3900);
+        stream.write_all(text.as_bytes()).expect("it is written");
+        within("it waits for its connection", || dialling(gate.address) > 0);
+        drop(stream);
+        let (left, before) = (Instant::now(), waited(&sidecar));
+        loop {
+            let (after, given) = (left.elapsed(), LATE + waited(&sidecar).saturating_sub(before));
+            if dialling(gate.address) == 0 {
+                break;
+            }
+            longest = longest.max(after);
+            if after > given {
+                late.push(after);
+                break;
+            }
+        }
+        within("it is given up", || dialling(gate.address) == 0);
+    }
+    ends.store(true, Ordering::Relaxed);
+    println!("60 left, the last dial was seen {longest:?} later");
+    assert!(late.is_empty(), "dials still out 0.1 s after their callers had gone: {late:?}");
+}
