--- a/crates/sidecar/tests/watches.rs
+++ b/crates/sidecar/tests/watches.rs
@@ -8,13 +8,11 @@
 use serde_json::json;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 const PLAYS: usize = 20;
-/// Twenty processes at a time: a hundred that start at once were not all ready in time.
-static TURN: Mutex<()> = Mutex::new(());
 /// What a call may wait at discovery, what an answer may come late by, and the longest pause after a first failure.
 const GIVEN_UP: u64 = 2000 + 1000 + 500;
 /// Twenty processes start and end beside it.
@@ -150,7 +148,6 @@
 
 #[test]
 fn a_watch_that_says_nothing_more_is_opened_anew_once_its_call_is_over() {
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     for dies in [Dies::SilentFromTheFirstByte, Dies::SilentHalfWay, Dies::Trickles, Dies::AnswersTooLate] {
         opened_anew(dies, 1, GIVEN_UP);
     }
@@ -158,7 +155,6 @@
 
 #[test]
 fn a_watch_that_ends_is_opened_anew_at_once() {
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     for dies in [Dies::EndsBehindAnAnswer, Dies::Reset, Dies::Says503, Dies::CutShort] {
         opened_anew(dies, 1, 500);
     }
@@ -166,14 +162,12 @@
 
 #[test]
 fn with_three_hundred_copies_a_silent_watch_is_opened_anew_before_what_it_misses_counts_as_told() {
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     // Its calls wait for 6 s; what they miss counts 2 s after that wait.
     opened_anew(Dies::SilentFromTheFirstByte, 300, 6000 + 1000 + 500);
 }
 
 #[test]
 fn a_reset_watch_and_a_new_configuration_at_once_leave_one_watch_at_the_new_place() {
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let server = nobody();
     for _ in 0..PLAYS {
         let (old, new) = (Source::start(Dies::SilentHalfWay, server), Source::start(Dies::CutShort, server));
@@ -195,7 +189,6 @@
 
 #[test]
 fn discovery_that_turns_all_calls_away_is_asked_again_within_four_seconds_of_each() {
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let server = nobody();
     let listener = free();
     let address = listener.local_addr().expect("an address");
