--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -99,6 +99,9 @@
     /// seeds, in place of the file's count
     #[argh(option)]
     pub seeds: Option<u64>,
+    /// a picker, in place of the file's; may be given several times
+    #[argh(option)]
+    pub picker: Vec<Named>,
 }
 
 /// hold one picker against the others, seed by seed, in results of a sweep
--- a/crates/lab/src/experiment/builtin.rs
+++ b/crates/lab/src/experiment/builtin.rs
@@ -1,6 +1,6 @@
 //! The plans that come with the lab.
 
-const PLANS: [(&str, &str); 13] = [
+const PLANS: [(&str, &str); 17] = [
     ("demo", include_str!("../../plans/demo.toml")),
     ("suite", include_str!("../../plans/suite.toml")),
     ("tiers", include_str!("../../plans/tiers.toml")),
@@ -13,6 +13,10 @@
     ("fleet-service", include_str!("../../plans/fleet-service.toml")),
     ("three-zones", include_str!("../../plans/three-zones.toml")),
     ("fleet-zones", include_str!("../../plans/fleet-zones.toml")),
+    ("few-requests", include_str!("../../plans/few-requests.toml")),
+    ("cold-sum", include_str!("../../plans/cold-sum.toml")),
+    ("cold-sum-many", include_str!("../../plans/cold-sum-many.toml")),
+    ("cold-apart", include_str!("../../plans/cold-apart.toml")),
     ("thousands", include_str!("../../plans/thousands.toml")),
 ];
 
--- a/crates/lab/src/experiment/compare.rs
+++ b/crates/lab/src/experiment/compare.rs
@@ -2,6 +2,7 @@
 //! interval (Efron and Tibshirani, 1993, chapter 13: percentiles of resampled means).
 
 use super::results::{Results, Row};
+use crate::cold::Peaks;
 use crate::pickers::Named;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -125,3 +126,16 @@
     }
     text + "\n"
 }
+
+/// What cold servers were brought by all copies together, a line for each setting and picker that had any.
+pub fn cold_lines(results: &Results) -> Vec<String> {
+    let mut lines = Vec::new();
+    for setting in settings(results) {
+        for named in &results.header.experiment.pickers {
+            let mut all = Peaks::default();
+            rows_of(results, &setting, *named).for_each(|row| all.join(&row.cold));
+            lines.extend(all.told().map(|told| format!("{setting}, {}: {told}", named.name())));
+        }
+    }
+    lines
+}
--- a/crates/lab/src/experiment/results.rs
+++ b/crates/lab/src/experiment/results.rs
@@ -2,6 +2,7 @@
 //! They hold nothing of the machine or the moment: the same build, file and seeds write the same bytes.
 
 use super::ready::{Experiment, Ready, Setting};
+use crate::cold::Peaks;
 use crate::pickers::Named;
 use crate::plan::Scenario;
 use crate::referee::Breach;
@@ -42,6 +43,9 @@
     pub broken: [u64; 4],
     /// The first few, told one by one.
     pub breaches: Vec<String>,
+    /// What cold servers were brought by all copies together.
+    #[serde(default)]
+    pub cold: Peaks,
     pub steps: u64,
 }
 
@@ -59,6 +63,7 @@
             totals: run.totals.clone(),
             broken: run.breach_counts,
             breaches: run.breaches.iter().take(TOLD).map(Breach::to_string).collect(),
+            cold: run.cold.clone(),
             steps: run.steps,
         }
     }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -58,6 +58,7 @@
     let totals = serde_json::to_string_pretty(&played.totals).map_err(|wrong| wrong.to_string())?;
     println!("{totals}");
     println!("rules broken {:?}", played.breach_counts);
+    played.cold.told().iter().for_each(|line| println!("{line}"));
     played.breaches.iter().take(10).for_each(|breach| println!("{breach}"));
     eprintln!("{} steps in {took:.2} s; at most {} to come", played.steps, played.agenda_most);
     Ok(())
@@ -83,9 +84,10 @@
 
 fn sweep(sweep: &Sweep) -> Result<(), String> {
     let mut ready = find(&sweep.name)?;
-    if let Some(count) = sweep.seeds {
-        ready.reseed(count);
+    if !sweep.picker.is_empty() {
+        ready.experiment.pickers.clone_from(&sweep.picker);
     }
+    ready.reseed(sweep.seeds.unwrap_or(ready.experiment.seeds.count));
     let bar = ProgressBar::new(ready.runs.len() as u64);
     let style = ProgressStyle::with_template("{bar:40} {pos}/{len} runs, {eta} to go");
     bar.set_style(style.map_err(|wrong| wrong.to_string())?);
@@ -102,6 +104,7 @@
         row.breaches.iter().map(move |breach| format!("{} seed {}: {breach}", row.name(), row.seed))
     });
     told.take(20).for_each(|breach| println!("{breach}"));
+    experiment::cold_lines(&results).iter().for_each(|line| println!("{line}"));
     Ok(())
 }
 
--- a/crates/lab/src/plan/check.rs
+++ b/crates/lab/src/plan/check.rs
@@ -112,6 +112,10 @@
     if scenario.tenants.is_empty() || scenario.tenants.len() > 10_000 {
         return found("tenants", "from 1 to 10,000 are wanted");
     }
+    let share = |share: &f64| outside("front.traffic".into(), *share, 1e-3, 1e6);
+    if let Some(wrong) = scenario.front.traffic.iter().find_map(share) {
+        return Some(wrong);
+    }
     let shares = &scenario.front.zone_shares;
     if !shares.is_empty() && shares.len() != zones {
         return found("front.zone_shares", format!("{} figures for {zones} zones", shares.len()));
@@ -165,7 +169,8 @@
         WordsLost => figure("share", fault.share, 0.0, 1.0),
         CopiesRestarted | CopiesDown | CopiesApart => {
             let most = scenario.front.copies as f64;
-            figure("count", fault.count.map(|count| count as f64), 1.0, most)
+            let count = fault.count.map(|count| count as f64);
+            figure("count", count.or(fault.share.map(|_| scenario.copies_of(fault) as f64)), 1.0, most)
         }
         ZoneCut | ZoneLost => match &fault.zone {
             Some(zone) if scenario.zones.contains(zone) => None,
--- a/crates/lab/src/plan/faults.rs
+++ b/crates/lab/src/plan/faults.rs
@@ -40,11 +40,11 @@
     ZoneCut,
     /// All that is in `zone` falls silent, and comes back cold; its copies too.
     ZoneLost,
-    /// `count` copies of the front die, one every `seconds`, and start anew 1 s later, knowing an old list.
+    /// `count` copies of the front, or a `share` of them, die, one every `seconds`, and start anew 1 s later, knowing an old list.
     CopiesRestarted,
-    /// The first `count` copies of the front end, and start again after `for`.
+    /// The first `count` copies of the front, or a `share` of them, end, and start again after `for`.
     CopiesDown,
-    /// Words pass neither way between the first `count` copies of the front and all others (virtual time only).
+    /// Words pass neither way between the first `count` copies of the front, or a `share` of them, and all others (virtual time only).
     CopiesApart,
     /// A `share` of the words between copies is lost (virtual time only).
     WordsLost,
--- a/crates/lab/src/plan/scenario.rs
+++ b/crates/lab/src/plan/scenario.rs
@@ -131,13 +131,15 @@
     pub copies: usize,
     /// How long clients go on coming to a copy that has died, in seconds; they hear at once that it is gone.
     pub notice: f64,
+    /// Copies' parts of the clients of their zone, dealt out in turn; even where it is empty. In virtual time only.
+    pub traffic: Vec<f64>,
     /// Zones' parts of the clients; even where it is empty.
     pub zone_shares: Vec<f64>,
 }
 
 impl Default for Front {
     fn default() -> Front {
-        Front { copies: 4, notice: 1.0, zone_shares: Vec::new() }
+        Front { copies: 4, notice: 1.0, traffic: Vec::new(), zone_shares: Vec::new() }
     }
 }
 
@@ -193,7 +195,7 @@
     /// It falls when the work brought to it within `window` is more than this many times what it can do by then.
     pub multiple: f64,
     pub window: f64,
-    /// Fewer commands than this within a window never push it over.
+    /// Fewer commands than this within a window push it over only beyond what is put down to chance as well.
     pub least: u32,
     /// How long it is away after a fall.
     pub down: f64,
@@ -306,6 +308,12 @@
 }
 
 impl Scenario {
+    /// How many of the front's copies a fault strikes: the first `count`, or the first `share` of them, one at least.
+    pub fn copies_of(&self, fault: &Fault) -> usize {
+        let by_share = || fault.share.map_or(0, |share| ((share * self.front.copies as f64) as usize).max(1));
+        fault.count.unwrap_or_else(by_share)
+    }
+
     /// The first fault that only real sockets can play.
     pub fn on_sockets_only(&self) -> Option<&Fault> {
         self.faults.iter().find(|fault| fault.kind == Kind::HalfOpen)
--- a/crates/lab/src/sockets/fleet.rs
+++ b/crates/lab/src/sockets/fleet.rs
@@ -4,11 +4,11 @@
 use super::ledger::Ledger;
 use super::message::{Heard, Peer, answer};
 use super::ports::free;
+use crate::cold::{Bound, Brought, Peaks};
 use crate::plan::{Repeats, Spread};
 use crate::world::size;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::VecDeque;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -112,8 +112,8 @@
     /// Free cores.
     cores: Mutex<usize>,
     freed: Condvar,
-    /// What was brought to it while it was cold, in seconds of a core, and when.
-    brought: Mutex<VecDeque<(Instant, f64)>>,
+    /// What was brought to it while it was cold, and over all its lives before.
+    brought: Mutex<(Option<Instant>, Brought, Peaks)>,
     waiting: AtomicU32,
     inside: AtomicU32,
     pub taken: AtomicU64,
@@ -272,12 +272,12 @@
         {
             self.ledger.after_grace(cmd, &self.make.name, late);
         }
-        if self.inside.load(Ordering::Relaxed) as usize >= self.make.queue + self.make.cores {
-            return Some(self.said(503, "X-Never-Ran: 1\r\n", b"full"));
-        }
         if let Some(from) = serving.cold_from {
             self.bring(from, doing.work, &serving);
         }
+        if self.inside.load(Ordering::Relaxed) as usize >= self.make.queue + self.make.cores {
+            return Some(self.said(503, "X-Never-Ran: 1\r\n", b"full"));
+        }
         self.inside.fetch_add(1, Ordering::Relaxed);
         let done = self.work_on(heard, doing, cmd, rng, next);
         self.inside.fetch_sub(1, Ordering::Relaxed);
@@ -312,24 +312,34 @@
         Some(if well { self.said(200, "", b"done") } else { self.said(500, "", b"failed") })
     }
 
-    /// Work is brought to it while it may be cold: too much pushes it over, whoever sent it. It goes on here all the same.
+    /// Work is brought to it while it may be cold, also what it turns away: too much pushes it over, whoever sent it. It
+    /// goes on here all the same.
     fn bring(&self, from: Instant, work: f64, serving: &Serving) {
         let Some(rule) = self.make.cold_most.filter(|_| from.elapsed() < self.make.warm_after) else {
             return;
         };
-        let (mut brought, now) = (locked(&self.brought), Instant::now());
-        brought.push_back((now, work));
-        while brought.front().is_some_and(|(at, _)| *at < from || *at + rule.window < now) {
-            brought.pop_front();
+        let mean = self.verbs.iter().map(|doing| doing.work).sum::<f64>() / self.verbs.len().max(1) as f64;
+        let (mut brought, mean) = (locked(&self.brought), mean.max(1e-9));
+        let (life, brought, peaks) = &mut *brought;
+        if life.replace(from) != Some(from) {
+            brought.end(peaks);
         }
-        let offered: f64 = brought.iter().map(|(_, work)| work).sum();
         let able = self.make.cores as f64 * self.speed(serving) * rule.window.as_secs_f64();
-        if brought.len() >= rule.least && offered > rule.multiple * able {
-            self.ledger.pushed_over(&self.make.name, offered, able);
-            brought.clear();
+        let bound = Bound { window: rule.window, budget: rule.multiple * able / mean, least: rule.least };
+        if brought.bring(&self.make.name, self.ledger.now(), work / mean, bound) {
+            self.ledger.pushed_over(&self.make.name, brought.sent() * mean, able);
+            brought.forget();
         }
     }
 
+    /// What it was brought in its cold lives until now, which ends here.
+    pub fn cold_peaks(&self) -> Peaks {
+        let mut brought = locked(&self.brought);
+        let (_, brought, peaks) = &mut *brought;
+        brought.end(peaks);
+        peaks.clone()
+    }
+
     fn speed(&self, serving: &Serving) -> f64 {
         let Make { speed, cold_share, warm_after, .. } = &self.make;
         let Some(from) = serving.cold_from else { return *speed };
--- a/crates/lab/src/sockets/scene.rs
+++ b/crates/lab/src/sockets/scene.rs
@@ -560,7 +560,7 @@
                 let state = if step.is_multiple_of(2) { "draining" } else { "ready" };
                 fault.servers.iter().for_each(|place| self.tell(fault.tier, *place, state, None, now));
             }
-            Kind::CopiesRestarted if (step as usize) < fault.count.unwrap_or(0) => {
+            Kind::CopiesRestarted if (step as usize) < self.plan.copies_of(&fault) => {
                 self.tiers[0].sidecars[step as usize].kill();
                 self.away.push((now + Duration::from_secs(1), step as usize));
             }
--- a/crates/lab/src/world/clients.rs
+++ b/crates/lab/src/world/clients.rs
@@ -107,6 +107,17 @@
     fn pick_copy(&mut self, zone: u32) -> Option<usize> {
         let point: f64 = self.dice.clients.random();
         let count = self.plan.front.copies;
+        let traffic = &self.plan.front.traffic;
+        if !traffic.is_empty() {
+            let up = |copy: usize, near: bool| {
+                let here = &self.copies[copy];
+                here.up && (!near || here.zone == zone)
+            };
+            let near = (0..count).any(|copy| up(copy, true));
+            let share = |copy: usize| if up(copy, near) { traffic[copy % traffic.len()] } else { 0.0 };
+            let copy = deal((0..count).map(share), point);
+            return Some(copy).filter(|copy| up(*copy, near));
+        }
         let pick = |here: &dyn Fn(usize) -> bool| {
             let fitting = (0..count).filter(|copy| self.copies[*copy].up && here(*copy)).count();
             let place = (point * fitting as f64) as usize;
--- a/crates/lab/src/world/faults.rs
+++ b/crates/lab/src/world/faults.rs
@@ -35,7 +35,7 @@
             Kind::ListDown => self.end_watches(fault.tier),
             Kind::ZoneLost => self.lose_zone(fault),
             Kind::ListFlapping | Kind::CopiesRestarted => self.fault_step(number, 0),
-            Kind::CopiesDown => (0..fault.count.unwrap_or(0)).for_each(|copy| self.copy_dies(copy)),
+            Kind::CopiesDown => (0..plan.copies_of(fault)).for_each(|copy| self.copy_dies(copy)),
             _ => {}
         }
     }
@@ -55,7 +55,7 @@
             Kind::ZoneLost => self.regain_zone(fault),
             Kind::ListEmpty | Kind::ListStale => self.tell_whole(fault.tier),
             Kind::ListFlapping => self.flap(fault, false),
-            Kind::CopiesDown => (0..fault.count.unwrap_or(0))
+            Kind::CopiesDown => (0..plan.copies_of(fault))
                 .for_each(|copy| self.put_in(Duration::ZERO, Happening::CopyUp(copy))),
             _ => {}
         }
@@ -154,7 +154,7 @@
             Kind::CopiesRestarted => {
                 self.copy_dies(step as usize);
                 self.put_in(Duration::from_secs(1), Happening::CopyUp(step as usize));
-                if step as usize + 1 >= fault.count.unwrap_or(0) {
+                if step as usize + 1 >= plan.copies_of(fault) {
                     return;
                 }
             }
--- a/crates/lab/src/world/ground.rs
+++ b/crates/lab/src/world/ground.rs
@@ -7,6 +7,7 @@
 use super::happening::{Alive, Happening, JobKey, Leg};
 use super::source::Source;
 use super::window::Window;
+use crate::cold::{Brought, Peaks};
 use crate::plan::{Fault, Repeats, Scenario, span};
 use crate::referee::{Earlier, Facts, Final, Place, Referee};
 use crate::tally::Tally;
@@ -48,8 +49,8 @@
     pub running: usize,
     pub jobs: usize,
     pub jammed: bool,
-    /// Work brought while it was cold, with its time.
-    pub brought: VecDeque<(Duration, f64)>,
+    /// What was brought while it was cold.
+    pub brought: Brought,
     pub reported: (Duration, f64, f64),
     /// The copy by which it calls the next tier.
     pub copy: Option<usize>,
@@ -161,6 +162,8 @@
     pub active: Vec<usize>,
     pub referee: Referee,
     pub tally: Tally,
+    /// What cold servers were brought, over all their lives.
+    pub cold: Peaks,
     pub tenants: Vec<(u64, f64)>,
     pub steps: u64,
 }
@@ -183,6 +186,7 @@
             active: Vec::new(),
             referee: Referee::new(&plan.rules),
             tally: Tally::new(settle, plan.tenants.len()),
+            cold: Peaks::default(),
             tenants: vec![(0, 0.0); plan.tenants.len()],
             steps: 0,
             plan,
@@ -230,7 +234,7 @@
             running: 0,
             jobs: 0,
             jammed: false,
-            brought: VecDeque::new(),
+            brought: Brought::default(),
             reported: (Duration::ZERO, 0.0, 0.0),
             copy: None,
         });
@@ -329,7 +333,7 @@
         let (here, there) = (self.copies[from].zone, self.copies[to].zone);
         let apart = |fault: &Fault, copy: usize| {
             self.copies[copy].beside.is_none()
-                && (self.copies[copy].ordinal as usize) < fault.count.unwrap_or(0)
+                && (self.copies[copy].ordinal as usize) < self.plan.copies_of(fault)
         };
         let parted = self
             .faults()
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -16,6 +16,7 @@
 pub use dice::{deal, exponential, size};
 pub use hand::Hand;
 
+use crate::cold::Peaks;
 use crate::picker::Picker;
 use crate::plan::{Repeats, Scenario, span};
 use crate::referee::Breach;
@@ -40,6 +41,8 @@
     /// Told one by one up to a bound; `breach_counts` has them all, by rule.
     pub breaches: Vec<Breach>,
     pub breach_counts: [u64; 4],
+    /// What cold servers were brought by all copies together.
+    pub cold: Peaks,
     /// Things that happened.
     pub steps: u64,
     /// The most that was ever in the agenda: the world's size.
@@ -276,7 +279,10 @@
         let Ok(ground) = Rc::try_unwrap(self.ground) else {
             unreachable!("only the pickers held the books besides the loop")
         };
-        let ground = ground.into_inner();
+        let mut ground = ground.into_inner();
+        for server in &mut ground.servers {
+            server.brought.end(&mut ground.cold);
+        }
         let (steps, referee) = (ground.steps, ground.referee);
         let (totals, seconds, marks) = ground.tally.close();
         Run {
@@ -285,6 +291,7 @@
             marks,
             breaches: referee.breaches,
             breach_counts: referee.counts,
+            cold: ground.cold,
             steps,
             agenda_most,
         }
--- a/crates/lab/src/world/serving.rs
+++ b/crates/lab/src/world/serving.rs
@@ -6,6 +6,7 @@
 use super::dice::{exponential, size};
 use super::ground::{Cmd, Ground, Job, Origin, Server, Standing};
 use super::happening::{Happening, JobKey, Leg};
+use crate::cold::Bound;
 use crate::plan::{Kind, Lie, Repeats, Reports, span};
 use landingspread_decisions::host::{Load, Outcome};
 use rand::Rng;
@@ -71,23 +72,21 @@
     /// What comes to a cold server counts toward pushing it over, also what it turns away.
     fn bring(&mut self, number: usize, leg: Leg) {
         if self.warmth(number) >= 1.0 {
-            self.servers[number].brought.clear();
-            return;
+            return self.servers[number].brought.end(&mut self.cold);
         }
         let work = self.work(number, leg);
         let (now, warmth) = (self.now, self.warmth(number));
+        let mean = self.mean_work(self.servers[number].tier).max(1e-9);
         let server = &mut self.servers[number];
         let tier = &self.plan.tiers[server.tier];
         let window = span(tier.cold.window);
-        server.brought.push_back((now, work));
-        while server.brought.front().is_some_and(|(at, _)| *at + window < now) {
-            server.brought.pop_front();
-        }
-        let offered: f64 = server.brought.iter().map(|(_, work)| work).sum();
         let able = tier.cores as f64 * server.speed * warmth * tier.cold.window;
-        if server.brought.len() as u32 >= tier.cold.least && offered > tier.cold.multiple * able {
+        let name = server.id.clone();
+        let budget = tier.cold.multiple * able / mean;
+        let bound = Bound { window, budget, least: tier.cold.least as usize };
+        if server.brought.bring(&name, now, work / mean, bound) {
             let down = span(tier.cold.down);
-            let name = server.id.clone();
+            let offered = server.brought.sent() * mean;
             self.referee.pushed_over(now, &name, offered, able);
             self.strike_down(number, Standing::Down);
             let life = self.servers[number].life;
@@ -378,7 +377,7 @@
         server.running = 0;
         server.jammed = false;
         server.queue.clear();
-        server.brought.clear();
+        server.brought.end(&mut self.cold);
         if let Some(copy) = server.copy {
             self.copy_dies(copy);
         }
