--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -916,7 +916,9 @@
     fn credit_cold(&mut self) {
         let chosen = self.fleet.window().len().max(1) as f64;
         let others = (self.terms.may_live / self.terms.balancers).max(1.0);
-        let usual = (self.seen.sent.per_s(self.now) / chosen).max(4.0 / (self.sharers * others));
+        // In a surge each takes itself for the largest: the floors of all together are those of even parts at most.
+        let evenly = self.terms.balancers * chosen / (self.fleet.ready() as f64).max(1.0);
+        let usual = (self.seen.sent.per_s(self.now) / chosen).max(4.0 / (self.sharers.max(evenly) * others));
         let (cold, now) = (&self.terms.cold, self.now);
         self.fleet.each_ramping(now, |server| {
             let since = now.saturating_sub(server.credited).as_secs_f64().min(1.0);
