--- a/crates/membership/src/membership/mod.rs
+++ b/crates/membership/src/membership/mod.rs
@@ -88,6 +88,8 @@
     /// How far it doubts itself: it was held up, or accused who was alive.
     doubt: u32,
     count: Count,
+    /// Copies by the configuration: as many may live, whatever is heard.
+    configured: f64,
     counted: Counted,
     spent: Spent,
     refused: u64,
@@ -142,6 +144,7 @@
             accusing: Vec::new(),
             doubt: 0,
             count: Count::new(about.configured, now),
+            configured: about.configured,
             counted: Counted { copies, may_live, place: places::NONE, traffic: None },
             spent: Spent::default(),
             refused: 0,
@@ -335,7 +338,8 @@
         let gone = self.books.away().iter().map(|slot| self.books.get(*slot));
         let may_live =
             gone.filter(|member| member.standing == Standing::Dead && member.since + MAY_LIVE > now);
-        self.counted.may_live = (self.live() + may_live.count()) as f64;
+        // One that hears nobody for long is no fleet of its own: others may be cut off as it is.
+        self.counted.may_live = ((self.live() + may_live.count()) as f64).max(self.configured);
         let said = self.books.live_members().filter(|member| member.heard + TRAFFIC_FOR > now);
         let (sum, count) =
             said.fold((0.0, 0.0), |(sum, count), member| (sum + member.traffic(), count + 1.0));
