List calls that a crowded discovery refuses are made again after up to 8 s, not 4

Cause: discovery works through calls in turn and refuses what has queued too long, but works through it all the same; 300 copies in three tiers, each of which counts its own tier only, called more often than it can work through, so the queue never got shorter (list_call_failed, pauses of 2 to 4 s; WATCH_LEAST, calls of 2 s).

Change: Policy::list_call_refused for a call that got its 503 after 0.5 s or more: pauses grow to 8 s, and are by the number of copies from the first on; a watch's calls then wait twice as long, 8 s at most, and shorter again with answers. What is down, silent or broken is called again within 4 s as before.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -65,6 +65,9 @@
 /// Seconds from a failed list call to the next, at most, and from the beginning of one that took longer to fail.
 const PAUSE_FIRST: f64 = 0.5;
 const CALLS_APART: f64 = 4.0;
+/// After one that discovery refused: it works in vain through what queues too long, so all copies together make few.
+const PAUSE_REFUSED: f64 = 8.0;
+const REFUSED_EACH: f64 = 10.0;
 
 /// So much of the goal may go into checks before a draw, where they alone tell what servers hold.
 const LOOKS_COST: f64 = 0.012;
@@ -245,13 +248,23 @@
         self.place_held();
     }
 
+    /// It was down, silent or broken.
     pub fn list_call_failed(&mut self, now: Duration) {
-        self.now = now;
-        // Calls that all come again at once would fail again together.
-        let longest = PAUSE_FIRST * f64::from(1u32 << self.asking.failures.min(3));
         // What it took to fail has spread them already, and must not add to the time in which a change goes unheard.
         let lasted = now.saturating_sub(self.asking.began).as_secs_f64();
-        let longest = longest.min(CALLS_APART - lasted).max(PAUSE_FIRST);
+        let longest = PAUSE_FIRST * f64::from(1u32 << self.asking.failures.min(3));
+        self.call_again(now, longest.min(CALLS_APART - lasted).max(PAUSE_FIRST));
+    }
+
+    /// Discovery kept it waiting, and then said that it has too many.
+    pub fn list_call_refused(&mut self, now: Duration) {
+        let longest = PAUSE_FIRST * f64::from(1u32 << self.asking.failures.min(4));
+        self.call_again(now, longest.max(self.terms.balancers / REFUSED_EACH).min(PAUSE_REFUSED));
+    }
+
+    /// Calls that all come again at once would fail again together.
+    fn call_again(&mut self, now: Duration, longest: f64) {
+        self.now = now;
         self.asking.failures += 1;
         self.asking.next = Some(now + Duration::from_secs_f64(longest * (0.5 + 0.5 * self.chance())));
     }
--- a/crates/decisions/tests/decisions/plain.rs
+++ b/crates/decisions/tests/decisions/plain.rs
@@ -3,6 +3,8 @@
 use crate::scripted::{Final, Scene, entry, ms, terms};
 use landingspread_decisions::host::{Listed, Load, Outcome, State};
 use landingspread_decisions::terms::Terms;
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
 
 fn scene(extra: &str, servers: u32) -> Scene {
     Scene::new(terms("zone", extra), "zone", 7, servers)
@@ -257,6 +259,61 @@
     began.windows(2).map(|pair| (pair[1] - pair[0]).as_millis()).collect()
 }
 
+/// How many of 300 copies, a hundred to each of three tiers, have no list 14 s after discovery came back from 8 s in which it
+/// kept calls waiting. It works through so many calls a second in turn, refuses what has waited for 1.5 s, and works
+/// through that all the same.
+fn without_a_list(a_second: f64, refused: fn(&mut Scene)) -> usize {
+    let (step, back, end, most) = (ms(20), ms(8000), ms(22_000), ms(1500));
+    let told = "Discovery=subscribe Balancers=100";
+    let start = |seed| Scene::new(terms("zone", told), "zone", seed, 2);
+    let mut copies: Vec<Scene> = (0..300).map(start).collect();
+    let mut calls = vec![0; copies.len()];
+    let mut queue: VecDeque<(usize, Duration)> = VecDeque::new();
+    let (mut waiting, mut listed) = (BTreeSet::new(), BTreeSet::new());
+    let (mut now, mut work) = (Duration::ZERO, 0.0);
+    while now < end {
+        now += step;
+        for (number, copy) in copies.iter_mut().enumerate() {
+            copy.pass(step);
+            let made = copy.script.0.borrow().list_calls;
+            if made > std::mem::replace(&mut calls[number], made) {
+                queue.push_back((number, now));
+                waiting.insert(number);
+            }
+        }
+        work = if now < back || queue.is_empty() { 0.0 } else { work + a_second * step.as_secs_f64() };
+        while work >= 1.0
+            && let Some((number, came)) = queue.pop_front()
+        {
+            work -= 1.0;
+            if now - came < most && waiting.remove(&number) {
+                copies[number].policy.list_changed(now, &[]);
+                listed.insert(number);
+            }
+        }
+        let late = queue.iter().filter(|(number, came)| now - *came >= most && waiting.contains(number));
+        for number in late.map(|(number, _)| *number).collect::<Vec<_>>() {
+            waiting.remove(&number);
+            refused(&mut copies[number]);
+        }
+        if now < back {
+            // It is down: nothing is worked through, and nothing stays.
+            queue.retain(|(number, _)| waiting.contains(number));
+        }
+    }
+    copies.len() - listed.len()
+}
+
+#[test]
+fn copies_that_a_crowded_discovery_refuses_leave_it_room_to_answer_them() {
+    for a_second in [50.0, 60.0, 75.0, 100.0] {
+        let now = without_a_list(a_second, |copy| copy.policy.list_call_refused(copy.now()));
+        let as_failed = without_a_list(a_second, |copy| copy.policy.list_call_failed(copy.now()));
+        println!("{a_second}: {now}, {as_failed} where a refusal counts as any failure");
+        assert!(now <= 30, "{now} of 300 have no list; {as_failed} where a refusal counts as any failure");
+    }
+}
+
 #[test]
 fn list_calls_that_fail_begin_at_most_four_seconds_apart_however_long_each_takes_to_fail() {
     for fails_after in [0, 200, 1000, 2000, 3000, 3400] {
--- a/crates/sidecar/src/net/discovery.rs
+++ b/crates/sidecar/src/net/discovery.rs
@@ -24,14 +24,34 @@
 const WATCH_MOST: Duration = Duration::from_secs(3);
 const CALLS_A_SECOND: f64 = 50.0;
 const UP_IN: Duration = Duration::from_secs(1);
+/// A call that is refused so late stood in discovery's queue: it has more of them than it can work through, from how many
+/// copies of how many tiers nobody knows. Then each call waits twice as long, up to this, and by answers less again.
+const QUEUED: Duration = Duration::from_millis(500);
+const WATCH_LONGEST: Duration = Duration::from_secs(8);
+const SHORTER: f64 = 0.75;
 /// Discovery works through calls in turn: how much later than it waits an answer may come.
 const IN_TURN: Duration = Duration::from_secs(1);
 
+/// Why there is no list.
+enum Unheard {
+    /// Discovery has too many calls.
+    Refused,
+    Failed(String),
+}
+
+impl From<String> for Unheard {
+    fn from(why: String) -> Unheard {
+        Unheard::Failed(why)
+    }
+}
+
 #[derive(Clone)]
 pub struct Discovery {
     address: SocketAddr,
     /// What the list in hand is; none of what this discovery counts by, then its whole list is due.
     generation: Option<u64>,
+    /// How long a call waits for a change: at the least, and now.
+    least: Duration,
     wait: Duration,
     zones: Vec<String>,
     clock: Clock,
@@ -50,13 +70,13 @@
         let generation = Some(launch.known.generation).filter(|_| launch.inherited.is_none());
         let share = Duration::from_secs_f64(launch.terms.balancers / CALLS_A_SECOND);
         let wait = share.clamp(WATCH_LEAST, WATCH_MOST);
-        Some(Discovery { address, generation, wait, zones, clock, stock, queue, start })
+        Some(Discovery { address, generation, least: wait, wait, zones, clock, stock, queue, start })
     }
 
     /// Another discovery may count its generations from elsewhere, and may have heard of drains that the old
     /// one never told.
     pub fn move_to(&mut self, address: SocketAddr) {
-        (self.address, self.generation) = (address, None);
+        (self.address, self.generation, self.wait) = (address, None, self.least);
     }
 
     /// One watch for each time that the module asks; it lasts until a call fails.
@@ -66,14 +86,23 @@
                 Err(wrong) => wrong,
                 Ok(never) => match never {},
             };
-            tracing::warn!(discovery = %self.address, "watch ended: {wrong}");
             // What was asked for while the watch stood is answered by the word that it has ended.
             while asked.try_recv().is_ok() {}
-            self.queue.tell(Word::ListFailed);
+            match wrong {
+                Unheard::Refused => {
+                    self.wait = (self.wait * 2).min(WATCH_LONGEST);
+                    tracing::warn!(discovery = %self.address, "watch ended: refused, it has too many calls");
+                    self.queue.tell(Word::ListRefused);
+                }
+                Unheard::Failed(why) => {
+                    tracing::warn!(discovery = %self.address, "watch ended: {why}");
+                    self.queue.tell(Word::ListFailed);
+                }
+            }
         }
     }
 
-    async fn watch(&mut self) -> Result<std::convert::Infallible, String> {
+    async fn watch(&mut self) -> Result<std::convert::Infallible, Unheard> {
         let mut conn = None;
         // The next call comes at once: later than 0.2 s after an answer it would begin a new watch.
         loop {
@@ -81,12 +110,13 @@
             let (generation, entries) = (catalog.generation, catalog.entries.len());
             tracing::debug!(generation, whole = catalog.whole, entries, "a list");
             self.generation = Some(generation);
+            self.wait = self.wait.mul_f64(SHORTER).max(self.least);
             self.start.list_came();
             self.queue.tell(Word::Listed(catalog));
         }
     }
 
-    async fn call(&self, kept: &mut Option<Async<TcpStream>>) -> Result<Catalog, String> {
+    async fn call(&self, kept: &mut Option<Async<TcpStream>>) -> Result<Catalog, Unheard> {
         // A dial that takes long is not to make the call longer.
         let begun = Instant::now();
         let conn = match kept.take() {
@@ -102,8 +132,11 @@
         self.start.discovery_called();
         let answer = http::read_long(&conn, &self.stock, self.stock.buffers_for_a_list());
         let (status, keep, mut rsp) = in_time(wait + IN_TURN, answer).await?;
+        if status == Some(503) && begun.elapsed() >= QUEUED {
+            return Err(Unheard::Refused);
+        }
         if status != Some(200) {
-            return Err(format!("status {status:?}"));
+            return Err(format!("status {status:?}").into());
         }
         let value = serde_json::from_reader(BufReader::new(&mut rsp)).map_err(|wrong| wrong.to_string())?;
         let catalog = Catalog::take(&value, &self.zones, &self.clock)?;
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -68,6 +68,8 @@
     Peer(u32, Vec<u8>),
     Listed(Catalog),
     ListFailed,
+    /// By discovery itself, as it has too many calls.
+    ListRefused,
     /// The process ends: by then all that is open has its final word.
     EndsBy(Duration),
     /// It is that time.
@@ -515,6 +517,7 @@
             }
             Word::Peer(peer, words) => self.peer_said(now, peer, &words),
             Word::ListFailed => self.policy.list_call_failed(now),
+            Word::ListRefused => self.policy.list_call_refused(now),
             Word::EndsBy(at) => self.ends_by(now, at),
             Word::AllDue => self.desk.borrow_mut().end_relays(),
         }
