--- a/crates/lab/src/experiment/compare.rs
+++ b/crates/lab/src/experiment/compare.rs
@@ -125,3 +125,51 @@
     }
     text + "\n"
 }
+
+/// Where commands go through several tiers: relays to the last tier over the commands that clients wanted, as a mean with the least and the
+/// most over the seeds; then the tier at which further relays are the largest share of the first ones, and why they were sent.
+pub fn depth_table(results: &Results) -> Option<String> {
+    let deep = results.header.settings.iter().any(|told| told.scenario.tiers.len() > 1);
+    if !deep {
+        return None;
+    }
+    let pickers = &results.header.experiment.pickers;
+    let mut text = String::from("| relays at the bottom over calls at the top |");
+    pickers.iter().for_each(|named| text += &format!(" {} |", named.name()));
+    text += "\n| --- |";
+    pickers.iter().for_each(|_| text += " --- |");
+    for setting in settings(results) {
+        let _ = write!(text, "\n| {setting} |");
+        for named in pickers {
+            let of: Vec<&Row> = rows_of(results, &setting, *named).collect();
+            let ratios: Vec<f64> = of.iter().map(|row| row.totals.bottom_over_top()).collect();
+            let mean = ratios.iter().sum::<f64>() / ratios.len().max(1) as f64;
+            let least = ratios.iter().copied().fold(f64::MAX, f64::min);
+            let most = ratios.iter().copied().fold(0.0, f64::max);
+            let _ = write!(text, " {mean:.3} ({least:.3} to {most:.3}){} |", worst_tier(&of));
+        }
+    }
+    Some(text + "\n")
+}
+
+/// `; tier 15 +0.12 failed`: nothing where no tier repeats as much as one in a thousand.
+fn worst_tier(rows: &[&Row]) -> String {
+    let tiers = rows.iter().map(|row| row.totals.tiers.len()).max().unwrap_or(0);
+    let sums = (0..tiers).map(|tier| {
+        let of_tier = rows.iter().filter_map(|row| row.totals.tiers.get(tier));
+        of_tier.fold([0u64; 4], |[first, never_ran, failed, cancelled], more| {
+            [
+                first + more.first,
+                never_ran + more.after_never_ran,
+                failed + more.after_failed,
+                cancelled + more.after_cancelled,
+            ]
+        })
+    });
+    let share = |sums: &[u64; 4]| sums[1..].iter().sum::<u64>() as f64 / sums[0].max(1) as f64;
+    let worst = sums.enumerate().max_by(|a, b| share(&a.1).total_cmp(&share(&b.1)));
+    let Some((tier, sums)) = worst.filter(|(_, sums)| share(sums) >= 0.001) else { return String::new() };
+    let reasons = ["never ran", "failed", "called off"];
+    let reason = (0..3).max_by_key(|at| sums[at + 1]).map_or("", |at| reasons[at]);
+    format!("; tier {tier} +{:.3} {reason}", share(&sums))
+}
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -7,7 +7,7 @@
 mod sweep;
 
 pub use builtin::{builtin, builtins};
-pub use compare::{Difference, compare, table};
+pub use compare::{Difference, compare, depth_table, table};
 pub use ready::*;
 pub use results::{Header, Results, Row, build};
 pub use sweep::{Progress, sweep};
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -98,6 +98,7 @@
     }
     let first = ready.experiment.pickers.first().copied().unwrap_or(Named::Landingspread);
     print!("{}", experiment::table(&results, first));
+    experiment::depth_table(&results).iter().for_each(|table| print!("\n{table}"));
     let told = results.rows.iter().filter(|row| row.picker == first).flat_map(|row| {
         row.breaches.iter().map(move |breach| format!("{} seed {}: {breach}", row.name(), row.seed))
     });
@@ -110,6 +111,7 @@
     let file = File::open(&compare.results).map_err(|wrong| told(wrong.to_string()))?;
     let results = Results::read(BufReader::new(file)).map_err(told)?;
     print!("{}", experiment::table(&results, compare.picker));
+    experiment::depth_table(&results).iter().for_each(|table| print!("\n{table}"));
     Ok(())
 }
 
--- a/crates/lab/src/pickers/named.rs
+++ b/crates/lab/src/pickers/named.rs
@@ -1,7 +1,7 @@
 //! Pickers by name.
 
 use super::fleeted::Fleeted;
-use super::plain::{Plain, Way};
+use super::plain::{Plain, Tries, Way};
 use crate::picker::Picker;
 use crate::world::Hand;
 use landingspread_decisions::policy::Policy;
@@ -24,11 +24,15 @@
     RoundRobin,
     LeastOutstanding,
     TwoChoices,
+    /// The better of two, and each command is sent once.
+    NoRepeats,
+    /// The better of two, and two further tries after any failure or without an answer in time, at every tier.
+    PlainRepeats,
     TrueState,
 }
 
 impl Named {
-    pub const ALL: [Named; 9] = [
+    pub const ALL: [Named; 11] = [
         Named::Landingspread,
         Named::LandingspreadFleet,
         Named::LandingspreadZones,
@@ -37,6 +41,8 @@
         Named::RoundRobin,
         Named::LeastOutstanding,
         Named::TwoChoices,
+        Named::NoRepeats,
+        Named::PlainRepeats,
         Named::TrueState,
     ];
 
@@ -50,6 +56,8 @@
             Named::RoundRobin => "round_robin",
             Named::LeastOutstanding => "least_outstanding",
             Named::TwoChoices => "two_choices",
+            Named::NoRepeats => "no_repeats",
+            Named::PlainRepeats => "plain_repeats",
             Named::TrueState => "true_state",
         }
     }
@@ -69,10 +77,15 @@
             Named::Random => Way::Random,
             Named::RoundRobin => Way::RoundRobin,
             Named::LeastOutstanding => Way::LeastOutstanding,
-            Named::TwoChoices => Way::TwoChoices,
+            Named::TwoChoices | Named::NoRepeats | Named::PlainRepeats => Way::TwoChoices,
             Named::TrueState => Way::TrueState,
         };
-        Box::new(Plain::new(hand, terms, seed, way))
+        let tries = match self {
+            Named::NoRepeats => Tries::ONE,
+            Named::PlainRepeats => Tries::THREE,
+            _ => Tries::ALL,
+        };
+        Box::new(Plain::new(hand, terms, seed, way, tries))
     }
 }
 
--- a/crates/lab/src/pickers/plain.rs
+++ b/crates/lab/src/pickers/plain.rs
@@ -36,13 +36,32 @@
     verb: usize,
     due: Duration,
     good_until: Duration,
+    /// It can't be sent again.
+    spent: bool,
     sent: Vec<Sent>,
 }
 
+/// How often a baseline sends one command at most, and how long it waits each time.
+#[derive(Clone, Copy, Debug)]
+pub struct Tries {
+    pub most: u32,
+    /// As a share of the verb's time limit; what is overdue by then is called off and sent to another server.
+    pub patience: f64,
+}
+
+impl Tries {
+    /// As often as the plan allows, each until the command's own time is over.
+    pub const ALL: Tries = Tries { most: u32::MAX, patience: 1.0 };
+    pub const ONE: Tries = Tries { most: 1, patience: 1.0 };
+    /// Two further tries after any failure, or when a third of the limit is over without an answer.
+    pub const THREE: Tries = Tries { most: 3, patience: 1.0 / 3.0 };
+}
+
 pub struct Plain {
     hand: Hand,
     terms: Terms,
     way: Way,
+    tries: Tries,
     rng: ChaCha8Rng,
     servers: Vec<Known>,
     places: BTreeMap<Id, usize>,
@@ -52,12 +71,13 @@
 }
 
 impl Plain {
-    pub fn new(hand: Hand, terms: Terms, seed: u64, way: Way) -> Plain {
+    pub fn new(hand: Hand, terms: Terms, seed: u64, way: Way, tries: Tries) -> Plain {
         let rng = ChaCha8Rng::seed_from_u64(seed);
         Plain {
             hand,
             terms,
             way,
+            tries,
             rng,
             servers: Vec::new(),
             places: BTreeMap::new(),
@@ -120,7 +140,8 @@
 
     fn go(&mut self, id: &Id, now: Duration) {
         let Some(mut open) = self.open.remove(id) else { return };
-        let may = open.due > now && (open.sent.len() as u32) < self.terms.allowed.relays;
+        let most = self.terms.allowed.relays.min(self.tries.most);
+        let may = !open.spent && open.due > now && (open.sent.len() as u32) < most;
         let place = if may { self.pick(&open, now) } else { None };
         let Some(place) = place else {
             if may_decline(&self.terms, open.verb, &open.sent) {
@@ -132,11 +153,13 @@
         };
         let server = &mut self.servers[place];
         server.out += 1;
-        let (zone, cell, due) = (server.zone, server.cell, open.due);
+        let limit = self.terms.verbs.get(open.verb).map_or(Duration::MAX, |verb| verb.limit);
+        let until = open.due.min(now.saturating_add(limit.mul_f64(self.tries.patience)));
+        let (zone, cell) = (server.zone, server.cell);
         open.sent.push(Sent { server: place, zone, cell, at: now, outcome: None });
         let to = server.id.clone();
         self.open.insert(id.clone(), open);
-        self.hand.relay(id, &to, due);
+        self.hand.relay(id, &to, until);
     }
 }
 
@@ -164,7 +187,7 @@
     fn cmd_came(&mut self, now: Duration, arrival: Arrival) {
         let Arrival { verb, due, .. } = arrival;
         let goal = self.terms.verbs.get(verb).map_or(due, |verb| now + verb.goal);
-        let open = Open { verb, due, good_until: goal.min(due), sent: Vec::new() };
+        let open = Open { verb, due, good_until: goal.min(due), spent: false, sent: Vec::new() };
         self.open.insert(arrival.id.clone(), open);
         self.go(&arrival.id, now);
     }
@@ -184,6 +207,9 @@
         let Some(sent) = open.sent.get_mut(ended.relay as usize) else { return };
         sent.outcome = Some(ended.outcome);
         self.servers[sent.server].out -= 1;
+        if ended.spent {
+            open.spent = true;
+        }
         if ended.closed {
             self.open.remove(&ended.cmd);
         } else {
--- a/crates/lab/src/plan/scenario.rs
+++ b/crates/lab/src/plan/scenario.rs
@@ -287,6 +287,12 @@
     pub beyond_quota: f64,
     /// Whether copies' decisions tell each other words.
     pub words: bool,
+    /// Whether a server's calls to the next tier carry the time that its own caller has left. Where they do not, each
+    /// has its verb's whole limit, and a server goes on until it sees that its caller waits no longer.
+    pub passes_deadline: bool,
+    /// Whether a server's answer says that it failed only as its own call did: such a failure is not sent again above, so
+    /// that only the tier that met it first repeats. A proposal: no published protocol says it.
+    pub nearest_repeats: bool,
 }
 
 impl Default for Rules {
@@ -301,6 +307,8 @@
             crossing: 0.02,
             beyond_quota: 0.2,
             words: false,
+            passes_deadline: true,
+            nearest_repeats: false,
         }
     }
 }
--- a/crates/lab/src/sockets/scene.rs
+++ b/crates/lab/src/sockets/scene.rs
@@ -222,7 +222,7 @@
 
     fn run(&mut self, show: &mut dyn FnMut(&Seen)) -> Result<Line, String> {
         let calls = self.call_plan();
-        let tally = Mutex::new(Tally::new(span(self.plan.settle), self.plan.tenants.len()));
+        let tally = Mutex::new(Tally::new(span(self.plan.settle), self.plan.tenants.len(), 0));
         let (pace, stop) = (Pace::new(self.plan.load.rate), AtomicBool::new(false));
         // Where copies die, what they held is lost: no decision of theirs.
         let strict =
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -2,6 +2,7 @@
 
 use crate::referee::Final;
 use hdrhistogram::Histogram;
+use landingspread_decisions::host::Outcome;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -37,6 +38,25 @@
     pub note: String,
 }
 
+/// Relays to one tier, of commands that came to the first tier past the settling time.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq)]
+pub struct TierTotals {
+    /// First relays: one for each call that was sent on at all.
+    pub first: u64,
+    /// Further ones, by how the one before ended: it never ran.
+    pub after_never_ran: u64,
+    /// It failed or broke, or there was no answer by its time.
+    pub after_failed: u64,
+    /// The copy itself called it off.
+    pub after_cancelled: u64,
+}
+
+impl TierTotals {
+    pub fn relays(&self) -> u64 {
+        self.first + self.after_never_ran + self.after_failed + self.after_cancelled
+    }
+}
+
 /// What a run came to, without the settling time at its start.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq)]
 pub struct Totals {
@@ -65,6 +85,16 @@
     #[serde(default)]
     pub vain_last: f64,
     pub tenants: Vec<f64>,
+    /// In order of the tiers.
+    #[serde(default)]
+    pub tiers: Vec<TierTotals>,
+}
+
+impl Totals {
+    /// Relays to the last tier over the commands that clients wanted: 1 where nothing is repeated or given up.
+    pub fn bottom_over_top(&self) -> f64 {
+        self.tiers.last().map_or(0, TierTotals::relays) as f64 / self.came.max(1) as f64
+    }
 }
 
 fn histogram() -> Histogram<u64> {
@@ -90,13 +120,13 @@
 }
 
 impl Tally {
-    pub fn new(settle: Duration, tenants: usize) -> Tally {
+    pub fn new(settle: Duration, tenants: usize, tiers: usize) -> Tally {
         Tally {
             settle,
             seconds: Vec::new(),
             within: histogram(),
             all: histogram(),
-            totals: Totals::default(),
+            totals: Totals { tiers: vec![TierTotals::default(); tiers], ..Totals::default() },
             offered: 0.0,
             earned: 0.0,
             by_tenant: vec![(0.0, 0.0); tenants],
@@ -171,6 +201,17 @@
         }
     }
 
+    /// `since` is when its command came to the first tier; `before` how the relay before it ended, if there was one.
+    pub fn relayed_at(&mut self, tier: usize, since: Duration, before: Option<Option<Outcome>>) {
+        let Some(of_tier) = self.totals.tiers.get_mut(tier).filter(|_| since >= self.settle) else { return };
+        match before {
+            None => of_tier.first += 1,
+            Some(Some(Outcome::Cancelled)) => of_tier.after_cancelled += 1,
+            Some(Some(outcome)) if outcome.never_ran() => of_tier.after_never_ran += 1,
+            Some(_) => of_tier.after_failed += 1,
+        }
+    }
+
     pub fn unheard(&mut self, now: Duration) {
         self.totals.unheard += u64::from(now >= self.settle);
     }
--- a/crates/lab/src/world/clients.rs
+++ b/crates/lab/src/world/clients.rs
@@ -88,6 +88,7 @@
             verb,
             tenant,
             came: self.now,
+            since: self.now,
             due: self.now + limit,
             origin: number,
             finished: None,
--- a/crates/lab/src/world/ground.rs
+++ b/crates/lab/src/world/ground.rs
@@ -68,7 +68,7 @@
     pub verb: usize,
     pub tenant: usize,
     pub origin: u64,
-    /// The copy waits no longer than this.
+    /// The copy waits no longer than this, as far as the server is told.
     pub until: Duration,
     pub work: f64,
     pub calls_left: u32,
@@ -85,6 +85,8 @@
     pub until: Duration,
     pub delay: Duration,
     pub fresh: bool,
+    /// Its server failed as a call of its own to the next tier did.
+    pub failed_below: bool,
     pub outcome: Option<Outcome>,
     pub job: Option<JobKey>,
 }
@@ -95,6 +97,8 @@
     pub verb: usize,
     pub tenant: usize,
     pub came: Duration,
+    /// When the command came to the first tier that this one is part of.
+    pub since: Duration,
     pub due: Duration,
     pub origin: u64,
     pub finished: Option<Final>,
@@ -182,7 +186,7 @@
             source: Source::default(),
             active: Vec::new(),
             referee: Referee::new(&plan.rules),
-            tally: Tally::new(settle, plan.tenants.len()),
+            tally: Tally::new(settle, plan.tenants.len(), plan.tiers.len()),
             tenants: vec![(0, 0.0); plan.tenants.len()],
             steps: 0,
             plan,
--- a/crates/lab/src/world/hand.rs
+++ b/crates/lab/src/world/hand.rs
@@ -82,13 +82,27 @@
         let (zone, other) = (ground.copies[self.alive.copy].zone, ground.servers[to].zone);
         let vain = ground.servers[to].standing != Standing::Up || ground.cut(zone, other);
         ground.tally.relayed(now, vain);
+        let tier = ground.servers[to].tier;
+        if let Some(cmd) = ground.cmds.get(number) {
+            ground.tally.relayed_at(tier, cmd.since, cmd.relays.last().map(|relay| relay.outcome));
+        }
         let delay = ground.delay(zone, other);
         let fresh = ground.take_connection(self.alive.copy, to);
         let Some(cmd) = ground.cmds.get_mut(number) else { return };
         let until = if not_past.is_zero() { cmd.due } else { not_past.min(cmd.due) };
         let leg = Leg { cmd: number, relay: cmd.relays.len() as u32 };
         let moot = cmd.finished.is_some() || until <= now;
-        cmd.relays.push(Relay { server: to, sent: now, until, delay, fresh, outcome: None, job: None });
+        let failed_below = false;
+        cmd.relays.push(Relay {
+            server: to,
+            sent: now,
+            until,
+            delay,
+            fresh,
+            failed_below,
+            outcome: None,
+            job: None,
+        });
         if moot {
             ground.put_in(Duration::ZERO, Happening::Ended(leg, Outcome::Moot, Load::default()));
             return;
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -140,7 +140,7 @@
             Happening::Due(cmd) => books().due(cmd),
             Happening::Reach(leg) => books().reach(leg),
             Happening::Worked(job) => books().worked(job),
-            Happening::CallEnded(job, well) => books().go_on(job, well),
+            Happening::CallEnded(job, well) => books().call_ended(job, well),
             Happening::Ended(leg, outcome, load) => self.ended(now, leg, outcome, load),
             Happening::OutOfTime(leg) => self.ended(now, leg, Outcome::Timeout, Load::default()),
             Happening::CalledOff(leg) => books().called_off(leg),
@@ -229,7 +229,7 @@
             let ended = Ended {
                 cmd: cmd.id.clone(),
                 closed: cmd.finished.is_some(),
-                spent: false,
+                spent: ground.plan.rules.nearest_repeats && relay.failed_below,
                 outcome,
                 relay: leg.relay,
                 latency: now.saturating_sub(relay.sent),
--- a/crates/lab/src/world/serving.rs
+++ b/crates/lab/src/world/serving.rs
@@ -117,7 +117,7 @@
             verb: cmd.verb,
             tenant: cmd.tenant,
             origin: cmd.origin,
-            until: relay.until,
+            until: if self.plan.rules.passes_deadline { relay.until } else { Duration::MAX },
             work: work
                 + if relay.fresh { self.plan.tiers[self.servers[number].tier].connections.work } else { 0.0 },
             calls_left: if last_tier { 0 } else { self.plan.verbs[cmd.verb].calls },
@@ -275,8 +275,16 @@
         self.start_jobs(number);
     }
 
+    /// A call to the next tier has come to its end.
+    pub fn call_ended(&mut self, key: JobKey, well: bool) {
+        let leg = self.job(key).map(|job| job.leg).filter(|_| !well);
+        let relay = leg.and_then(|leg| self.cmds.get_mut(leg.cmd)?.relays.get_mut(leg.relay as usize));
+        relay.into_iter().for_each(|relay| relay.failed_below = true);
+        self.go_on(key, well);
+    }
+
     /// A job's next step after its own work or after a call: the next call, or its answer.
-    pub fn go_on(&mut self, key: JobKey, well: bool) {
+    fn go_on(&mut self, key: JobKey, well: bool) {
         let Some(job) = self.job(key) else { return };
         if job.called_off {
             self.drop_job(key);
@@ -293,7 +301,10 @@
     fn call(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get_mut(key.slot) else { return };
         job.calls_left -= 1;
-        let (verb, tenant, due, server) = (job.verb, job.tenant, job.until, job.server);
+        let (verb, tenant, until, server, caller) =
+            (job.verb, job.tenant, job.until, job.server, job.leg.cmd);
+        let due = until.min(self.now + span(self.plan.verbs[verb].limit));
+        let since = self.cmds.get(caller).map_or(self.now, |cmd| cmd.since);
         let Some(copy) = self.servers[server].copy.filter(|copy| self.copies[*copy].up) else {
             self.put_in(Duration::ZERO, Happening::CallEnded(key, false));
             return;
@@ -309,6 +320,7 @@
             verb,
             tenant,
             came: self.now,
+            since,
             due,
             origin,
             finished: None,
