Lab: `added`, the time that one sidecar adds to a call, straight and through it in turn

Change: `landingspread-lab added` starts stand-ins and a sidecar before them and lets the same callers speak straight and through it, in turns whose order changes from pair to pair; figures count from the send, medians over pairs with the least and the most, with processor time and sleeps of the sidecar a call. `--against` puts a second build in each pair.

--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -23,6 +23,7 @@
     Demo(Demo),
     Load(Load),
     Bench(Bench),
+    Added(Added),
     Fleet(Fleet),
     Check(Check),
 }
@@ -181,6 +182,33 @@
     pub program: Option<PathBuf>,
 }
 
+/// how much time one sidecar adds to a call: the same calls straight to stand-ins and through it, in turn
+#[derive(FromArgs)]
+#[argh(subcommand, name = "added")]
+pub struct Added {
+    /// calls a second; may be given several times, 65 and 650 where it is not
+    #[argh(option)]
+    pub rate: Vec<f64>,
+    /// pairs for each rate
+    #[argh(option, default = "10")]
+    pub pairs: usize,
+    /// seconds for each half of a pair
+    #[argh(option, default = "6.0")]
+    pub seconds: f64,
+    /// connections to the sidecar, or to the stand-ins
+    #[argh(option, default = "4")]
+    pub connections: usize,
+    /// stand-ins
+    #[argh(option, default = "2")]
+    pub servers: usize,
+    /// the landingspread to run; the one beside this program where it is not given
+    #[argh(option)]
+    pub program: Option<PathBuf>,
+    /// a build to hold against it: calls go straight, through the one and through the other, in turn
+    #[argh(option)]
+    pub against: Option<PathBuf>,
+}
+
 /// play a plan of faults round a fleet of processes; the last line says held or broken
 #[derive(FromArgs)]
 #[argh(subcommand, name = "fleet")]
--- a/crates/lab/src/live.rs
+++ b/crates/lab/src/live.rs
@@ -1,9 +1,10 @@
 //! The sub-commands that need real sockets. It owns what is shown while they run.
 
-use crate::args::{Bench, Load, Sockets};
+use crate::args::{Added, Bench, Load, Sockets};
 use crate::cases::{case_of, find};
 use landingspread_lab::experiment::Setting;
 use landingspread_lab::report::{self, Line, Story};
+use landingspread_lab::sockets::added::{self, Turns};
 use landingspread_lab::sockets::{self, LoadPlan, Seen, bench as points};
 use std::io::{IsTerminal, Write};
 use std::path::{Path, PathBuf};
@@ -174,3 +175,21 @@
     }
     Ok(())
 }
+
+pub fn added(wanted: &Added) -> Result<(), String> {
+    let mut programs = vec![program(wanted.program.as_ref())?];
+    programs.extend(wanted.against.clone());
+    let rates = if wanted.rate.is_empty() { vec![65.0, 650.0] } else { wanted.rate.clone() };
+    let dir = sockets::run_dir("added")?;
+    for rate in rates {
+        let turns = Turns {
+            rate: rate.clamp(0.1, 100_000.0),
+            pairs: wanted.pairs.clamp(1, 1000),
+            length: Duration::from_secs_f64(wanted.seconds.clamp(0.5, 600.0)),
+            connections: wanted.connections.clamp(1, 4096),
+            servers: wanted.servers.clamp(1, 1000),
+        };
+        print!("{}", added::page(&turns, &added::measure(&turns, &programs, &dir)?));
+    }
+    Ok(())
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -136,6 +136,7 @@
         Wanted::Demo(Demo {}) => live::demo(),
         Wanted::Load(wanted) => live::load(wanted),
         Wanted::Bench(wanted) => live::bench(wanted),
+        Wanted::Added(wanted) => live::added(wanted),
         Wanted::Fleet(_) | Wanted::Check(_) => Ok(()),
     };
     match done {
--- a/crates/lab/src/sockets/bench.rs
+++ b/crates/lab/src/sockets/bench.rs
@@ -76,13 +76,20 @@
     Ok(Point { servers: 0, figures: load(&plan_of(targets, connections, spans)), busy: 0.0 })
 }
 
-pub fn through(
-    program: &Path,
-    dir: &Path,
-    servers: usize,
-    connections: usize,
-    spans: Spans,
-) -> Result<Point, String> {
+/// One sidecar before stand-ins that answer at once.
+pub struct Rig {
+    pub fleet: Fleet,
+    pub sidecar: Sidecar,
+    discovery: Arc<Discovery>,
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        self.discovery.end();
+    }
+}
+
+pub fn rig(program: &Path, dir: &Path, servers: usize) -> Result<Rig, String> {
     let fleet = fleet(servers)?;
     let discovery = Discovery::start().map_err(|wrong| wrong.to_string())?;
     for server in &fleet.servers {
@@ -111,13 +118,23 @@
         sockets: 4096,
         memory_mb: 512,
     };
-    let mut sidecar = Sidecar::start(program, dir, "bench", &config_of(&plan, &told))?;
-    let before = processor_time(sidecar.pid());
+    let sidecar = Sidecar::start(program, dir, "bench", &config_of(&plan, &told))?;
+    Ok(Rig { fleet, sidecar, discovery })
+}
+
+pub fn through(
+    program: &Path,
+    dir: &Path,
+    servers: usize,
+    connections: usize,
+    spans: Spans,
+) -> Result<Point, String> {
+    let mut rig = rig(program, dir, servers)?;
+    let before = processor_time(rig.sidecar.pid());
     let began = Instant::now();
-    let figures = load(&plan_of(vec![listen], connections, spans));
-    let busy = (processor_time(sidecar.pid()) - before) / began.elapsed().as_secs_f64();
-    sidecar.must_run()?;
-    discovery.end();
+    let figures = load(&plan_of(vec![rig.sidecar.address], connections, spans));
+    let busy = (processor_time(rig.sidecar.pid()) - before) / began.elapsed().as_secs_f64();
+    rig.sidecar.must_run()?;
     Ok(Point { servers, figures, busy })
 }
 
--- a/crates/lab/src/sockets/callers.rs
+++ b/crates/lab/src/sockets/callers.rs
@@ -67,6 +67,8 @@
     pub tenant: usize,
     /// Since the start of the schedule.
     pub intended: Duration,
+    /// When its caller had a connection free for it.
+    pub sent: Duration,
     pub ended: Duration,
     pub word: Final,
     /// Why it is lost, where it is.
@@ -143,10 +145,11 @@
             count += 1;
             let cmd = format!("{}{number}x{count}", self.plan.prefix);
             let until = intended + self.plan.verbs[verb].limit;
+            let sent = self.began.elapsed();
             let (word, lost) = self.ask(&cmd, verb, tenant, until, &mut conn, &mut target);
             let ended = self.began.elapsed();
             let to = self.plan.targets[target % self.plan.targets.len()];
-            watch(&Done { cmd: &cmd, verb, tenant, intended, ended, word, lost, to });
+            watch(&Done { cmd: &cmd, verb, tenant, intended, sent, ended, word, lost, to });
         }
     }
 
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Threads and blocking calls throughout: what is measured must not share its run-time with what measures.
 
+pub mod added;
 pub mod bench;
 pub mod callers;
 mod child;
--- /dev/null
+++ b/crates/sidecar/tests/added.rs
@@ -0,0 +1,35 @@
+//! The lab's turns straight to stand-ins and through a sidecar, in a short form: what does not hang on the machine's speed.
+
+use landingspread_lab::sockets::added::{Turns, measure, page, quantile};
+use landingspread_lab::sockets::run_dir;
+use std::time::Duration;
+
+#[test]
+fn a_turn_straight_and_one_through_the_sidecar_answer_the_same_calls() {
+    let length = Duration::from_millis(500);
+    let turns = Turns { rate: 100.0, pairs: 2, length, connections: 2, servers: 2 };
+    let dir = run_dir("added-test").expect("a folder");
+    let pairs = measure(&turns, &[env!("CARGO_BIN_EXE_landingspread").into()], &dir).expect("it starts");
+    assert_eq!(pairs.len(), 2);
+    for pair in &pairs {
+        let [through] = &pair.through[..] else { panic!("one build, one turn through it") };
+        for turn in [&pair.straight, through] {
+            assert!(turn.answered > 10 && turn.not_answered == 0, "{turn:?}");
+            assert!(turn.p50 > 0.0 && turn.p50 <= turn.p99, "{turn:?}");
+        }
+        assert!(through.processor_us > 0.0 && through.sleeps > 0.0, "{through:?}");
+        assert_eq!((pair.straight.processor_us, pair.straight.sleeps), (0.0, 0.0));
+    }
+    let page = page(&turns, &pairs);
+    assert!(page.contains("| straight |") && page.contains("| through |"), "{page}");
+}
+
+#[test]
+fn quantiles_are_of_the_nearest_rank() {
+    let sorted: Vec<f64> = (1..=100).map(f64::from).collect();
+    assert_eq!(
+        (quantile(&sorted, 0.5), quantile(&sorted, 0.99), quantile(&sorted, 1.0)),
+        (50.0, 99.0, 100.0)
+    );
+    assert_eq!((quantile(&sorted[..1], 0.99), quantile(&sorted, 0.0), quantile(&[], 0.5)), (1.0, 1.0, 0.0));
+}
