Lab: repeats over seventeen tiers without bounds in the way, as an experiment of its own

Cause: in `chain` bounds on commands out turn most calls away at the top where a lower tier fails, and hide what repeats come to over the depth.

Change: the experiment `chain-short` on `seventeen-short`, the same chain with a fifth of the work; a tenth or half of a tier's answers fail, or the bottom is gone, with and without the time left, and with only the nearest tier repeating.

--- a/crates/lab/src/experiment/builtin.rs
+++ b/crates/lab/src/experiment/builtin.rs
@@ -1,14 +1,16 @@
 //! The plans that come with the lab.
 
-const PLANS: [(&str, &str); 15] = [
+const PLANS: [(&str, &str); 17] = [
     ("demo", include_str!("../../plans/demo.toml")),
     ("suite", include_str!("../../plans/suite.toml")),
     ("tiers", include_str!("../../plans/tiers.toml")),
     ("chain", include_str!("../../plans/chain.toml")),
+    ("chain-short", include_str!("../../plans/chain-short.toml")),
     ("zones", include_str!("../../plans/zones.toml")),
     ("one-tier", include_str!("../../plans/one-tier.toml")),
     ("three-tiers", include_str!("../../plans/three-tiers.toml")),
     ("seventeen-tiers", include_str!("../../plans/seventeen-tiers.toml")),
+    ("seventeen-short", include_str!("../../plans/seventeen-short.toml")),
     ("two-zones", include_str!("../../plans/two-zones.toml")),
     ("hundred", include_str!("../../plans/hundred.toml")),
     ("four-copies", include_str!("../../plans/four-copies.toml")),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -22,8 +22,8 @@
         let about = text.lines().find_map(|line| line.strip_prefix("about = "));
         about.unwrap_or_default().trim_matches('"')
     };
-    experiment::builtins().for_each(|(name, text)| println!("{name:14} {}", about(text)));
-    landingspread_lab::fleet::builtins().for_each(|(name, text)| println!("fleet {name:8} {}", about(text)));
+    experiment::builtins().for_each(|(name, text)| println!("{name:16} {}", about(text)));
+    landingspread_lab::fleet::builtins().for_each(|(name, text)| println!("fleet {name:10} {}", about(text)));
 }
 
 fn show(name: &str) -> Result<(), String> {
