--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -23,8 +23,8 @@
         let about = text.lines().find_map(|line| line.strip_prefix("about = "));
         about.unwrap_or_default().trim_matches('"')
     };
-    experiment::builtins().for_each(|(name, text)| println!("{name:14} {}", about(text)));
-    landingspread_lab::fleet::builtins().for_each(|(name, text)| println!("fleet {name:8} {}", about(text)));
+    experiment::builtins().for_each(|(name, text)| println!("{name:16} {}", about(text)));
+    landingspread_lab::fleet::builtins().for_each(|(name, text)| println!("fleet {name:10} {}", about(text)));
 }
 
 fn show(name: &str) -> Result<(), String> {
@@ -101,6 +101,7 @@
     }
     let first = ready.experiment.pickers.first().copied().unwrap_or(Named::Landingspread);
     print!("{}", experiment::table(&results, first));
+    experiment::depth_table(&results).iter().for_each(|table| print!("\n{table}"));
     let told = results.rows.iter().filter(|row| row.picker == first).flat_map(|row| {
         row.breaches.iter().map(move |breach| format!("{} seed {}: {breach}", row.name(), row.seed))
     });
@@ -114,6 +115,7 @@
     let file = File::open(&compare.results).map_err(|wrong| told(wrong.to_string()))?;
     let results = Results::read(BufReader::new(file)).map_err(told)?;
     print!("{}", experiment::table(&results, compare.picker));
+    experiment::depth_table(&results).iter().for_each(|table| print!("\n{table}"));
     Ok(())
 }
 
@@ -139,6 +141,7 @@
         Wanted::Load(wanted) => live::load(wanted),
         Wanted::Bench(wanted) => live::bench(wanted),
         Wanted::Capacity(wanted) => capacity::capacity(wanted),
+        Wanted::Added(wanted) => live::added(wanted),
         Wanted::Fleet(_) | Wanted::Check(_) => Ok(()),
     };
     match done {
