--- a/crates/capacity/src/page.rs
+++ b/crates/capacity/src/page.rs
@@ -179,7 +179,11 @@
     }
     heads.extend(["need after, worst".into(), "carried by".into()]);
     let heads: Vec<&str> = heads.iter().map(String::as_str).collect();
+    let measured = |line: &Line| line.cells.iter().filter(|cell| matches!(cell, Cell::Figure(_))).count();
     let worst = |line: &Line| match line.worst() {
+        Some((moment, most)) if measured(line) == 1 => {
+            format!("{} ({} alone was measured)", figure(most), moment.name())
+        }
         Some((moment, most)) => format!("{} ({})", figure(most), moment.name()),
         None => cell(line.cells[0]),
     };
