--- a/crates/capacity/src/sheet.rs
+++ b/crates/capacity/src/sheet.rs
@@ -169,7 +169,8 @@
         let of_all = |left: f64| match by {
             "copies" | "watches" if role == Role::Discovery => Some(sums.pairs / left),
             "copies" | "watches" | "sidecars" => Some(sums.endpoints / left),
-            "endpoints" => Some(sums.endpoints),
+            // Of the list that one watch tells of.
+            "endpoints" => Some(sums.listed),
             "changes_per_s" if role == Role::Configuration => Some(at.configuration_changes()),
             "changes_per_s" => Some(at.list_changes()),
             "lines_per_s" if role == Role::Configuration => Some(at.sends() / left),
--- a/crates/capacity/tests/sheets.rs
+++ b/crates/capacity/tests/sheets.rs
@@ -102,6 +102,7 @@
     let slopes = Slopes {
         slopes: vec![
             slope((Role::Discovery, "memory"), ("MB", "watches"), (5.0, 0.01)),
+            slope((Role::Discovery, "cpu"), ("cores", "endpoints"), (0.0, 0.001)),
             slope((Role::Configuration, "in_force_last"), ("s", "sidecars"), (0.5, 0.001)),
         ],
     };
@@ -115,6 +116,9 @@
         value(row(&lines, Role::Discovery, "memory, one left of eight").cells[0]),
         5.0 + 0.01 * pairs
     ));
+    let listed = Sums::of(&size.operators, &size.cases[0]).listed;
+    let cpu = value(row(&lines, Role::Discovery, "processor time, one of eight").cells[0]);
+    assert!(near(cpu, 0.001 * listed), "a watch tells of one list, not of all endpoints: {cpu}");
     let force = row(&lines, Role::Configuration, "until in force everywhere");
     assert!(near(value(force.cells[0]), 0.5 + 8.1));
     assert_eq!(force.cells[1..], [Cell::NotMeasured; 5], "measured in calm alone");
