Capacity: needs after, by fan-out at 1,000 and 8,100 followers; a line below nothing is no figure

The first after.toml read a follower's memory at 28,900 followers and gave -0.044 MB: a follower's own cost does not grow with the others, so it is read at one for each sidecar; and whatever a line says below 0 is 'not measured'. Tests hold both.

--- a/crates/capacity/src/sheet.rs
+++ b/crates/capacity/src/sheet.rs
@@ -194,7 +194,8 @@
             Shape::Processes | Shape::OneFleet | Shape::MostCalling => match by {
                 "copies" => Some(sums.sharers),
                 "endpoints" => Some(sums.listed),
-                "followers" => Some(sums.pairs),
+                // What one follower costs does not grow with the others: read where there is one for each sidecar.
+                "followers" => Some(sums.endpoints),
                 "changes_per_s" if role == Role::Fleet => {
                     Some(at.member_changes() * (sums.sharers / sums.endpoints).min(1.0))
                 }
@@ -515,6 +516,8 @@
     let any = figures.iter().any(|figure| !read(row, figure, shape, &calm(at), slopes).is_empty());
     let sum: Option<f64> = figures.iter().map(|figure| measured(row, figure, shape, at, slopes)).sum();
     match sum {
+        // A line that falls below nothing says no more than that it was read too far out.
+        Some(sum) if sum < 0.0 => Cell::NotMeasured,
         Some(sum) => Cell::Figure(sum * shape.times(at)),
         None if any => Cell::NotMeasured,
         None => none,
--- a/crates/capacity/tests/sheets.rs
+++ b/crates/capacity/tests/sheets.rs
@@ -210,7 +210,8 @@
         slopes: vec![
             slope((Role::Configuration, "in_force_last"), followers, (0.5, 0.0001)),
             slope((Role::Configuration, "memory"), ("MB", "followers"), (5.0, 0.001)),
-            slope((Role::Configuration, "follower_cpu"), ("cores", "followers"), (0.0001, 0.0)),
+            slope((Role::Configuration, "follower_cpu"), ("cores", "followers"), (0.0001, 1e-9)),
+            slope((Role::Configuration, "in_force_one_killed"), followers, (0.5, -0.0001)),
         ],
     };
     assert!(unread(&slopes).is_empty());
@@ -221,8 +222,8 @@
     assert!(near(calm("until in force everywhere, a follower for each process"), 0.5 + 0.0001 * sums.pairs));
     assert!(near(calm("memory, one of eight"), 5.0 + 0.001 * sums.pairs));
     assert!(near(calm("memory, one left of eight"), 5.0 + 0.008 * sums.pairs));
-    assert!(
-        near(calm("processor time, a sidecar"), 0.0001 * sums.called),
-        "a follower for each of its processes"
-    );
+    let each = (0.0001 + 1e-9 * 8100.0) * sums.called;
+    assert!((calm("processor time, a sidecar") / each - 1.0).abs() < 1e-6, "one for each of its processes");
+    let killed = row(&lines, Role::Configuration, "until in force everywhere, one of eight killed");
+    assert_eq!(killed.cells[0], Cell::NotMeasured, "a line that falls below nothing is no figure");
 }
