--- a/crates/capacity/tests/sheets.rs
+++ b/crates/capacity/tests/sheets.rs
@@ -102,6 +102,7 @@
     let slopes = Slopes {
         slopes: vec![
             slope((Role::Discovery, "memory"), ("MB", "watches"), (5.0, 0.01)),
+            slope((Role::Discovery, "cpu"), ("cores", "endpoints"), (0.0, 0.001)),
             slope((Role::Configuration, "in_force_last"), ("s", "sidecars"), (0.5, 0.001)),
         ],
     };
@@ -115,6 +116,9 @@
         value(row(&lines, Role::Discovery, "memory, one left of eight").cells[0]),
         5.0 + 0.01 * pairs
     ));
+    let listed = Sums::of(&size.operators, &size.cases[0]).listed;
+    let cpu = value(row(&lines, Role::Discovery, "processor time, one of eight").cells[0]);
+    assert!(near(cpu, 0.001 * listed), "a watch tells of one list, not of all endpoints: {cpu}");
     let force = row(&lines, Role::Configuration, "until in force everywhere");
     assert!(near(value(force.cells[0]), 0.5 + 8.1));
     assert_eq!(force.cells[1..], [Cell::NotMeasured; 5], "measured in calm alone");
@@ -206,7 +210,8 @@
         slopes: vec![
             slope((Role::Configuration, "in_force_last"), followers, (0.5, 0.0001)),
             slope((Role::Configuration, "memory"), ("MB", "followers"), (5.0, 0.001)),
-            slope((Role::Configuration, "follower_cpu"), ("cores", "followers"), (0.0001, 0.0)),
+            slope((Role::Configuration, "follower_cpu"), ("cores", "followers"), (0.0001, 1e-9)),
+            slope((Role::Configuration, "in_force_one_killed"), followers, (0.5, -0.0001)),
         ],
     };
     assert!(unread(&slopes).is_empty());
@@ -217,8 +222,8 @@
     assert!(near(calm("until in force everywhere, a follower for each process"), 0.5 + 0.0001 * sums.pairs));
     assert!(near(calm("memory, one of eight"), 5.0 + 0.001 * sums.pairs));
     assert!(near(calm("memory, one left of eight"), 5.0 + 0.008 * sums.pairs));
-    assert!(
-        near(calm("processor time, a sidecar"), 0.0001 * sums.called),
-        "a follower for each of its processes"
-    );
+    let each = (0.0001 + 1e-9 * 8100.0) * sums.called;
+    assert!((calm("processor time, a sidecar") / each - 1.0).abs() < 1e-6, "one for each of its processes");
+    let killed = row(&lines, Role::Configuration, "until in force everywhere, one of eight killed");
+    assert_eq!(killed.cells[0], Cell::NotMeasured, "a line that falls below nothing is no figure");
 }
