--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -199,6 +199,33 @@
         self.tell_words();
     }
 
+    /// Asked after a sweep: when the next one is due that may decide anything, as long as nothing is told before.
+    pub fn next_sweep(&self) -> Duration {
+        let next = self.swept + self.sweep_span();
+        if !self.cmds.is_empty() || self.zones.may_fall_silent() {
+            return next;
+        }
+        let marks = self.fleet.marked().filter_map(|slot| self.fleet[slot].mark()).map(|mark| mark.next);
+        let checks = marks.filter(|_| self.terms.allowed.checks).min();
+        let due = self.choose_at.min(checks.unwrap_or(Duration::MAX));
+        let due = due.min(self.asking.next.unwrap_or(Duration::MAX));
+        next + self.sweep_span() * self.sweeps_between(next, due)
+    }
+
+    /// Sweeps that were due before then were left out, as they would have decided nothing. When the next one is due.
+    pub fn rested(&mut self, until: Duration) -> Duration {
+        let sweeps = self.sweeps_between(self.swept + self.sweep_span(), until);
+        self.swept += self.sweep_span() * sweeps;
+        self.late /= 1 << sweeps.min(31);
+        self.swept + self.sweep_span()
+    }
+
+    /// Sweeps from `first` on that come before then.
+    fn sweeps_between(&self, first: Duration, then: Duration) -> u32 {
+        let span = self.sweep_span().as_nanos();
+        then.saturating_sub(first).as_nanos().div_ceil(span).min(u128::from(u32::MAX >> 8)) as u32
+    }
+
     fn tell_words(&mut self) {
         let cost =
             self.terms.balancers * self.seen.words.length().max(WORDS_LEAST) as f64 / words::MOST as f64;
--- a/crates/decisions/src/zones.rs
+++ b/crates/decisions/src/zones.rs
@@ -79,6 +79,11 @@
         self.0.iter().any(|known| known.share <= 0.0)
     }
 
+    /// Whether time alone may make any of them silent, or let it be so no longer.
+    pub fn may_fall_silent(&self) -> bool {
+        self.0.iter().any(|zone| zone.waiting.is_some() || zone.lost > 0)
+    }
+
     pub fn sent(&mut self, zone: u32, now: Duration) {
         let Some(zone) = self.at(zone) else { return };
         if zone.open == 0 && zone.lost > 0 && zone.lost_at + LOST_FOR <= now {
--- a/crates/decisions/tests/decisions/main.rs
+++ b/crates/decisions/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 mod maintenance;
 mod moved;
 mod plain;
+mod rest;
 mod rules;
 mod scripted;
 mod zones;
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -17,8 +17,9 @@
 use std::io;
 use std::net::UdpSocket;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, PoisonError};
 use std::time::{Duration, SystemTime};
+pub use zones::SEEN_EVERY;
 use zones::Zones;
 
 /// Calls from other threads wait in this number at most.
@@ -50,7 +51,7 @@
     /// The shares of zones, where the fleet leaves any.
     pub zones: Option<Receiver<Vec<ZoneShare>>>,
     traffic: Arc<AtomicU64>,
-    seen: Arc<Mutex<Vec<ZoneSeen>>>,
+    seen: zones::Seen,
 }
 
 impl Link {
@@ -59,9 +60,9 @@
         self.traffic.store(per_s.to_bits(), Ordering::Relaxed);
     }
 
-    /// How zones look to the decisions.
-    pub fn say_seen(&self, seen: Vec<ZoneSeen>) {
-        *self.seen.lock().unwrap_or_else(PoisonError::into_inner) = seen;
+    /// How zones look to the decisions at that time.
+    pub fn say_seen(&self, at: Duration, seen: Vec<ZoneSeen>) {
+        *self.seen.lock().unwrap_or_else(PoisonError::into_inner) = (at, seen);
     }
 }
 
@@ -205,7 +206,7 @@
         budget: told.budget,
         configured: told.configured,
     };
-    let seen = Arc::<Mutex<Vec<ZoneSeen>>>::default();
+    let seen = zones::Seen::default();
     let (zones, shares) = match localities {
         Some((paces, zones)) => {
             let (tell, shares) = async_channel::bounded(1);
--- a/crates/sidecar/src/fleet/zones.rs
+++ b/crates/sidecar/src/fleet/zones.rs
@@ -15,6 +15,8 @@
 
 /// The decisions hear of unchanged shares this often.
 const TELL_EVERY: Duration = Duration::from_millis(500);
+/// How often the decisions tell how zones look, while commands come.
+pub const SEEN_EVERY: Duration = Duration::from_millis(50);
 
 struct Log;
 
@@ -51,9 +53,12 @@
     }
 }
 
+/// How zones looked to the decisions, and when.
+pub type Seen = Arc<Mutex<(Duration, Vec<ZoneSeen>)>>;
+
 pub struct Zones {
     localities: Localities<Log>,
-    seen: Arc<Mutex<Vec<ZoneSeen>>>,
+    seen: Seen,
     tell: Sender<Vec<ZoneShare>>,
     told: Vec<ZoneShare>,
     told_at: Option<Duration>,
@@ -63,10 +68,11 @@
     u64::from(address.ip().to_bits()) << 16 | u64::from(address.port())
 }
 
-fn looks(seen: &ZoneSeen) -> Looks {
+/// `more` is what has gone by since, past the time within which it is told anew while commands come.
+fn looks(seen: &ZoneSeen, more: Duration) -> Looks {
     match (seen.silent, seen.answered) {
-        (Some(since), _) => Looks::Silent { since },
-        (None, Some(sent)) => Looks::Answers { sent, slow: seen.slow },
+        (Some(since), _) => Looks::Silent { since: since + more },
+        (None, Some(sent)) => Looks::Answers { sent: sent + more, slow: seen.slow },
         (None, None) => Looks::Unknown,
     }
 }
@@ -76,7 +82,7 @@
         paces: Paces,
         zones: Vec<String>,
         of: &OfCopy,
-        seen: Arc<Mutex<Vec<ZoneSeen>>>,
+        seen: Seen,
         tell: Sender<Vec<ZoneShare>>,
     ) -> Zones {
         let about = About { id: id_of(of.address), zone: of.zone.clone(), zones, paces };
@@ -85,9 +91,13 @@
 
     pub fn tick(&mut self, now: Duration, membership: &mut Membership<Wire>) {
         let own: Vec<Own> = {
-            let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
-            let own =
-                |seen: &ZoneSeen| Own { zone: seen.zone as usize, ready: seen.ready, looks: looks(seen) };
+            let (at, seen) = &*self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+            let more = now.saturating_sub(*at + SEEN_EVERY);
+            let own = |seen: &ZoneSeen| Own {
+                zone: seen.zone as usize,
+                ready: seen.ready,
+                looks: looks(seen, more),
+            };
             seen.iter().map(own).collect()
         };
         let peers = membership.members().filter(|member| member.standing().counts()).map(|member| Peer {
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -319,9 +319,6 @@
     Zones(Vec<ZoneShare>),
 }
 
-/// How often the fleet is told how zones look.
-const SEEN_EVERY: Duration = Duration::from_millis(50);
-
 struct Owner {
     desk: Rc<RefCell<Desk>>,
     policy: Policy<Hand>,
@@ -331,6 +328,8 @@
     operators: Operators,
     fleet: Option<fleet::Link>,
     seen_at: Duration,
+    /// The module's next sweep that may decide anything; those before it are left out unless something is heard.
+    rests_until: Option<Duration>,
     save_to: Option<PathBuf>,
     save_at: Duration,
     saving: Saving,
@@ -363,9 +362,20 @@
     let before = before.unwrap_or_default();
     let (save_at, save_to) = (clock.now() + SAVE_FIRST, launch.learnt);
     let saving = Saving::of(deployment);
-    let seen_at = clock.now();
-    let mut owner =
-        Owner { desk, policy, clock, before, operators, fleet, seen_at, save_to, save_at, saving };
+    let (rests_until, seen_at) = (None, clock.now());
+    let mut owner = Owner {
+        desk,
+        policy,
+        clock,
+        before,
+        operators,
+        fleet,
+        seen_at,
+        rests_until,
+        save_to,
+        save_at,
+        saving,
+    };
     owner.remember();
     let known = owner.note_addresses(launch.known);
     let now = owner.clock.now();
@@ -446,7 +456,9 @@
                     None => futures_lite::future::pending().await,
                 }
             };
-            match or(ordered, or(or(counted, shared), or(said, elapsed))).await {
+            let heard = or(ordered, or(or(counted, shared), or(said, elapsed))).await;
+            self.rest_no_longer(heard.is_some());
+            match heard {
                 Some(Heard::Order(order)) => self.operators_say(order),
                 Some(Heard::Word(word)) => self.hear(word),
                 Some(Heard::Copies(copies)) => self.copies_told(&copies),
@@ -460,6 +472,7 @@
                 self.policy.woken(now);
                 self.say_seen(now);
                 self.save(now);
+                self.rest();
             }
         }
     }
@@ -473,8 +486,8 @@
     fn say_seen(&mut self, now: Duration) {
         let Some(fleet) = self.fleet.as_ref().filter(|fleet| fleet.zones.is_some()) else { return };
         if self.seen_at <= now {
-            self.seen_at = now + SEEN_EVERY;
-            fleet.say_seen(self.policy.zones_seen(now));
+            self.seen_at = now + fleet::SEEN_EVERY;
+            fleet.say_seen(now, self.policy.zones_seen(now));
         }
     }
 
@@ -486,7 +499,26 @@
         }
     }
 
+    /// A sidecar without calls would else be woken fifty times a second for nothing.
+    fn rest(&mut self) {
+        let (next, wake) = (self.policy.next_sweep(), self.next_wake());
+        self.rests_until = Some(next).filter(|next| wake.is_some_and(|wake| wake < *next));
+    }
+
+    /// The sweeps go on as if none had been left out.
+    fn rest_no_longer(&mut self, heard: bool) {
+        let Some(until) = self.rests_until.take() else { return };
+        let now = self.clock.now();
+        let next = self.policy.rested(if heard { now.min(until) } else { until });
+        let wakes = &mut self.desk.borrow_mut().wakes;
+        wakes.clear();
+        wakes.push(Reverse(next));
+    }
+
     fn next_wake(&self) -> Option<Duration> {
+        if self.rests_until.is_some() {
+            return self.rests_until;
+        }
         self.desk.borrow().wakes.peek().map(|Reverse(at)| *at)
     }
 
