Hollow sidecars: the control side of many in one process, by the program's own code

For tests of size. All that net::run started beside the callers' listener and the signals is now opened by one function, which serve goes by as before; landingspread hollow TEMPLATE opens so many of them on one thread, the fleet's part as a task in place of a thread. A template is an operators' configuration with places for number, address, zone and seeds; each copy's is read and checked like a file. No part of the help text. The fleet's page for programs tells what was heard too.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -203,7 +203,7 @@
         self.tell_words();
     }
 
-    /// Asked after a sweep: when the next one is due that may decide anything, as long as nothing is told before.
+    /// Asked after a sweep: when the next one is due that may decide anything, if nothing is told before.
     pub fn next_sweep(&self) -> Duration {
         let next = self.swept + self.sweep_span();
         if !self.cmds.is_empty() || self.zones.may_fall_silent() {
@@ -216,7 +216,7 @@
         next + self.sweep_span() * self.sweeps_between(next, due)
     }
 
-    /// Sweeps that were due before then were left out, as they would have decided nothing. When the next one is due.
+    /// Sweeps that were due before then were left out: they would have decided nothing. When the next is due.
     pub fn rested(&mut self, until: Duration) -> Duration {
         let sweeps = self.sweeps_between(self.swept + self.sweep_span(), until);
         self.swept += self.sweep_span() * sweeps;
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 use crate::clock::Clock;
 use crate::launch::Fleet as Told;
 use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use landingspread_decisions::host::Copies;
@@ -37,6 +38,27 @@
 struct Parts {
     membership: Membership<Wire>,
     zones: Option<Zones>,
+    heard: Heard,
+}
+
+/// What came, whether it could be read or not.
+#[derive(Clone, Copy, Default)]
+struct Heard {
+    datagrams: u64,
+    bytes: u64,
+}
+
+impl Heard {
+    fn add(&mut self, bytes: usize) {
+        (self.datagrams, self.bytes) = (self.datagrams + 1, self.bytes + bytes as u64);
+    }
+}
+
+impl Parts {
+    fn hear(&mut self, now: Duration, bytes: &[u8]) {
+        self.heard.add(bytes.len());
+        self.membership.heard(now, bytes);
+    }
 }
 
 type Call = Box<dyn FnOnce(&mut Parts, Duration) + Send>;
@@ -128,9 +150,9 @@
     pub async fn members(&self, json: bool, within: Duration) -> Option<String> {
         let (reply, told) = async_channel::bounded(1);
         let ask: Call = Box::new(move |parts, now| {
-            let membership = &parts.membership;
-            let _ =
-                reply.try_send(if json { said::json(membership, now) } else { said::text(membership, now) });
+            let (membership, heard) = (&parts.membership, parts.heard);
+            let text = if json { said::json(membership, heard, now) } else { said::text(membership, now) };
+            let _ = reply.try_send(text);
         });
         self.0.try_send(ask).ok()?;
         crate::net::within::within(within, told.recv()).await?.ok()
@@ -183,7 +205,7 @@
     async_channel::bounded(PASSED_MOST)
 }
 
-/// Starts the fleet's thread. Errors are those of starting a thread: an address that is taken is tried again.
+/// Starts the fleet's thread, or its task where an executor is given. Errors are those of starting a thread: an address that is taken is tried again.
 pub fn open(
     told: Told,
     name: &str,
@@ -191,6 +213,7 @@
     clock: Clock,
     passed: Option<Passed>,
     localities: Option<(Paces, Vec<String>)>,
+    on: Option<&LocalExecutor<'static>>,
 ) -> io::Result<(Door, Link)> {
     let (calls, called) = async_channel::bounded(CALLS_MOST);
     let (tell, copies) = async_channel::bounded(1);
@@ -216,29 +239,33 @@
     };
     let own_traffic = traffic.clone();
     let listen = told.listen;
-    let run = move || {
+    let run = async move || {
         let (own, by_others) = match passed {
             Some(Passed { socket, datagrams }) => (None, Some((socket, datagrams))),
             None => (Some(listen), None),
         };
-        async_io::block_on(async move {
-            let socket = match own {
-                Some(at) => Some(bind(at).await),
-                None => None,
-            };
-            let sending = match (&socket, &by_others) {
-                (Some(socket), _) => socket.get_ref().try_clone().ok(),
-                (None, Some((socket, _))) => socket.try_clone().ok(),
-                (None, None) => None,
-            };
-            let membership = Membership::start(Wire { socket: sending }, about, seed, clock.now());
-            let passed = by_others.map(|(_, datagrams)| datagrams);
-            let parts = Parts { membership, zones };
-            let thread = Thread { parts, clock, called, tell, traffic: own_traffic };
-            thread.run(socket, passed).await;
-        });
+        let socket = match own {
+            Some(at) => Some(bind(at).await),
+            None => None,
+        };
+        let sending = match (&socket, &by_others) {
+            (Some(socket), _) => socket.get_ref().try_clone().ok(),
+            (None, Some((socket, _))) => socket.try_clone().ok(),
+            (None, None) => None,
+        };
+        let membership = Membership::start(Wire { socket: sending }, about, seed, clock.now());
+        let passed = by_others.map(|(_, datagrams)| datagrams);
+        let parts = Parts { membership, zones, heard: Heard::default() };
+        let thread = Thread { parts, clock, called, tell, traffic: own_traffic };
+        thread.run(socket, passed).await;
     };
-    std::thread::Builder::new().name("fleet".into()).spawn(run)?;
+    match on {
+        Some(executor) => executor.spawn(run()).detach(),
+        None => {
+            let run = move || async_io::block_on(run());
+            std::thread::Builder::new().name("fleet".into()).spawn(run)?;
+        }
+    }
     Ok((Door(calls), Link { copies, zones: shares, traffic, seen }))
 }
 
@@ -266,15 +293,15 @@
             let came = self.wait(tick_at, socket.as_ref(), passed.as_ref(), &mut bytes).await;
             let now = self.clock.now();
             match came {
-                Came::Datagram(length) => self.parts.membership.heard(now, &bytes[..length]),
-                Came::Passed(bytes) => self.parts.membership.heard(now, &bytes),
+                Came::Datagram(length) => self.parts.hear(now, &bytes[..length]),
+                Came::Passed(bytes) => self.parts.hear(now, &bytes),
                 Came::Call(call) => call(&mut self.parts, now),
                 Came::Time => {}
             }
             // A flood is always ready to be read: time goes on through it.
             if tick_at <= now {
                 tick_at = now + Membership::<Wire>::TICK;
-                let Parts { membership, zones } = &mut self.parts;
+                let Parts { membership, zones, .. } = &mut self.parts;
                 membership.traffic(f64::from_bits(self.traffic.load(Ordering::Relaxed)));
                 zones.iter_mut().for_each(|zones| zones.tick(now, membership));
                 membership.tick(now);
--- a/crates/sidecar/src/fleet/said.rs
+++ b/crates/sidecar/src/fleet/said.rs
@@ -1,5 +1,6 @@
 //! The members as operators read them: one a line, or as JSON.
 
+use super::Heard;
 use landingspread_membership::{Host, Member, Membership};
 use serde::Serialize;
 use std::fmt::Write;
@@ -33,6 +34,8 @@
     hears_anybody: bool,
     sent_datagrams: u64,
     sent_bytes: u64,
+    heard_datagrams: u64,
+    heard_bytes: u64,
     held_back: u64,
     strange: u64,
     later: u64,
@@ -58,7 +61,7 @@
     }
 }
 
-fn fleet<H: Host>(membership: &Membership<H>, now: Duration) -> Fleet<'_> {
+fn fleet<H: Host>(membership: &Membership<H>, heard: Heard, now: Duration) -> Fleet<'_> {
     let (counted, spent) = (membership.counted(), membership.spent());
     Fleet {
         own: membership.address().to_string(),
@@ -72,6 +75,8 @@
         hears_anybody: membership.hears_anybody(),
         sent_datagrams: spent.datagrams,
         sent_bytes: spent.bytes,
+        heard_datagrams: heard.datagrams,
+        heard_bytes: heard.bytes,
         held_back: spent.held,
         strange: spent.strange,
         later: spent.later,
@@ -79,12 +84,12 @@
     }
 }
 
-pub fn json<H: Host>(membership: &Membership<H>, now: Duration) -> String {
-    serde_json::to_string(&fleet(membership, now)).unwrap_or_default() + "\n"
+pub fn json<H: Host>(membership: &Membership<H>, heard: Heard, now: Duration) -> String {
+    serde_json::to_string(&fleet(membership, heard, now)).unwrap_or_default() + "\n"
 }
 
 pub fn text<H: Host>(membership: &Membership<H>, now: Duration) -> String {
-    let fleet = fleet(membership, now);
+    let fleet = fleet(membership, Heard::default(), now);
     let place = fleet.place.map_or("none yet".to_string(), |place| place.to_string());
     let mut text = format!(
         "this copy {}, place {place}; {} live, parts by {:.2}; epoch {}, digest {}, doubt {}\n",
--- a/crates/sidecar/src/launch/file.rs
+++ b/crates/sidecar/src/launch/file.rs
@@ -214,7 +214,7 @@
     take(&name, &text, told)
 }
 
-fn take(name: &str, text: &str, told: &dyn Fn(&str) -> Option<String>) -> Result<Launch, Fault> {
+pub fn take(name: &str, text: &str, told: &dyn Fn(&str) -> Option<String>) -> Result<Launch, Fault> {
     let mut file: File = from_toml(name, text)?;
     for (variable, into) in [("NODE_LISTEN", &mut file.listen)] {
         if let Some(address) = told(variable) {
--- a/crates/sidecar/src/launch/mod.rs
+++ b/crates/sidecar/src/launch/mod.rs
@@ -42,6 +42,11 @@
     take(path, &told)
 }
 
+/// One configuration in the operators' form, whatever the environment says.
+pub fn of_text(name: &str, text: &str) -> Result<Launch, Fault> {
+    file::take(name, text, &|_| None)
+}
+
 /// Reads the file once more. A process keeps the environment that it began with: what the file says of
 /// discovery by now is newer.
 pub fn read_again(path: Option<&Path>) -> Result<Launch, Fault> {
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod handover;
 mod holds;
+mod hollow;
 mod launch;
 mod net;
 mod start;
@@ -74,8 +75,7 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-fn serve(file: Option<&Path>) -> Result<(), String> {
-    let start = start::Start::begin();
+fn begin_log() -> Result<(), String> {
     let level = launch::log_level().map_err(|wrong| wrong.to_string())?;
     let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
     let log = log.with_max_level(level);
@@ -84,13 +84,64 @@
     } else {
         log.init();
     }
+    Ok(())
+}
+
+fn serve(file: Option<&Path>) -> Result<(), String> {
+    let start = start::Start::begin();
+    begin_log()?;
     let launch = launch::read(file).map_err(|wrong| wrong.to_string())?;
     start.configuration_read();
     tracing::info!(name = launch.name, listen = %launch.listen, "starting");
     net::serve(launch, file, start).map_err(|wrong| wrong.to_string())
 }
 
+/// control sides of many sidecars in one process, without callers: for the lab's tests of size
+#[derive(FromArgs)]
+#[argh(subcommand, name = "hollow")]
+struct Hollow {
+    /// an operators' configuration with places for what differs: {{n}} the number, {{at}} an address of its own, {{zone}}
+    /// and {{seeds}}
+    #[argh(positional)]
+    template: PathBuf,
+    /// how many sidecars
+    #[argh(option)]
+    count: u32,
+    /// the number of the first; numbers give addresses from 127.251.0.0 on
+    #[argh(option, default = "0")]
+    first: u32,
+    /// the number from which fleets are counted
+    #[argh(option, default = "0")]
+    base: u32,
+    /// how many copies are one fleet; all of them where it is 0
+    #[argh(option, default = "0")]
+    fleet_size: u32,
+    /// the names of zones, with commas between them, in turn
+    #[argh(option, default = "String::from(\"a\")")]
+    zones: String,
+}
+
+fn hollow(wanted: &Hollow) -> Result<(), String> {
+    begin_log()?;
+    let Hollow { template, count, first, base, fleet_size, zones } = wanted;
+    let zones = zones.split(',').map(str::to_string).collect();
+    let numbers =
+        hollow::Numbers { first: *first, count: *count, base: *base, fleet_size: *fleet_size, zones };
+    net::hollow(numbers.launches(template)?).map_err(|wrong| wrong.to_string())
+}
+
 fn main() -> ExitCode {
+    // No part of what operators are told: a testing aid.
+    let words: Vec<String> = std::env::args().collect();
+    if let ["hollow", rest @ ..] = &words.iter().skip(1).map(String::as_str).collect::<Vec<_>>()[..] {
+        return match Hollow::from_args(&["landingspread hollow"], rest) {
+            Ok(wanted) => ended(hollow(&wanted)),
+            Err(argh::EarlyExit { output, status }) => {
+                eprintln!("{output}");
+                if status.is_ok() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+            }
+        };
+    }
     let CommandLine { wanted } = argh::from_env();
     let done = match wanted {
         Wanted::Serve(Serve { file }) => serve(file.as_deref()),
@@ -111,6 +162,10 @@
             Ok(())
         }
     };
+    ended(done)
+}
+
+fn ended(done: Result<(), String>) -> ExitCode {
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(wrong) => {
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -18,7 +18,7 @@
 use crate::handover::{self, LOOK_EVERY, Presence};
 use crate::launch::{self, Launch};
 use crate::start::Start;
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -83,6 +83,7 @@
     launch: &mut Launch,
     peers: Option<&Peers>,
     datagrams: Receiver<Vec<u8>>,
+    on: Option<&LocalExecutor<'static>>,
 ) -> io::Result<Option<(fleet::Door, fleet::Link)>> {
     let Some(told) = launch.fleet.take() else { return Ok(None) };
     let passed = match peers.filter(|_| told.by_peers) {
@@ -90,7 +91,7 @@
         None => None,
     };
     let localities = launch.localities.map(|paces| (paces, launch.zones.clone()));
-    fleet::open(told, &launch.name, launch.seed, launch.clock.clone(), passed, localities).map(Some)
+    fleet::open(told, &launch.name, launch.seed, launch.clock.clone(), passed, localities, on).map(Some)
 }
 
 /// Takes this process's part of what the sidecar has, as long as it runs.
@@ -129,22 +130,38 @@
     }
 }
 
-async fn run(
+/// All of a sidecar but its callers' listener and its signals.
+struct Inside {
+    callers: Rc<Callers>,
+    discovery: Option<Discovery>,
+    following: Option<Task<()>>,
+    ask: Sender<()>,
+    asked: Receiver<()>,
+    presence: Option<Rc<RefCell<Presence>>>,
+    door: Option<fleet::Door>,
+    serving: Arc<AtomicBool>,
+    /// Told once a list has come.
+    list: Receiver<()>,
+    some_known: bool,
+    /// How long commands may take to their end.
+    longest: Duration,
+}
+
+/// Starts all that a sidecar does but for its callers. The fleet's part has a thread of its own, or is a task where the
+/// executor is given.
+fn open(
     mut launch: Launch,
-    file: Option<&Path>,
     start: Rc<Start>,
-    executor: Rc<LocalExecutor<'static>>,
-) -> io::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Hup])?;
-    let listener = listener(&launch)?;
-    start.listener_bound();
+    executor: &Rc<LocalExecutor<'static>>,
+    fleet_on: Option<&LocalExecutor<'static>>,
+) -> io::Result<Inside> {
     let takes_over = launch.inherited.is_some();
     let stock = Stock::new(&launch);
     let endpoints = Rc::new(Endpoints::new(&launch, stock.clone()));
     let (queue, words) = owner::queue();
     let longest = launch.verbs.iter().map(|verb| verb.limit).max().unwrap_or_default().min(LIMIT_MOST);
     let (ask, asked) = async_channel::bounded(1);
-    let mut discovery = Discovery::new(&launch, stock.clone(), queue.clone(), start.clone());
+    let discovery = Discovery::new(&launch, stock.clone(), queue.clone(), start.clone());
     let callers =
         Rc::new(Callers::new(&launch, stock.clone(), queue.clone(), start.clone(), executor.clone()));
     let presence = presence(&launch).map(|presence| Rc::new(RefCell::new(presence)));
@@ -158,7 +175,7 @@
         // Where changes come unprompted, the watch is there from the start.
         let _ = ask.try_send(());
     }
-    let mut following = follow(discovery.as_ref(), &executor, &asked);
+    let following = follow(discovery.as_ref(), executor, &asked);
     executor.spawn(endpoints.clone().reap()).detach();
     let (pass, passed) = fleet::passing();
     let pass = launch.fleet.as_ref().filter(|fleet| fleet.by_peers).map(|_| pass);
@@ -173,7 +190,7 @@
     if let Some(peers) = &peers {
         executor.spawn(peers.clone().hear(queue.clone())).detach();
     }
-    let (door, link) = join_fleet(&mut launch, peers.as_deref(), passed)?.unzip();
+    let (door, link) = join_fleet(&mut launch, peers.as_deref(), passed, fleet_on)?.unzip();
     let serving = Arc::new(AtomicBool::new(false));
     let (orders, ordered) = async_channel::bounded(64);
     let (listed, list) = async_channel::bounded(1);
@@ -187,6 +204,34 @@
     let outside = Outside { endpoints, peers, fleet: link, ask: ask.clone(), start };
     let operators = Operators { orders: ordered, recorded, listed };
     executor.spawn(owner::own(launch, outside, operators, executor.clone(), queue, words)).detach();
+    Ok(Inside {
+        callers,
+        discovery,
+        following,
+        ask,
+        asked,
+        presence,
+        door,
+        serving,
+        list,
+        some_known,
+        longest,
+    })
+}
+
+async fn run(
+    launch: Launch,
+    file: Option<&Path>,
+    start: Rc<Start>,
+    executor: Rc<LocalExecutor<'static>>,
+) -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Hup])?;
+    let listener = listener(&launch)?;
+    start.listener_bound();
+    let takes_over = launch.inherited.is_some();
+    let inside = open(launch, start, &executor, None)?;
+    let Inside { callers, mut discovery, mut following, ask, asked, presence, .. } = inside;
+    let Inside { door, serving, list, some_known, longest, .. } = inside;
     let accepting = executor.spawn({
         let (callers, serving) = (callers.clone(), serving.clone());
         async move {
@@ -243,3 +288,21 @@
     tracing::info!("all taken commands have their answers");
     Ok(())
 }
+
+/// Runs all of these sidecars but their callers, on this thread, until SIGTERM. For tests of size: they open no listener and
+/// no thread of their own.
+pub fn hollow(launches: Vec<Launch>) -> io::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let all = async {
+        let mut signals = Signals::new([Signal::Term])?;
+        let open = |launch| open(launch, Rc::new(Start::begin()), &executor, Some(&executor));
+        let copies = launches.into_iter().map(open).collect::<io::Result<Vec<Inside>>>()?;
+        tracing::info!(copies = copies.len(), "hollow");
+        let _ = signals.next().await;
+        for door in copies.iter().filter_map(|copy| copy.door.as_ref()) {
+            door.leave().await;
+        }
+        Ok(())
+    };
+    async_io::block_on(executor.run(all))
+}
