landingspread-lab scale: what the control side costs by size, with hollow sidecars and real ones among them

Hollow processes, a few real sidecars (half of them with calls) that are measured by proc and by their consoles, stand-in servers, and a list source of one thread for any number of watches. One thing is varied at a time (copies, endpoints, changes a second); runs are kept as JSON lines, and slopes are fitted and written as the capacity crate reads them, with what they predict of sizes left out. A run says what it would need and starts nothing past its bounds on processes and memory; one in which a hollow process ran or waited for a processor for more than nine tenths of the time, or a real one did not count all, is not measured. A zone's copies can be killed and come back as a herd.

--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -25,6 +25,7 @@
     Bench(Bench),
     Fleet(Fleet),
     Check(Check),
+    Scale(Scale),
     Capacity(Capacity),
 }
 
@@ -244,3 +245,72 @@
     #[argh(switch)]
     pub no_localities: bool,
 }
+
+/// measure what the control side costs by size: hollow sidecars with real ones among them; slopes are fitted
+#[derive(FromArgs)]
+#[argh(subcommand, name = "scale")]
+pub struct Scale {
+    /// what is varied: copies, endpoints or changes_per_s
+    #[argh(option, default = "String::from(\"copies\")")]
+    pub by: String,
+    /// a value of it; may be given several times
+    #[argh(option)]
+    pub at: Vec<f64>,
+    /// copies, where they are not varied; the real ones are among them
+    #[argh(option, default = "30")]
+    pub copies: usize,
+    /// endpoints, where they are not varied
+    #[argh(option, default = "6")]
+    pub endpoints: usize,
+    /// changes of the list a second, where they are not varied
+    #[argh(option, default = "0.0")]
+    pub changes: f64,
+    /// copies of one fleet; all in one where it is 0
+    #[argh(option, default = "0")]
+    pub fleet_size: usize,
+    /// real sidecars among them; half of them carry calls
+    #[argh(option, default = "4")]
+    pub real: usize,
+    /// calls a second at each that carries calls
+    #[argh(option, default = "65.0")]
+    pub rate: f64,
+    /// runs of each size
+    #[argh(option, default = "1")]
+    pub runs: usize,
+    /// seconds that count
+    #[argh(option, default = "10.0")]
+    pub seconds: f64,
+    /// seconds after all see all before figures count
+    #[argh(option, default = "3.0")]
+    pub settle: f64,
+    /// hollow ones to a process; by the size where it is 0
+    #[argh(option, default = "0")]
+    pub each: usize,
+    /// a zone's hollow ones are killed afterwards, and come back together
+    #[argh(switch)]
+    pub lose_a_zone: bool,
+    /// where runs are kept as JSON lines; those that it has are fitted too
+    #[argh(option)]
+    pub keep: Option<PathBuf>,
+    /// a size that is no part of the fit, which is told what it predicts there; may be given several times
+    #[argh(option)]
+    pub left_out: Vec<f64>,
+    /// where the slopes go, for capacity
+    #[argh(option)]
+    pub out: Option<PathBuf>,
+    /// MB that all processes may hold together
+    #[argh(option, default = "12_000.0")]
+    pub memory_mb: f64,
+    /// processes at most
+    #[argh(option, default = "300")]
+    pub processes: usize,
+    /// the git hash of what is measured
+    #[argh(option, default = "String::from(\"unknown\")")]
+    pub build: String,
+    /// the landingspread to run; the one beside this program where it is not given
+    #[argh(option)]
+    pub program: Option<PathBuf>,
+    /// the form of CI: 120 and 240 copies once, 4 s each
+    #[argh(switch)]
+    pub short: bool,
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod plan;
 pub mod referee;
 pub mod report;
+pub mod scale;
 pub mod sockets;
 pub mod tally;
 pub mod world;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 mod cases;
 mod fleets;
 mod live;
+mod scales;
 
 use args::{CommandLine, Compare, Demo, List, Run, Sweep, Wanted};
 use cases::{case_of, find};
@@ -135,6 +136,7 @@
         Wanted::Demo(Demo {}) => live::demo(),
         Wanted::Load(wanted) => live::load(wanted),
         Wanted::Bench(wanted) => live::bench(wanted),
+        Wanted::Scale(wanted) => scales::scale(wanted),
         Wanted::Capacity(wanted) => capacity::capacity(wanted),
         Wanted::Fleet(_) | Wanted::Check(_) => Ok(()),
     };
--- a/crates/lab/src/sockets/child.rs
+++ b/crates/lab/src/sockets/child.rs
@@ -40,9 +40,14 @@
 }
 
 fn spawn(program: &Path, file: &Path, log: &Path) -> io::Result<Child> {
-    let log = File::options().create(true).append(true).open(log)?;
     let mut command = Command::new(program);
-    command.arg("serve").env("NODE_CONFIG", file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+    command.arg("serve").env("NODE_CONFIG", file);
+    spawn_as(command, log)
+}
+
+fn spawn_as(mut command: Command, log: &Path) -> io::Result<Child> {
+    let log = File::options().create(true).append(true).open(log)?;
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
     for variable in ["NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"] {
         command.env_remove(variable);
     }
@@ -61,6 +66,34 @@
     command.spawn()
 }
 
+/// Another sub-command of the program, as a child process that ends with the lab.
+pub struct Helper(Child);
+
+impl Helper {
+    /// Starts it; what it says goes to `log`.
+    pub fn start(program: &Path, words: &[String], log: &Path) -> io::Result<Helper> {
+        let mut command = Command::new(program);
+        command.args(words).env("NODE_LOG", "warn");
+        spawn_as(command, log).map(Helper)
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.0.id()
+    }
+
+    /// Whether it has ended.
+    pub fn ended(&mut self) -> bool {
+        !matches!(self.0.try_wait(), Ok(None))
+    }
+}
+
+impl Drop for Helper {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 impl Sidecar {
     /// Starts one and waits until it says that it is ready.
     pub fn start(program: &Path, dir: &Path, name: &str, config: &Value) -> Result<Sidecar, String> {
--- a/crates/lab/src/sockets/discovery.rs
+++ b/crates/lab/src/sockets/discovery.rs
@@ -27,7 +27,7 @@
 }
 
 impl Entry {
-    fn value(&self) -> Value {
+    pub(super) fn value(&self) -> Value {
         let unix =
             |at: SystemTime| at.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         json!({"instanceId": self.id, "hostPort": self.address.to_string(), "zone": self.zone,
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -15,8 +15,9 @@
 mod scene;
 mod scripted;
 mod settings;
+mod watches;
 
-pub use child::{Sidecar, program};
+pub use child::{Helper, Sidecar, program};
 pub use discovery::{Discovery, Entry, Trouble};
 pub use fleet::{Behind, ColdMost, Doing, Fleet, Make, Server, Serving, Verbs};
 pub use ledger::Ledger;
@@ -26,3 +27,4 @@
 pub use scene::{Scene, Seen, play, run_dir};
 pub use scripted::{Does, Scripted};
 pub use settings::{Told, config_of};
+pub use watches::{Counts, Watches};
