Scale: a slope only where what was varied moves the figure, calls a second as one of them

Fleet figures by endpoints, or bytes by a list that stands still, would be noise that the model adds up. Discovery's figures by changes go by lines, each change on each watch.

--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -250,7 +250,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "scale")]
 pub struct Scale {
-    /// what is varied: copies, endpoints or changes_per_s
+    /// what is varied: copies, endpoints, changes_per_s or calls_per_s
     #[argh(option, default = "String::from(\"copies\")")]
     pub by: String,
     /// a value of it; may be given several times
--- a/crates/lab/src/scale/results.rs
+++ b/crates/lab/src/scale/results.rs
@@ -43,17 +43,41 @@
     Role::ALL.into_iter().find(|role| role.name() == name)
 }
 
+/// Whether what is varied moves the figure at all: elsewhere a line would be noise that somebody adds up.
+fn moves(by: &str, role: &str, figure: &str) -> bool {
+    match (by, role, figure) {
+        (_, _, "calls_cpu") => by == "calls_per_s",
+        ("calls_per_s", ..) => false,
+        (_, "discovery", "list_bytes") => by == "endpoints",
+        (_, "discovery", "open_watches") => by == "copies",
+        (_, "fleet", _) => by == "copies",
+        ("endpoints", "sidecar", _) => matches!(figure, "cpu" | "memory" | "wake_ups"),
+        _ => true,
+    }
+}
+
+/// What discovery's figures go by: its watches, and the lines that it sends, each change on each watch.
+fn of_discovery(run: &Kept) -> (&str, f64) {
+    let open = run.figures.iter().find(|figure| figure.figure == "open_watches");
+    match run.by.as_str() {
+        "copies" => ("watches", run.at),
+        "changes_per_s" => ("lines_per_s", run.at * open.map_or(0.0, |open| open.value)),
+        by => (by, run.at),
+    }
+}
+
 /// A slope for each figure by what was varied, where two sizes or more were held; the sizes left out of the fit are told
-/// beside it. Watches are what discovery has of copies.
+/// beside it.
 pub fn fitted(runs: &[Kept], left_out: &[f64]) -> Slopes {
     type Key = (String, String, String, String);
     let mut all: BTreeMap<Key, BTreeMap<u64, Vec<f64>>> = BTreeMap::new();
     let mut sources: BTreeMap<Key, Source> = BTreeMap::new();
     for run in runs.iter().filter(|run| run.not_held.is_none()) {
-        for Figure { role, figure, unit, value } in &run.figures {
-            let by = if role == "discovery" && run.by == "copies" { "watches" } else { run.by.as_str() };
+        let moved = run.figures.iter().filter(|figure| moves(&run.by, &figure.role, &figure.figure));
+        for Figure { role, figure, unit, value } in moved {
+            let (by, at) = if role == "discovery" { of_discovery(run) } else { (run.by.as_str(), run.at) };
             let key = (role.clone(), by.to_string(), figure.clone(), unit.clone());
-            all.entry(key.clone()).or_default().entry(run.at.to_bits()).or_default().push(*value);
+            all.entry(key.clone()).or_default().entry(at.to_bits()).or_default().push(*value);
             let Kept { command, build, machine, .. } = run.clone();
             sources.insert(key, Source { command, build, machine });
         }
--- a/crates/lab/src/scale/rig.rs
+++ b/crates/lab/src/scale/rig.rs
@@ -19,11 +19,11 @@
 const SERVERS: usize = 4;
 /// A hollow process that runs or waits for a processor for more of the time falls behind.
 const BUSY_MOST: f64 = 0.9;
-/// What hollow ones take, as measured at 30 to 300 and rounded up: MB of a process, of a copy, and of a member known.
+/// What runs of 30 to 1,000 copies took, rounded up: MB of a process, of a copy, and of a member or an endpoint known.
 const MB_PROCESS: f64 = 6.0;
 const MB_COPY: f64 = 0.15;
-const MB_MEMBER: f64 = 0.001;
-const MB_LAB: f64 = 64.0;
+const MB_MEMBER: f64 = 0.0005;
+const MB_LAB: f64 = 16.0;
 /// Numbers of copies give their addresses: labs that run beside each other begin elsewhere.
 const NUMBERS_EACH: u32 = 8_192;
 const LABS: u32 = 31;
--- a/crates/lab/src/scales.rs
+++ b/crates/lab/src/scales.rs
@@ -33,7 +33,12 @@
         "copies" => one.copies = value as usize,
         "endpoints" => one.endpoints = value as usize,
         "changes_per_s" => one.changes_per_s = value,
-        other => return Err(format!("{other:?} is not varied: expected copies, endpoints or changes_per_s")),
+        "calls_per_s" => one.rate = value,
+        other => {
+            return Err(format!(
+                "{other:?} is not varied: expected copies, endpoints, changes_per_s or calls_per_s"
+            ));
+        }
     }
     Ok(one)
 }
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -47,7 +47,11 @@
         by: "copies".into(),
         at,
         not_held: not_held.map(String::from),
-        figures: vec![figure("fleet"), figure("discovery")],
+        figures: vec![
+            figure("fleet"),
+            figure("discovery"),
+            Figure { figure: "calls_cpu".into(), ..figure("sidecar") },
+        ],
         command: "landingspread-lab scale".into(),
         build: "1a2b3c4, release".into(),
         machine: "8 cores".into(),
@@ -71,6 +75,7 @@
     assert!(matches!(told[..], [(at, predicted, measured)]
         if at == 1000.0 && (predicted - 1100.0).abs() < 1e-6 && measured == 1000.0));
     assert!(slopes.of(Role::Discovery, "bytes_out", "watches").is_some(), "copies are watches there");
+    assert!(slopes.of(Role::Sidecar, "calls_cpu", "copies").is_none(), "no matter of copies");
     // What is written is what capacity reads.
     assert_eq!(Slopes::read("slopes.toml", &slopes.write()).map_err(|wrong| wrong.to_string()), Ok(slopes));
     assert!(kept("{}").expect_err("no run").starts_with("line 1: "));
