--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -3,6 +3,7 @@
 mod aside;
 mod book;
 pub mod carried;
+mod changed;
 mod copies;
 mod ending;
 mod fleet;
--- a/crates/decisions/tests/decisions/main.rs
+++ b/crates/decisions/tests/decisions/main.rs
@@ -1,3 +1,4 @@
+mod changed;
 mod copies;
 mod maintenance;
 mod moved;
