Configuration that control machines hand out: a sidecar follows, a machine serves, the console tells

There was no way by which a change of configuration reached a running sidecar: SIGHUP takes discovery's address and nothing else. With [control] (off by default) a task follows the service's configuration by long polls: tenants' quotas, goals, limits and utilities of verbs, and discovery's address change in order by the owner's queue; every other key refuses the whole change. landingspread control FILE is the machine; GET /control tells what is in force; the last good version is kept in a file. landingspread followers plays many for measurements.

--- a/crates/control/src/board.rs
+++ b/crates/control/src/board.rs
@@ -243,6 +243,12 @@
         followers.insert(poll.name.clone(), called);
     }
 
+    /// Whether this sidecar has told already that it refused this version.
+    pub fn refused(&self, scope: &str, name: &str, version: Version) -> bool {
+        let called = self.scopes.get(scope).and_then(|scope| scope.followers.get(name));
+        called.and_then(|called| called.refused.as_ref()).is_some_and(|(refused, _)| *refused == version)
+    }
+
     /// Forgets who has not called for an hour, and scopes that were asked for and never published.
     pub fn tidy(&mut self, now: Duration) {
         for scope in self.scopes.values_mut() {
--- a/crates/sidecar/src/console/calls.rs
+++ b/crates/sidecar/src/console/calls.rs
@@ -16,6 +16,10 @@
     Zones {
         json: bool,
     },
+    /// Which configuration is in force, as JSON or as text.
+    Control {
+        json: bool,
+    },
     /// The whole fleet takes a zone out of use, or puts it back.
     Zone {
         zone: String,
@@ -72,7 +76,7 @@
     let path = http::path_of(cmd.path.unwrap_or(""));
     let path = path.split('?').next().unwrap_or("");
     let allow = match path {
-        "/status" | "/maintenance" | "/fleet" | "/zones" => "GET",
+        "/status" | "/maintenance" | "/fleet" | "/zones" | "/control" => "GET",
         "/maintenance/enter" | "/maintenance/exit" | "/zones/leave" | "/zones/return" => "PUT",
         _ => return Err(turned(404, "no such call")),
     };
@@ -82,10 +86,14 @@
     match path {
         "/status" => Ok(Call::Status),
         "/maintenance" => Ok(Call::WhoIsOut),
-        "/fleet" | "/zones" => {
+        "/fleet" | "/zones" | "/control" => {
             let accepts = cmd.headers.iter().filter(|header| header.name.eq_ignore_ascii_case("accept"));
             let json = accepts.map(|header| header.value).any(|value| holds(value, b"application/json"));
-            Ok(if path == "/fleet" { Call::Members { json } } else { Call::Zones { json } })
+            Ok(match path {
+                "/fleet" => Call::Members { json },
+                "/zones" => Call::Zones { json },
+                _ => Call::Control { json },
+            })
         }
         "/zones/leave" | "/zones/return" => {
             let zone = plain(body).ok_or_else(|| turned(400, "the body is no zone's name"))?;
@@ -131,6 +139,8 @@
         assert_eq!(asks, Ok(Call::Members { json: true }));
         assert_eq!(told("PUT /fleet", ""), Err(405));
         assert_eq!(told("GET /zones", ""), Ok(Call::Zones { json: false }));
+        assert_eq!(told("GET /control", ""), Ok(Call::Control { json: false }));
+        assert_eq!(told("PUT /control", ""), Err(405));
         let zone = |leave| Ok(Call::Zone { zone: "b".into(), leave });
         assert_eq!(told("PUT /zones/leave", "b\n"), zone(true));
         assert_eq!(told("PUT /zones/return", "b"), zone(false));
--- a/crates/sidecar/src/console/mod.rs
+++ b/crates/sidecar/src/console/mod.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 
+use crate::control::said::Shared;
 use crate::fleet;
 use crate::handover::LOOK_EVERY;
 use crate::handover::record::{Record, WORDS_MOST, Word, Words, unix_ms};
@@ -53,6 +54,8 @@
     pub record: Option<Record>,
     /// None where this copy is one of no fleet.
     pub fleet: Option<fleet::Door>,
+    /// None where configuration comes from the file alone.
+    pub control: Option<Shared>,
 }
 
 struct Door {
@@ -60,6 +63,7 @@
     orders: Sender<Order>,
     record: RefCell<Option<Record>>,
     fleet: Option<fleet::Door>,
+    control: Option<Shared>,
     /// What this process goes by.
     words: RefCell<Words>,
     stock: Rc<Stock>,
@@ -73,13 +77,14 @@
     pub fn open(self, at: SocketAddr) -> io::Result<()> {
         let serve = move || {
             let executor = Rc::new(LocalExecutor::new());
-            let Console { serving, orders, record, fleet } = self;
+            let Console { serving, orders, record, fleet, control } = self;
             let words = record.as_ref().map(|record| record.words.clone()).unwrap_or_default();
             let door = Rc::new(Door {
                 serving,
                 orders,
                 record: RefCell::new(record),
                 fleet,
+                control,
                 words: RefCell::new(words),
                 stock: Stock::small(CALLERS),
                 waiting: RefCell::default(),
@@ -185,6 +190,10 @@
                     None => calls::turned(503, "the fleet's thread does not answer"),
                 },
             },
+            Call::Control { json } => match &self.control {
+                None => calls::turned(404, "configuration comes from the file alone"),
+                Some(shared) => calls::figures(&shared.said(json), json),
+            },
             Call::Zone { zone, leave } => self.zone_said(zone, leave).await,
             Call::Maintenance { server, out } => self.maintenance(server, out).await,
         }
--- a/crates/sidecar/src/launch/checked.rs
+++ b/crates/sidecar/src/launch/checked.rs
@@ -1,5 +1,6 @@
 //! What both forms of the configuration come to, and the defaults that they share.
 
+use super::control::Control;
 use crate::catalog::Catalog;
 use crate::clock::Clock;
 use landingspread_decisions::terms::Terms;
@@ -19,6 +20,10 @@
 pub const DIAL_TIMEOUT: Duration = Duration::from_millis(100);
 pub const MAX_OPEN: u64 = 20_000;
 
+/// No verb's time limit is longer.
+const LIMIT_MOST: Duration = Duration::from_secs(600);
+const UTILITY_MOST: f64 = 1e9;
+
 /// A key and what is wrong with it.
 #[derive(Debug)]
 pub struct Fault(pub String);
@@ -51,6 +56,30 @@
     pub limit: Duration,
 }
 
+/// What is wrong with a verb's spans and utilities, and the keys that are at fault together, the likeliest first.
+pub fn verb_fault(
+    goal: Duration,
+    limit: Duration,
+    utility: f64,
+    overdue: f64,
+) -> Option<(&'static [&'static str], String)> {
+    let outside = |figure: f64, most: f64| !figure.is_finite() || !(0.0..=most).contains(&figure);
+    if limit.is_zero() || limit > LIMIT_MOST {
+        return Some((&["limit"], format!("{limit:?} does not lie within {LIMIT_MOST:?}")));
+    }
+    if goal.is_zero() || goal > limit {
+        return Some((&["goal", "limit"], "it is nothing, or longer than the limit".into()));
+    }
+    if outside(utility, UTILITY_MOST) {
+        return Some((&["utility"], format!("{utility} does not lie from 0 to {UTILITY_MOST}")));
+    }
+    if outside(overdue, utility) {
+        let what = format!("{overdue} does not lie from 0 to {utility}");
+        return Some((&["overdue_utility", "utility"], what));
+    }
+    None
+}
+
 /// How this copy takes part in a fleet.
 #[derive(Debug)]
 pub struct Fleet {
@@ -88,6 +117,8 @@
     pub peers: Vec<SocketAddr>,
     /// None where the copy takes part in no fleet.
     pub fleet: Option<Fleet>,
+    /// None where configuration comes from the file alone.
+    pub control: Option<Control>,
     /// None where zones are not left by the fleet.
     pub localities: Option<Paces>,
     /// The header in which callers say a command's work, in milliseconds on a standard core.
@@ -117,6 +148,10 @@
             let (name, listen, seeds) = (&fleet.name, fleet.listen, fleet.seeds.len());
             writeln!(f, "one of the fleet {name:?}, heard at {listen}, with {seeds} seeds")?;
         }
+        if let Some(control) = &self.control {
+            let (scope, machines) = (&control.scope, control.machines.len());
+            writeln!(f, "follows the configuration of {scope} at {machines} control machines")?;
+        }
         if self.localities.is_some() {
             writeln!(f, "leaves and takes back the zones {} with the fleet", self.zones.join(", "))?;
         }
--- a/crates/sidecar/src/launch/file.rs
+++ b/crates/sidecar/src/launch/file.rs
@@ -3,7 +3,7 @@
 
 use super::checked::{
     CONN_IDLE, DIAL_TIMEOUT, Fault, Launch, MAX_OPEN, MEMORY_MB, MEMORY_MB_LEAST, SOCKETS, SOCKETS_LEAST,
-    inherited,
+    inherited, verb_fault,
 };
 use crate::catalog::{Catalog, Entry};
 use crate::clock::Clock;
@@ -21,8 +21,6 @@
 /// What `landingspread init` prints.
 pub const EXAMPLE: &str = include_str!("example.toml");
 
-const LIMIT_MOST: Duration = Duration::from_secs(600);
-
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct File {
@@ -43,6 +41,7 @@
     peers: Vec<SocketAddr>,
     fleet: Option<super::fleet::Part>,
     localities: Option<super::localities::Part>,
+    control: Option<super::control::Part>,
     cost_header: Option<String>,
     learnt: Option<PathBuf>,
     console: Option<SocketAddr>,
@@ -289,6 +288,9 @@
     if let Some(fault) = localities.and_then(|part| part.first_fault(file.fleet.is_some(), &file.zones)) {
         return Some(fault);
     }
+    if let Some(fault) = file.control.as_ref().and_then(|part| part.first_fault(&file.name)) {
+        return Some(fault);
+    }
     if file.cost_header.as_ref().is_some_and(|name| name.is_empty() || name.contains([':', ' '])) {
         return found("cost_header", "it is no header's name");
     }
@@ -313,11 +315,8 @@
     if !plain || file.verbs[..at].iter().any(|other| other.name == verb.name) {
         return found(&key("name"), format!("{:?} is no part of a path, or stands here twice", verb.name));
     }
-    if verb.limit.is_zero() || verb.limit > LIMIT_MOST {
-        return found(&key("limit"), format!("{:?} does not lie within {LIMIT_MOST:?}", verb.limit));
-    }
-    if verb.goal.is_zero() || verb.goal > verb.limit {
-        return found(&key("goal"), "it is nothing, or longer than the limit");
+    if let Some((leaves, what)) = verb_fault(verb.goal, verb.limit, verb.utility, verb.overdue_utility) {
+        return found(&key(leaves[0]), what);
     }
     if receipted && (verb.group.is_none() || verb.memory.is_none()) {
         let missing = if verb.group.is_none() { "group" } else { "memory" };
@@ -327,8 +326,7 @@
         let odd = if verb.group.is_some() { "group" } else { "memory" };
         return found(&key(odd), "it belongs to receipted verbs alone");
     }
-    share(&key("utility"), verb.utility, 1e9)
-        .or_else(|| share(&key("overdue_utility"), verb.overdue_utility, verb.utility))
+    None
 }
 
 fn of_server(file: &File, at: usize, server: &Server) -> Found {
@@ -388,6 +386,7 @@
         terms,
         fleet,
         localities: file.localities.map(super::localities::Part::checked),
+        control: file.control.map(super::control::Part::checked),
         peers: file.peers,
         cost_header: file.cost_header,
         learnt: file.learnt,
@@ -495,6 +494,7 @@
                 Some("[discovery]") => "[discovery]",
                 Some("[fleet]") => "[fleet]",
                 Some("[localities]") => "[localities]",
+                Some("[control]") => "[control]",
                 Some("[[tenants]]") => "[[tenants]]",
                 _ => line,
             })
@@ -503,6 +503,7 @@
         let opened = opened.join("\n").replacen("zones = [\"a\"]", "zones = [\"a\", \"b\"]", 1);
         let shown = taken(&opened).expect("its comments can be read");
         assert_eq!(shown.localities, Some(landingspread_localities::Paces::default()));
+        assert!(launch.control.is_none() && shown.control.is_some_and(|control| control.machines.len() == 2));
         assert_eq!(shown.terms.allowed.relays, launch.terms.allowed.relays);
         assert_eq!(format!("{:?}", shown.terms.cold), format!("{:?}", launch.terms.cold));
         assert_eq!(
--- a/crates/sidecar/src/launch/mod.rs
+++ b/crates/sidecar/src/launch/mod.rs
@@ -5,13 +5,17 @@
 //! Two forms give one checked type: the platform's JSON (`platform.rs`) and the operators' TOML (`file.rs`).
 
 mod checked;
+mod control;
 mod file;
 mod fleet;
+mod live;
 mod localities;
 mod platform;
 
 pub use checked::{Fault, Fleet, Launch, Verb};
+pub use control::Control;
 pub use file::EXAMPLE;
+pub use live::{Changed, Live};
 
 use checked::fault;
 use std::path::{Path, PathBuf};
--- a/crates/sidecar/src/launch/platform.rs
+++ b/crates/sidecar/src/launch/platform.rs
@@ -65,6 +65,7 @@
         peers,
         // The platform's form has no word for it.
         fleet: None,
+        control: None,
         localities: None,
         cost_header: at(root, "cost_header")
             .map(|_| string(root, "cost_header"))
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -4,6 +4,7 @@
 mod catalog;
 mod clock;
 mod console;
+mod control;
 mod fleet;
 mod handover;
 mod holds;
@@ -29,6 +30,8 @@
     Check(Check),
     Init(Init),
     Hold(Hold),
+    Control(Control),
+    Followers(Followers),
     Version(Version),
 }
 
@@ -68,12 +71,42 @@
 #[argh(subcommand, name = "init")]
 struct Init {}
 
+/// run a control machine until SIGTERM, as its file says
+#[derive(FromArgs)]
+#[argh(subcommand, name = "control")]
+struct Control {
+    /// the machine's file, in TOML
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// play many sidecars that follow configuration and do nothing else, for measurements: a line for each version in force
+#[derive(FromArgs)]
+#[argh(subcommand, name = "followers")]
+struct Followers {
+    /// how many
+    #[argh(option)]
+    count: u32,
+
+    /// over how many services they spread: s0, s1 and so on
+    #[argh(option, default = "1")]
+    scopes: u32,
+
+    /// what their names begin with
+    #[argh(option, default = "String::from(\"f\")")]
+    prefix: String,
+
+    /// the machines as ADDRESS=REGION, with commas between
+    #[argh(option)]
+    machines: String,
+}
+
 /// print the version
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-fn serve(file: Option<&Path>) -> Result<(), String> {
+fn to_log() -> Result<(), String> {
     let level = launch::log_level().map_err(|wrong| wrong.to_string())?;
     let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false);
     let log = log.with_max_level(level);
@@ -82,6 +115,11 @@
     } else {
         log.init();
     }
+    Ok(())
+}
+
+fn serve(file: Option<&Path>) -> Result<(), String> {
+    to_log()?;
     let launch = launch::read(file).map_err(|wrong| wrong.to_string())?;
     tracing::info!(name = launch.name, listen = %launch.listen, "starting");
     net::serve(launch, file).map_err(|wrong| wrong.to_string())
@@ -103,6 +141,11 @@
             Ok(())
         }
         Wanted::Hold(Hold { listen, command }) => Err(handover::hold::hold(listen, &command).to_string()),
+        Wanted::Control(Control { file }) => to_log().and_then(|()| control::machine::run(&file)),
+        Wanted::Followers(wanted) => to_log().and_then(|()| {
+            let Followers { count, scopes, prefix, machines } = wanted;
+            control::followers::play(count, scopes, &prefix, &machines)
+        }),
         Wanted::Version(Version {}) => {
             println!("landingspread {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -49,6 +49,8 @@
 pub struct Callers {
     clock: Clock,
     verbs: Vec<Verb>,
+    /// Time limits by now, of commands that say none of their own.
+    limits: RefCell<Vec<Duration>>,
     tenants: Vec<String>,
     cost_header: Option<String>,
     max_open: usize,
@@ -130,6 +132,7 @@
         Callers {
             clock: launch.clock.clone(),
             verbs: launch.verbs.clone(),
+            limits: RefCell::new(launch.verbs.iter().map(|verb| verb.limit).collect()),
             tenants: launch.tenants.clone(),
             cost_header: launch.cost_header.clone(),
             max_open: launch.max_open,
@@ -444,7 +447,7 @@
         let id = header("x-trace-id").filter(plain);
         let id = id.ok_or(Turned(400, "X-Trace-Id is missing or odd"))?.into();
         let left = match header("x-expires-in-ms").map(str::parse::<u64>) {
-            None => verb.limit,
+            None => self.limits.borrow().get(number).copied().unwrap_or(verb.limit),
             Some(Ok(ms)) if (1..=LEFT_MOST_MS).contains(&ms) => Duration::from_millis(ms),
             Some(_) => return Err(Turned(400, "X-Expires-In-Ms is odd")),
         };
@@ -461,6 +464,11 @@
         Ok(Asked::Cmd(Cmd { id, verb: number, tenant, left, cost, head }))
     }
 
+    /// For commands whose head comes after this.
+    pub fn limits_changed(&self, limits: Vec<Duration>) {
+        *self.limits.borrow_mut() = limits;
+    }
+
     fn due(&self, left: Duration) -> Duration {
         let due = self.clock.now() + left;
         self.all_due.get().map_or(due, |all_due| all_due.min(due))
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -538,10 +538,12 @@
 pub fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
+        204 => "No Content",
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         500 => "Internal Server Error",
         502 => "Bad Gateway",
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -13,6 +13,7 @@
 pub mod within;
 
 use crate::console::Console;
+use crate::control;
 use crate::fleet;
 use crate::handover::record::Record;
 use crate::handover::{self, LOOK_EVERY, Presence};
@@ -26,6 +27,7 @@
 use discovery::Discovery;
 use endpoints::Endpoints;
 use futures_lite::StreamExt;
+use futures_lite::future::or;
 use owner::{Operators, Outside};
 use peers::Peers;
 use std::cell::RefCell;
@@ -154,6 +156,17 @@
         // Where changes come unprompted, the watch is there from the start.
         let _ = ask.try_send(());
     }
+    let (move_discovery, moves) = async_channel::unbounded();
+    let followed = control::Followed::of(&launch, queue.clone(), callers.clone(), move_discovery);
+    let controlled = followed.as_ref().map(|followed| followed.shared.clone());
+    // What was in force before the restart is so before the first command and the first watch.
+    let (mut in_file, mut told_by_control) = (launch.discovery, moves.try_recv().ok().flatten());
+    if let (Some(address), Some(moved)) = (told_by_control, &mut discovery) {
+        moved.move_to(address);
+    }
+    if let Some(followed) = followed {
+        executor.spawn(followed.follow()).detach();
+    }
     let mut following = follow(discovery.as_ref(), &executor, &asked);
     executor.spawn(endpoints.clone().reap()).detach();
     let (pass, passed) = fleet::passing();
@@ -177,7 +190,8 @@
     let record = record.map(|folder| Record::open(folder, &launch.name));
     let recorded = record.as_ref().map(|record| record.words.clone()).unwrap_or_default();
     if let Some(at) = launch.console {
-        Console { serving: serving.clone(), orders, record, fleet: door.clone() }.open(at)?;
+        let (serving, fleet) = (serving.clone(), door.clone());
+        Console { serving, orders, record, fleet, control: controlled }.open(at)?;
     }
     let some_known = !launch.known.entries.is_empty();
     let outside = Outside { endpoints, peers, fleet: link, ask: ask.clone() };
@@ -199,24 +213,42 @@
             futures_lite::future::or(callers.accept(listener), once_listed).await;
         }
     });
-    while let Some(Ok(Signal::Hup)) = signals.next().await {
-        match launch::read_again(file) {
-            Ok(new) => {
-                let (Some(address), Some(moved)) = (new.discovery, &mut discovery) else {
-                    tracing::info!("SIGHUP: without a discovery before and now there is nothing to move");
+    loop {
+        let signalled = async { Ok(signals.next().await) };
+        let moved = async {
+            match moves.recv().await {
+                Ok(address) => Err(address),
+                // Configuration comes from the file alone.
+                Err(_) => futures_lite::future::pending().await,
+            }
+        };
+        match or(signalled, moved).await {
+            Ok(Some(Ok(Signal::Hup))) => match launch::read_again(file) {
+                Ok(new) => {
+                    tracing::info!(discovery = ?new.discovery, "SIGHUP: the configuration is read again");
+                    in_file = new.discovery.or(in_file);
+                }
+                Err(fault) => {
+                    tracing::error!("SIGHUP: the old configuration holds: {fault}");
                     continue;
-                };
-                tracing::info!(discovery = %address, "SIGHUP: the configuration is read again");
-                // Cancelled, the watch that waits lets go of its connection.
-                if let Some(following) = following {
-                    following.cancel().await;
                 }
-                moved.move_to(address);
-                let _ = ask.try_send(());
-                following = follow(discovery.as_ref(), &executor, &asked);
-            }
-            Err(fault) => tracing::error!("SIGHUP: the old configuration holds: {fault}"),
+            },
+            Err(address) if address == told_by_control => continue,
+            Err(address) => told_by_control = address,
+            Ok(_) => break,
         }
+        let (Some(address), Some(moved)) = (told_by_control.or(in_file), &mut discovery) else {
+            tracing::info!("without a discovery before and now there is nothing to move");
+            continue;
+        };
+        tracing::info!(discovery = %address, by_control = told_by_control.is_some(), "the list is watched there");
+        // Cancelled, the watch that waits lets go of its connection.
+        if let Some(following) = following {
+            following.cancel().await;
+        }
+        moved.move_to(address);
+        let _ = ask.try_send(());
+        following = follow(discovery.as_ref(), &executor, &asked);
     }
     tracing::info!("SIGTERM: finishing what is taken");
     serving.store(false, Ordering::Release);
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -12,7 +12,7 @@
 use crate::fleet;
 use crate::handover::record::Words;
 use crate::holds::must_hold;
-use crate::launch::Launch;
+use crate::launch::{Changed, Launch};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -67,6 +67,8 @@
     Peer(u32, Vec<u8>),
     Listed(Catalog),
     ListFailed,
+    /// Quotas and verbs by now; told once the module has them.
+    Changed(Box<Changed>, Sender<()>),
     /// The process ends: by then all that is open has its final word.
     EndsBy(Duration),
     /// It is that time.
@@ -512,6 +514,10 @@
             }
             Word::Peer(peer, words) => self.peer_said(now, peer, &words),
             Word::ListFailed => self.policy.list_call_failed(now),
+            Word::Changed(changed, taken) => {
+                self.policy.terms_changed(now, &changed.quotas, &changed.verbs);
+                let _ = taken.try_send(());
+            }
             Word::EndsBy(at) => self.ends_by(now, at),
             Word::AllDue => self.desk.borrow_mut().end_relays(),
         }
