--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -25,6 +25,22 @@
     Bench(Bench),
     Fleet(Fleet),
     Check(Check),
+    FanOut(FanOut),
+}
+
+/// time until every sidecar has a change of configuration in force, with control machines killed and regions cut
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fan-out")]
+pub struct FanOut {
+    /// how many sidecars follow
+    #[argh(option, default = "1000")]
+    pub followers: usize,
+    /// of how many services
+    #[argh(option, default = "1")]
+    pub services: usize,
+    /// seconds of calm that are measured
+    #[argh(option, default = "12.0")]
+    pub calm: f64,
 }
 
 /// try everything that can come between a few copies and their verdicts on zones, up to a depth
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod cases;
+mod fan_out;
 mod fleets;
 mod live;
 
@@ -134,6 +135,7 @@
         Wanted::Demo(Demo {}) => live::demo(),
         Wanted::Load(wanted) => live::load(wanted),
         Wanted::Bench(wanted) => live::bench(wanted),
+        Wanted::FanOut(wanted) => fan_out::play(wanted.followers, wanted.services, wanted.calm),
         Wanted::Fleet(_) | Wanted::Check(_) => Ok(()),
     };
     match done {
--- a/crates/sidecar/src/control/machine/calls.rs
+++ b/crates/sidecar/src/control/machine/calls.rs
@@ -161,11 +161,7 @@
         }
         let (mut standing, mut heard) = (known, 1);
         let head = format!("GET /control/v1/scopes/{scope}?own=1");
-        for peer in &self.peers {
-            // Those that do not answer their looks would each hold up the word.
-            if peer.age().is_none_or(|age| age > Duration::from_secs(4)) {
-                continue;
-            }
+        for peer in self.peers.iter().filter(|peer| peer.answers()) {
             let asked =
                 Line::default().call(peer.address, &head, b"", &self.stock, STANDING, OTHERS_WITHIN).await;
             let Ok((status, bytes)) = asked else { continue };
--- a/crates/sidecar/src/control/machine/mod.rs
+++ b/crates/sidecar/src/control/machine/mod.rs
@@ -155,7 +155,8 @@
     async fn published(&self, scope: &str, version: Version) -> usize {
         self.changed(scope);
         let (done, has) = async_channel::bounded(self.peers.len().max(1));
-        self.peers.iter().for_each(|peer| peer.push(scope, done.clone()));
+        // Those that do not answer now find it by looking.
+        self.peers.iter().filter(|peer| peer.answers()).for_each(|peer| peer.push(scope, done.clone()));
         drop(done);
         let (until, mut count) = (Instant::now() + PUSHED_WITHIN, 1);
         while count <= self.peers.len() {
--- a/crates/sidecar/src/control/machine/peers.rs
+++ b/crates/sidecar/src/control/machine/peers.rs
@@ -14,6 +14,8 @@
 
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 const ANSWER_WITHIN: Duration = Duration::from_secs(2);
+/// Longer than a look that fails.
+const LATELY: Duration = Duration::from_secs(4);
 /// Pushes that wait for a machine; what is past that it finds by looking.
 const PUSHES_MOST: usize = 1024;
 /// Buffers for the versions of all scopes that there may be.
@@ -40,6 +42,11 @@
         let _ = self.pushes.try_send((scope.into(), done));
     }
 
+    /// Whether it can be counted on to answer: others would hold up whoever waits for them.
+    pub fn answers(&self) -> bool {
+        self.age().is_some_and(|age| age < LATELY)
+    }
+
     /// How long ago it last answered.
     pub fn age(&self) -> Option<Duration> {
         self.heard.get().map(|at| at.elapsed())
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -225,8 +225,12 @@
         match or(signalled, moved).await {
             Ok(Some(Ok(Signal::Hup))) => match launch::read_again(file) {
                 Ok(new) => {
-                    tracing::info!(discovery = ?new.discovery, "SIGHUP: the configuration is read again");
-                    in_file = new.discovery.or(in_file);
+                    let (Some(address), true) = (new.discovery, discovery.is_some()) else {
+                        tracing::info!("SIGHUP: without a discovery before and now there is nothing to move");
+                        continue;
+                    };
+                    tracing::info!(discovery = %address, "SIGHUP: the configuration is read again");
+                    in_file = Some(address);
                 }
                 Err(fault) => {
                     tracing::error!("SIGHUP: the old configuration holds: {fault}");
@@ -237,11 +241,10 @@
             Err(address) => told_by_control = address,
             Ok(_) => break,
         }
-        let (Some(address), Some(moved)) = (told_by_control.or(in_file), &mut discovery) else {
-            tracing::info!("without a discovery before and now there is nothing to move");
-            continue;
-        };
-        tracing::info!(discovery = %address, by_control = told_by_control.is_some(), "the list is watched there");
+        let (Some(address), Some(moved)) = (told_by_control.or(in_file), &mut discovery) else { continue };
+        if told_by_control.is_some() {
+            tracing::info!(discovery = %address, "control: the list is watched there");
+        }
         // Cancelled, the watch that waits lets go of its connection.
         if let Some(following) = following {
             following.cancel().await;
