Control machines: a queue of 4,096 for new connections, as those of lost machines come at once

Seen: with seven of eight machines killed, the last of 8,100 followers of one service had a change after 7.3 s, and 1,176 connections found the system's queue full in that run (128 long); each tries again after a second only.

--- a/crates/sidecar/src/control/machine/mod.rs
+++ b/crates/sidecar/src/control/machine/mod.rs
@@ -35,6 +35,8 @@
 const BUFFERS: usize = 768;
 /// So long an operator waits at most until other machines have what was published.
 const PUSHED_WITHIN: Duration = Duration::from_millis(800);
+/// Those whose machines were lost all come at once; who finds no room in the queue tries again only after a second.
+const BACKLOG: i32 = 4096;
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 const TIDY_EVERY: Duration = Duration::from_secs(60);
 /// Versions that wait to be written; past that the next start has to hear them from the others.
@@ -89,6 +91,7 @@
     async_io::block_on(executor.run(async {
         let mut signals = Signals::new([Signal::Term]).map_err(told)?;
         let listener = Async::<TcpListener>::bind(listen).map_err(told)?;
+        rustix::net::listen(&listener, BACKLOG).map_err(|wrong| told(wrong.into()))?;
         tracing::info!(%listen, machines = machine.peers.len() + 1, "control machine: open");
         let ends = async {
             signals.next().await;
