--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -26,6 +26,7 @@
     Fleet(Fleet),
     Check(Check),
     FanOut(FanOut),
+    Capacity(Capacity),
 }
 
 /// time until every sidecar has a change of configuration in force, with control machines killed and regions cut
@@ -43,6 +44,27 @@
     pub calm: f64,
 }
 
+/// what each role needs at a size, from measured slopes, beside the operators' bounds; as Markdown
+#[derive(FromArgs)]
+#[argh(subcommand, name = "capacity")]
+pub struct Capacity {
+    /// the size; the built-in one where it is not given
+    #[argh(option)]
+    pub size: Option<PathBuf>,
+    /// the slopes that scale wrote; the built-in ones where it is not given
+    #[argh(option)]
+    pub slopes: Option<PathBuf>,
+    /// slopes with the mechanism that was missing first; the built-in ones where it is not given
+    #[argh(option)]
+    pub after: Option<PathBuf>,
+    /// a page whose tables are to be replaced, in place of printing them
+    #[argh(option)]
+    pub into: Option<PathBuf>,
+    /// print the built-in size as a file to start from
+    #[argh(switch)]
+    pub show: bool,
+}
+
 /// try everything that can come between a few copies and their verdicts on zones, up to a depth
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -115,6 +137,9 @@
     /// seeds, in place of the file's count
     #[argh(option)]
     pub seeds: Option<u64>,
+    /// a picker, in place of the file's; may be given several times
+    #[argh(option)]
+    pub picker: Vec<Named>,
 }
 
 /// hold one picker against the others, seed by seed, in results of a sweep
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -10,6 +10,7 @@
 mod holds;
 mod launch;
 mod net;
+mod start;
 
 use argh::FromArgs;
 use std::net::SocketAddr;
@@ -119,10 +120,12 @@
 }
 
 fn serve(file: Option<&Path>) -> Result<(), String> {
+    let start = start::Start::begin();
     to_log()?;
     let launch = launch::read(file).map_err(|wrong| wrong.to_string())?;
+    start.configuration_read();
     tracing::info!(name = launch.name, listen = %launch.listen, "starting");
-    net::serve(launch, file).map_err(|wrong| wrong.to_string())
+    net::serve(launch, file, start).map_err(|wrong| wrong.to_string())
 }
 
 fn main() -> ExitCode {
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -13,6 +13,7 @@
 use crate::handover::record::Words;
 use crate::holds::must_hold;
 use crate::launch::{Changed, Launch};
+use crate::start::Start;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -121,6 +122,7 @@
     /// None where this copy is one of no fleet.
     pub fleet: Option<fleet::Link>,
     pub ask: Sender<()>,
+    pub start: Rc<Start>,
 }
 
 /// What operators said, and are to be told.
@@ -208,7 +210,7 @@
                 let by = self.clock.instant(not_past);
                 let target = Target { server: server.clone(), address };
                 shot.task = Some(self.executor.spawn(async move {
-                    let end = endpoints.relay(&target, &outgoing, by, &stage).await;
+                    let end = endpoints.relay(&target, &outgoing, number, by, &stage).await;
                     stage.set(Stage::Ended);
                     queue.tell(Word::Ended(cmd, number, Box::new(end)));
                 }));
@@ -363,6 +365,7 @@
     let policy = Policy::start(Hand(desk.clone()), launch.terms, launch.seed, clock.now());
     let before = launch.learnt.as_ref().map(|path| learnt::read(path, &deployment, &clock));
     let before = before.unwrap_or_default();
+    desk.borrow().outside.start.kept_files_read();
     let (save_at, save_to) = (clock.now() + SAVE_FIRST, launch.learnt);
     let saving = Saving::of(deployment);
     let seen_at = clock.now();
@@ -623,6 +626,9 @@
         must_hold!(!shot.ended, "relay {number} of {id} ends once");
         shot.ended = true;
         shot.task = None;
+        if outcome.never_ran() {
+            open.outgoing.window.never_ran(number);
+        }
         let (server, latency) = (shot.server.clone(), now.saturating_sub(shot.sent));
         if let Some(answer) = answer
             && !open.finished
