Control: a scope begun anew goes before what sidecars still have, also by a clock that is behind

A scope that all machines had lost began with the seconds of Unix time as its epoch: published at a machine whose clock lies before the first beginning it would have counted as older, and sidecars would have kept what they had. It goes past the epochs that sidecars told with their calls now. Without the mend the new test fails: "100.1.... and 50.1.48392...".

--- a/crates/control/src/board.rs
+++ b/crates/control/src/board.rs
@@ -177,7 +177,11 @@
         if base != holds {
             return Err(Rejected::Base(holds));
         }
-        let (epoch, number) = holds.map_or((epoch, 1), |holds| (holds.epoch, holds.number + 1));
+        // Sidecars that have called know a version that was lost here: whatever the clock says, this one goes before it.
+        let followers = self.scopes.get(scope).into_iter().flat_map(|known| known.followers.values());
+        let lost = followers.filter_map(|called| called.have).map(|have| have.epoch.saturating_add(1)).max();
+        let epoch = epoch.max(lost.unwrap_or(0));
+        let (epoch, number) = holds.map_or((epoch, 1), |holds| (holds.epoch, holds.number.saturating_add(1)));
         let next = Snapshot::new(scope, epoch, number, contents).map_err(Rejected::Fault)?;
         let version = next.version();
         self.scopes.entry(scope.into()).or_default().take(next);
--- a/crates/control/tests/parts.rs
+++ b/crates/control/tests/parts.rs
@@ -194,6 +194,18 @@
     );
 }
 
+#[test]
+fn a_scope_begun_anew_goes_before_what_sidecars_still_have_also_by_a_clock_that_is_behind() {
+    let (mut board, mut anew) = (Board::default(), Board::default());
+    let (mut follower, mut force) = (follower(), Force::default());
+    let lost = publish(&mut board, &[("a", "1")]);
+    poll(&mut board, &mut follower, &mut force);
+    assert_eq!(poll(&mut anew, &mut follower, &mut force), None, "nothing is known there");
+    let next = anew.publish("basket", None, keys(&[("a", "2")]), 50).expect("it is published");
+    assert!(lost < next, "{lost} and {next}");
+    assert_eq!(poll(&mut anew, &mut follower, &mut force), Some(Ok(Took::Enforced(next))));
+}
+
 #[test]
 fn what_is_out_of_bounds_is_not_published_and_the_key_is_named() {
     let mut board = Board::default();
