--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -27,9 +27,25 @@
     Fleet(Fleet),
     Check(Check),
     Scale(Scale),
+    FanOut(FanOut),
     Capacity(Capacity),
 }
 
+/// time until every sidecar has a change of configuration in force, with control machines killed and regions cut
+#[derive(FromArgs)]
+#[argh(subcommand, name = "fan-out")]
+pub struct FanOut {
+    /// how many sidecars follow
+    #[argh(option, default = "1000")]
+    pub followers: usize,
+    /// of how many services
+    #[argh(option, default = "1")]
+    pub services: usize,
+    /// seconds of calm that are measured
+    #[argh(option, default = "18.0")]
+    pub calm: f64,
+}
+
 /// what each role needs at a size, from measured slopes, beside the operators' bounds; as Markdown
 #[derive(FromArgs)]
 #[argh(subcommand, name = "capacity")]
--- a/crates/lab/src/experiment/builtin.rs
+++ b/crates/lab/src/experiment/builtin.rs
@@ -1,6 +1,6 @@
 //! The plans that come with the lab.
 
-const PLANS: [(&str, &str); 17] = [
+const PLANS: [(&str, &str); 21] = [
     ("demo", include_str!("../../plans/demo.toml")),
     ("suite", include_str!("../../plans/suite.toml")),
     ("tiers", include_str!("../../plans/tiers.toml")),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod capacity;
 mod cases;
+mod fan_out;
 mod fleets;
 mod live;
 mod scales;
@@ -142,6 +143,7 @@
         Wanted::Load(wanted) => live::load(wanted),
         Wanted::Bench(wanted) => live::bench(wanted),
         Wanted::Scale(wanted) => scales::scale(wanted),
+        Wanted::FanOut(wanted) => fan_out::play(wanted.followers, wanted.services, wanted.calm),
         Wanted::Capacity(wanted) => capacity::capacity(wanted),
         Wanted::Added(wanted) => live::added(wanted),
         Wanted::Fleet(_) | Wanted::Check(_) => Ok(()),
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -4,6 +4,7 @@
 mod catalog;
 mod clock;
 mod console;
+mod control;
 mod fleet;
 mod handover;
 mod holds;
@@ -31,6 +32,8 @@
     Check(Check),
     Init(Init),
     Hold(Hold),
+    Control(Control),
+    Followers(Followers),
     Version(Version),
 }
 
@@ -70,6 +73,36 @@
 #[argh(subcommand, name = "init")]
 struct Init {}
 
+/// run a control machine until SIGTERM, as its file says
+#[derive(FromArgs)]
+#[argh(subcommand, name = "control")]
+struct Control {
+    /// the machine's file, in TOML
+    #[argh(positional)]
+    file: PathBuf,
+}
+
+/// play many sidecars that follow configuration and do nothing else, for measurements: a line for each version in force
+#[derive(FromArgs)]
+#[argh(subcommand, name = "followers")]
+struct Followers {
+    /// how many
+    #[argh(option)]
+    count: u32,
+
+    /// over how many services they spread: s0, s1 and so on
+    #[argh(option, default = "1")]
+    scopes: u32,
+
+    /// what their names begin with
+    #[argh(option, default = "String::from(\"f\")")]
+    prefix: String,
+
+    /// the machines as ADDRESS=REGION, with commas between
+    #[argh(option)]
+    machines: String,
+}
+
 /// print the version
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
@@ -157,6 +190,11 @@
             Ok(())
         }
         Wanted::Hold(Hold { listen, command }) => Err(handover::hold::hold(listen, &command).to_string()),
+        Wanted::Control(Control { file }) => begin_log().and_then(|()| control::machine::run(&file)),
+        Wanted::Followers(wanted) => begin_log().and_then(|()| {
+            let Followers { count, scopes, prefix, machines } = wanted;
+            control::followers::play(count, scopes, &prefix, &machines)
+        }),
         Wanted::Version(Version {}) => {
             println!("landingspread {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -12,7 +12,7 @@
 use crate::fleet;
 use crate::handover::record::Words;
 use crate::holds::must_hold;
-use crate::launch::Launch;
+use crate::launch::{Changed, Launch};
 use crate::start::Start;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
@@ -70,6 +70,8 @@
     ListFailed,
     /// By discovery itself, as it has too many calls.
     ListRefused,
+    /// Quotas and verbs by now; told once the module has them.
+    Changed(Box<Changed>, Sender<()>),
     /// The process ends: by then all that is open has its final word.
     EndsBy(Duration),
     /// It is that time.
@@ -550,6 +552,10 @@
             Word::Peer(peer, words) => self.peer_said(now, peer, &words),
             Word::ListFailed => self.policy.list_call_failed(now),
             Word::ListRefused => self.policy.list_call_refused(now),
+            Word::Changed(changed, taken) => {
+                self.policy.terms_changed(now, &changed.quotas, &changed.verbs);
+                let _ = taken.try_send(());
+            }
             Word::EndsBy(at) => self.ends_by(now, at),
             Word::AllDue => self.desk.borrow_mut().end_relays(),
         }
