--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -62,10 +62,12 @@
 /// Credits a second for the first command to a server that operators use again.
 const AWAITED: f64 = 0.33;
 const SWEEP: Duration = Duration::from_millis(20);
-/// Seconds from a failed list call to the next, at most, and from the beginning of one that took longer to fail.
+/// Seconds from a failed list call to the next, at most, and from the beginning of one that took longer
+/// to fail.
 const PAUSE_FIRST: f64 = 0.5;
 const CALLS_APART: f64 = 4.0;
-/// After one that discovery refused: it works in vain through what queues too long, so all copies together make few.
+/// After one that discovery refused: it works in vain through what queues too long, so all copies
+/// together make few.
 const PAUSE_REFUSED: f64 = 8.0;
 const REFUSED_EACH: f64 = 10.0;
 
@@ -277,7 +279,8 @@
 
     /// It was down, silent or broken.
     pub fn list_call_failed(&mut self, now: Duration) {
-        // What it took to fail has spread them already, and must not add to the time in which a change goes unheard.
+        // What it took to fail has spread them already, and must not add to the time in which a change
+        // goes unheard.
         let lasted = now.saturating_sub(self.asking.began).as_secs_f64();
         let longest = PAUSE_FIRST * f64::from(1u32 << self.asking.failures.min(3));
         self.call_again(now, longest.min(CALLS_APART - lasted).max(PAUSE_FIRST));
@@ -962,7 +965,8 @@
     fn credit_cold(&mut self) {
         let chosen = self.fleet.window().len().max(1) as f64;
         let others = (self.terms.may_live / self.terms.balancers).max(1.0);
-        // In a surge each takes itself for the largest: the floors of all together are those of even parts at most.
+        // In a surge each takes itself for the largest: the floors of all together are those of even
+        // parts at most.
         let evenly = self.terms.balancers * chosen / (self.fleet.ready() as f64).max(1.0);
         let usual = (self.seen.sent.per_s(self.now) / chosen).max(4.0 / (self.sharers.max(evenly) * others));
         let (cold, now) = (&self.terms.cold, self.now);
