A deadline wrapper is called timeout, and what operators said of servers overrides

Renamed: net/within.rs to net/timeout.rs with its function, decisions/aside.rs to overrides.rs with its type.

--- a/crates/decisions/src/carried.rs
+++ b/crates/decisions/src/carried.rs
@@ -38,12 +38,12 @@
 
     /// The ids that lists have told of, gone ones too, up to a bound.
     pub fn named(&self) -> impl Iterator<Item = &Id> {
-        self.aside.named()
+        self.overrides.named()
     }
 
     /// Lists told an earlier process of it: operators may name it still.
     pub fn named_before(&mut self, server: &Id) {
-        self.aside.name(server);
+        self.overrides.name(server);
     }
 
     /// Takes over what was learnt of the processes that still run. A marked server is checked at once; where most were
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,6 +1,5 @@
 //! Where a command goes, whether it goes again, and when it is given up.
 
-mod aside;
 mod book;
 pub mod carried;
 mod changed;
@@ -8,6 +7,7 @@
 mod ending;
 mod fleet;
 pub mod host;
+mod overrides;
 pub mod policy;
 mod stats;
 pub mod terms;
--- a/crates/decisions/src/aside.rs
+++ b/crates/decisions/src/overrides.rs
@@ -8,14 +8,14 @@
 const NAMED_MOST: usize = 16_384;
 
 #[derive(Debug, Default)]
-pub struct Aside {
+pub struct Overrides {
     left_out: BTreeMap<Id, Option<Listed>>,
     /// The ids that lists have named, and their order.
     named: BTreeSet<Id>,
     in_order: VecDeque<Id>,
 }
 
-impl Aside {
+impl Overrides {
     /// Takes an entry's word. Whether operators leave its server out.
     pub fn told(&mut self, entry: &Listed) -> bool {
         self.name(&entry.server);
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -2,10 +2,10 @@
 //! A front calls `Policy::start` and then one method for each thing that happens, in its order; each acts by
 //! calling the `Host`. The reasons stand in `docs/design.md`.
 
-use crate::aside::Aside;
 use crate::book::{Asking, Cmd, Fate, Relay, Seen, VerbRecord};
 use crate::fleet::{Fleet, Mark, Server, Slot};
 use crate::host::{Arrival, Ended, Host, Id, Listed, Load, Outcome, State};
+use crate::overrides::Overrides;
 use crate::stats::{Average, Histogram, Rate, chance, drawn_from, shuffle};
 use crate::terms::{Group, Repeats, Terms};
 use crate::words::{self, Hearer};
@@ -127,7 +127,7 @@
     seed: u64,
     draws: u64,
     pub(crate) fleet: Fleet,
-    pub(crate) aside: Aside,
+    pub(crate) overrides: Overrides,
     pub(crate) zones: Zones,
     pub(crate) cmds: BTreeMap<Id, Cmd>,
     held: Vec<Id>,
@@ -162,7 +162,7 @@
             seed,
             draws: 0,
             fleet: Fleet::default(),
-            aside: Aside::default(),
+            overrides: Overrides::default(),
             zones: Zones::default(),
             cmds: BTreeMap::new(),
             held: Vec::new(),
@@ -256,7 +256,7 @@
     pub fn list_cached(&mut self, now: Duration, entries: &[Listed]) {
         self.now = now;
         self.fleet.only_listed(entries);
-        self.aside.only_listed(entries);
+        self.overrides.only_listed(entries);
         self.take_entries(entries);
     }
 
@@ -300,7 +300,7 @@
     }
 
     fn take_entry(&mut self, entry: &Listed) {
-        if self.aside.told(entry) || entry.state != State::Ready {
+        if self.overrides.told(entry) || entry.state != State::Ready {
             return self.fleet.leave(&entry.server);
         }
         let (first, now, verbs) = (self.chance(), self.now, self.terms.verbs.len());
@@ -315,21 +315,21 @@
     /// Operators leave a server out, whatever the list says of it. `false`: no list ever named it.
     pub fn leave_out(&mut self, now: Duration, id: &Id) -> bool {
         self.now = now;
-        self.aside.leave_out_if_known(id, self.fleet.listed(id));
+        self.overrides.leave_out_if_known(id, self.fleet.listed(id));
         self.fleet.leave(id);
         self.take_entries(&[]);
-        self.aside.knows(id)
+        self.overrides.knows(id)
     }
 
     /// They use it again since then. It was restarted meanwhile, whether the list says so or not.
     pub fn use_again(&mut self, now: Duration, id: &Id, since: Duration) -> bool {
         self.now = now;
-        if let Some(last) = self.aside.use_again(id) {
+        if let Some(last) = self.overrides.use_again(id) {
             self.take_entries(&[last]);
             self.fleet.slot(id).into_iter().for_each(|slot| self.restarted(slot, since));
             self.fleet.await_first(id, AWAITED);
         }
-        self.aside.knows(id)
+        self.overrides.knows(id)
     }
 
     pub(crate) fn restarted(&mut self, slot: Slot, at: Duration) {
@@ -506,7 +506,7 @@
     fn thin_held(&mut self, newcomer: Option<&Id>) {
         let (rate, mut ahead) = (self.turnover(), 0.0);
         // Operators took out the last server: a call back is minutes off.
-        let nobody = self.fleet.ready() == 0 && self.aside.any();
+        let nobody = self.fleet.ready() == 0 && self.overrides.any();
         for id in self.held.clone() {
             let Some(cmd) = self.cmds.get(&id) else { continue };
             // The next sweep may come too late for a final answer.
--- a/crates/sidecar/src/console/mod.rs
+++ b/crates/sidecar/src/console/mod.rs
@@ -9,7 +9,7 @@
 use crate::handover::record::{Record, WORDS_MOST, Word, Words, unix_ms};
 use crate::net::buffers::{Buffer, Stock};
 use crate::net::http::{self, Coming};
-use crate::net::within::within;
+use crate::net::timeout::timeout;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -134,7 +134,7 @@
         let number = self.numbers.replace(self.numbers.get() + 1);
         let (close, closed): (Sender<()>, Receiver<()>) = async_channel::bounded(1);
         self.waiting.borrow_mut().insert(number, close);
-        let comes = async { within(CALL_WITHIN, self.read(&stream, buffer)).await };
+        let comes = async { timeout(CALL_WITHIN, self.read(&stream, buffer)).await };
         let ends = async {
             let _ = closed.recv().await;
             // Its place is wanted at once: there is no time for a word.
@@ -153,7 +153,7 @@
             },
         };
         tracing::debug!(status = said.status, "console: {}", said.text.trim_end());
-        let _ = within(ANSWER_WITHIN, http::write(&stream, &said.head(), said.text.as_bytes())).await;
+        let _ = timeout(ANSWER_WITHIN, http::write(&stream, &said.head(), said.text.as_bytes())).await;
         linger(&stream).await;
     }
 
@@ -241,7 +241,7 @@
         let (known, heard) = async_channel::bounded(1);
         let order = Order { server: server.to_string(), out, recorded, known };
         self.orders.send(order).await.ok()?;
-        within(OWNER_WITHIN, heard.recv()).await?.ok()
+        timeout(OWNER_WITHIN, heard.recv()).await?.ok()
     }
 
     /// What was said to the other process of an upgrade counts here too.
@@ -286,5 +286,5 @@
     let _ = stream.get_ref().shutdown(Shutdown::Write);
     let mut bytes = [0; 1024];
     let read_off = async { while matches!(stream.read(&mut bytes).await, Ok(1..)) {} };
-    within(LINGER, read_off).await;
+    timeout(LINGER, read_off).await;
 }
--- a/crates/sidecar/src/control/call.rs
+++ b/crates/sidecar/src/control/call.rs
@@ -3,7 +3,7 @@
 use super::said::Shared;
 use crate::net::buffers::Stock;
 use crate::net::http;
-use crate::net::within::within;
+use crate::net::timeout::timeout;
 use async_io::Async;
 use landingspread_control::{CHANGE_MOST, Follower, Poll};
 use std::io::Read;
@@ -82,6 +82,6 @@
     span: Duration,
     work: impl Future<Output = Result<T, E>>,
 ) -> Result<T, String> {
-    let done = within(span, work).await.ok_or_else(|| format!("nothing within {span:?}"))?;
+    let done = timeout(span, work).await.ok_or_else(|| format!("nothing within {span:?}"))?;
     done.map_err(|wrong| format!("{wrong:?}"))
 }
--- a/crates/sidecar/src/control/machine/mod.rs
+++ b/crates/sidecar/src/control/machine/mod.rs
@@ -10,7 +10,7 @@
 use crate::clock::Clock;
 use crate::net::buffers::Stock;
 use crate::net::http::{self, Coming};
-use crate::net::within::within;
+use crate::net::timeout::timeout;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -163,7 +163,7 @@
         drop(done);
         let (until, mut count) = (Instant::now() + PUSHED_WITHIN, 1);
         while count <= self.peers.len() {
-            match within(until.saturating_duration_since(Instant::now()), has.recv()).await {
+            match timeout(until.saturating_duration_since(Instant::now()), has.recv()).await {
                 Some(Ok(())) => count += 1,
                 // No other is left that could say so, or none says it.
                 Some(Err(_)) | None => break,
@@ -231,14 +231,14 @@
     async fn talk(&self, stream: Async<TcpStream>) {
         let _ = stream.get_ref().set_nodelay(true);
         // A connection that waits holds no buffer.
-        while within(IDLE, something_to_read(&stream)).await.is_some() {
+        while timeout(IDLE, something_to_read(&stream)).await.is_some() {
             let read = async {
                 let buffer = self.stock.buffer_in_turn().await;
                 let mut coming = Coming::command(&stream, buffer, &|| ()).await?;
                 coming.hold(&stream, &self.stock, landingspread_control::CHANGE_MOST).await?;
                 Ok(coming)
             };
-            let (said, keep) = match within(CALL_WITHIN, read).await {
+            let (said, keep) = match timeout(CALL_WITHIN, read).await {
                 Some(Ok(coming)) => {
                     let (keep, head, body) = (coming.keep, coming.head.clone(), coming.text());
                     drop(coming);
@@ -253,7 +253,7 @@
             };
             let head = said.head(keep);
             let written = http::write(&stream, &head, said.body.as_bytes());
-            if within(CALL_WITHIN, written).await.is_none_or(|done| done.is_err()) || !keep {
+            if timeout(CALL_WITHIN, written).await.is_none_or(|done| done.is_err()) || !keep {
                 return;
             }
         }
@@ -277,7 +277,7 @@
             }
             let (tell, told) = async_channel::bounded::<()>(1);
             self.wait_for(&poll.scope, tell);
-            let news = async { within(left, told.recv()).await.map_or(Some(false), |_| Some(true)) };
+            let news = async { timeout(left, told.recv()).await.map_or(Some(false), |_| Some(true)) };
             // It sends nothing while it waits: what is there to be read is its end.
             let leaves = async {
                 something_to_read(stream).await;
--- a/crates/sidecar/src/control/machine/peers.rs
+++ b/crates/sidecar/src/control/machine/peers.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use crate::net::within::within;
+use crate::net::timeout::timeout;
 
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 const ANSWER_WITHIN: Duration = Duration::from_secs(2);
@@ -60,7 +60,7 @@
         let (mut line, mut look_at, mut there) = (Line::default(), Instant::now(), None);
         loop {
             let until = look_at.saturating_duration_since(Instant::now());
-            let done = match within(until, pushes.recv()).await {
+            let done = match timeout(until, pushes.recv()).await {
                 Some(Ok((scope, done))) => {
                     let pushed = self.push(peer, &mut line, &scope).await;
                     pushed.map(|()| _ = done.try_send(()))
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -155,7 +155,7 @@
             let _ = reply.try_send(text);
         });
         self.0.try_send(ask).ok()?;
-        crate::net::within::within(within, told.recv()).await?.ok()
+        crate::net::timeout::timeout(within, told.recv()).await?.ok()
     }
 
     /// How zones stand; none where the fleet's thread does not answer, an empty text where the fleet leaves none.
@@ -166,7 +166,7 @@
             let _ = reply.try_send(text);
         });
         self.0.try_send(ask).ok()?;
-        crate::net::within::within(within, told.recv()).await?.ok()
+        crate::net::timeout::timeout(within, told.recv()).await?.ok()
     }
 
     /// Operators take a zone out of use for the fleet, or put it back. Whether there is such a zone, and whether the fleet
@@ -178,7 +178,7 @@
             let _ = reply.try_send(known);
         });
         self.0.try_send(say).ok()?;
-        crate::net::within::within(within, told.recv()).await?.ok()
+        crate::net::timeout::timeout(within, told.recv()).await?.ok()
     }
 
     /// The process ends: told to others, and not waited for.
@@ -189,7 +189,7 @@
             let _ = done.try_send(());
         });
         if self.0.try_send(leave).is_ok() {
-            let _ = crate::net::within::within(LEAVE_WITHIN, gone.recv()).await;
+            let _ = crate::net::timeout::timeout(LEAVE_WITHIN, gone.recv()).await;
         }
     }
 }
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -7,7 +7,7 @@
 use super::http::{self, Bad, Coming, Marked};
 use super::leaving::{self, Asker};
 use super::owner::{Came, Final, Queue, Word};
-use super::within::within;
+use super::timeout::timeout;
 use crate::clock::Clock;
 use crate::launch::{Launch, Verb};
 use crate::start::Start;
@@ -301,7 +301,7 @@
     async fn something_comes(&self, stream: &Async<TcpStream>, since: Option<Duration>) -> bool {
         if since.is_some() {
             // A client sends no command again that a new connection has lost: it does not count as idle yet.
-            let comes = within(FRESH, stream.readable()).await;
+            let comes = timeout(FRESH, stream.readable()).await;
             self.fresh.set(self.fresh.get() - 1);
             if let Some(comes) = comes {
                 return comes.is_ok();
@@ -317,7 +317,7 @@
             matches!(stream.get_ref().peek(&mut [0]), Ok(1))
         };
         let most = since.map_or(IDLE_MOST, |since| self.left_to_a_stranger(since));
-        let comes = within(most, or(comes, ends)).await.unwrap_or(false);
+        let comes = timeout(most, or(comes, ends)).await.unwrap_or(false);
         self.idle.borrow_mut().remove(&number);
         comes
     }
@@ -415,7 +415,7 @@
         most: Duration,
         came: &dyn Fn(),
     ) -> Result<(Coming, Asked), Option<Turned>> {
-        let head = within(most, Coming::command(stream, buffer, came)).await;
+        let head = timeout(most, Coming::command(stream, buffer, came)).await;
         let mut coming = head.unwrap_or(Err(Bad::Late)).map_err(why)?;
         let asked = self.understand(&coming.head).map_err(Some)?;
         if matches!(asked, Asked::Cmd(_)) {
@@ -432,12 +432,12 @@
     async fn hold(&self, stream: &Async<TcpStream>, coming: &mut Coming, came: &dyn Fn()) -> Result<(), Bad> {
         if coming.expects && !coming.whole() {
             let go_on = http::write(stream, b"HTTP/1.1 100 Continue\r\n\r\n", b"");
-            within(WRITE_WITHIN, go_on).await.unwrap_or(Ok(()))?;
+            timeout(WRITE_WITHIN, go_on).await.unwrap_or(Ok(()))?;
         }
         let long = coming.length().is_some_and(|length| length > HOLD_MOST as u64);
         let most = if long { SIZE } else { HOLD_MOST };
         while !coming.whole() && coming.room(&self.stock, most) {
-            within(READ_WITHIN, coming.more(stream)).await.unwrap_or(Err(Bad::Late))?;
+            timeout(READ_WITHIN, coming.more(stream)).await.unwrap_or(Err(Bad::Late))?;
             came();
         }
         Ok(())
@@ -570,7 +570,7 @@
         give: &Sender<Next>,
     ) -> Result<(), Bad> {
         while !coming.whole() {
-            within(READ_WITHIN, coming.more(stream)).await.unwrap_or(Err(Bad::Late))?;
+            timeout(READ_WITHIN, coming.more(stream)).await.unwrap_or(Err(Bad::Late))?;
             let hand_on = async {
                 for piece in coming.take(&self.stock).await {
                     if give.send(Next::Piece(piece)).await.is_err() {
@@ -640,14 +640,14 @@
             // Where both sides are as fast as this one nothing here waits, and all others would.
             yield_now().await;
         }
-        let ended = written && within(WRITE_WITHIN, http::write_end(stream, marked)).await.is_some();
+        let ended = written && timeout(WRITE_WITHIN, http::write_end(stream, marked)).await.is_some();
         answer.finish();
         ended.then_some(keep)
     }
 
     async fn write(&self, stream: &Async<TcpStream>, head: &[u8], answer: &Answer, marked: Marked) -> bool {
         let writing = http::write_part(stream, head, answer.coming.slices(), marked);
-        matches!(within(WRITE_WITHIN, writing).await, Some(Ok(())))
+        matches!(timeout(WRITE_WITHIN, writing).await, Some(Ok(())))
     }
 
     async fn turn_away(&self, stream: &Async<TcpStream>, turned: &Turned, keep: bool) -> bool {
@@ -673,7 +673,7 @@
             }
         };
         let left = self.left_to_end().map_or(LINGER, |left| left + LINGER_AT_END);
-        within(LINGER.min(left), read_off).await;
+        timeout(LINGER.min(left), read_off).await;
     }
 
     async fn say(
@@ -689,7 +689,7 @@
         let mut head = format!("HTTP/1.1 {status} {}\r\n{close}", http::reason(status)).into_bytes();
         head.extend_from_slice(more);
         head.extend_from_slice(format!("Content-Length: {length}\r\n\r\n").as_bytes());
-        matches!(within(WRITE_WITHIN, http::write(stream, &head, body)).await, Some(Ok(()))) && keep
+        matches!(timeout(WRITE_WITHIN, http::write(stream, &head, body)).await, Some(Ok(()))) && keep
     }
 }
 
--- a/crates/sidecar/src/net/discovery.rs
+++ b/crates/sidecar/src/net/discovery.rs
@@ -5,7 +5,7 @@
 use super::buffers::Stock;
 use super::http;
 use super::owner::{Queue, Word};
-use super::within::within;
+use super::timeout::timeout;
 use crate::catalog::Catalog;
 use crate::clock::Clock;
 use crate::launch::Launch;
@@ -149,6 +149,6 @@
     span: Duration,
     work: impl Future<Output = Result<T, E>>,
 ) -> Result<T, String> {
-    let done = within(span, work).await.ok_or_else(|| format!("nothing within {span:?}"))?;
+    let done = timeout(span, work).await.ok_or_else(|| format!("nothing within {span:?}"))?;
     done.map_err(|wrong| format!("{wrong:?}"))
 }
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -5,7 +5,7 @@
 use super::buffers::{HOLD_MOST, Place, Stock};
 use super::http::{self, Bad, Coming, Marked, Piece};
 use super::leaving::Asker;
-use super::within::within;
+use super::timeout::timeout;
 use crate::launch::Launch;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -128,7 +128,7 @@
     /// Reads what comes next, once what it had is taken.
     pub async fn more(&mut self) -> Result<(), Bad> {
         let Some(conn) = &self.rest else { return Err(Bad::Ended) };
-        within(STALLED, self.coming.more(&conn.stream)).await.unwrap_or(Err(Bad::Broken))
+        timeout(STALLED, self.coming.more(&conn.stream)).await.unwrap_or(Err(Bad::Broken))
     }
 
     pub fn server(&self) -> &Id {
@@ -313,7 +313,7 @@
         let whole = match coming.length() {
             _ if long => None,
             Some(_) => Some(coming.hold(&conn.stream, &self.stock, HOLD_MOST).await),
-            None => within(HOLD_FOR, coming.hold(&conn.stream, &self.stock, HOLD_MOST)).await,
+            None => timeout(HOLD_FOR, coming.hold(&conn.stream, &self.stock, HOLD_MOST)).await,
         };
         match whole {
             Some(Ok(())) => {
@@ -344,17 +344,17 @@
             Some(Ok(())) => Ok(()),
             _ => Err(Outcome::ConnectFailed),
         };
-        in_time(within(STALLED, http::write_part(&conn.stream, head, held, rest.marked)).await)?;
+        in_time(timeout(STALLED, http::write_part(&conn.stream, head, held, rest.marked)).await)?;
         loop {
             match rest.next.recv().await {
                 Ok(Next::Piece(piece)) => {
                     rest.spent.set(true);
                     let bytes = std::iter::once(piece.bytes());
-                    in_time(within(STALLED, http::write_part(&conn.stream, b"", bytes, rest.marked)).await)?;
+                    in_time(timeout(STALLED, http::write_part(&conn.stream, b"", bytes, rest.marked)).await)?;
                 }
                 Ok(Next::End(due)) => {
                     rest.spent.set(true);
-                    in_time(within(STALLED, http::write_end(&conn.stream, rest.marked)).await)?;
+                    in_time(timeout(STALLED, http::write_end(&conn.stream, rest.marked)).await)?;
                     until.set(due);
                     return Ok(());
                 }
@@ -416,7 +416,7 @@
     }
 
     pub async fn check(&self, to: &Target) -> (Outcome, Load) {
-        within(CHECK_WITHIN, self.ping(to)).await.unwrap_or((Outcome::Timeout, Load::default()))
+        timeout(CHECK_WITHIN, self.ping(to)).await.unwrap_or((Outcome::Timeout, Load::default()))
     }
 
     async fn ping(&self, to: &Target) -> (Outcome, Load) {
@@ -456,7 +456,7 @@
                 None => return Err(Outcome::Moot),
             }
         };
-        let Some(Ok(stream)) = within(self.dial_timeout, Async::<TcpStream>::connect(to.address)).await
+        let Some(Ok(stream)) = timeout(self.dial_timeout, Async::<TcpStream>::connect(to.address)).await
         else {
             return Err(Outcome::ConnectFailed);
         };
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -10,7 +10,7 @@
 mod leaving;
 pub mod owner;
 mod peers;
-pub mod within;
+pub mod timeout;
 
 use crate::console::Console;
 use crate::control;
@@ -119,7 +119,7 @@
 /// Lets go of the listener once those who wait at it are taken. Those in no time are not: their number has no bound.
 async fn stop_taking(callers: &Callers, accepting: Task<()>) {
     callers.take_no_more();
-    if within::within(LAST_TAKEN, accepting).await.is_none() {
+    if timeout::timeout(LAST_TAKEN, accepting).await.is_none() {
         tracing::warn!("SIGTERM: more callers wait than could be taken within {LAST_TAKEN:?}");
     }
 }
@@ -259,7 +259,7 @@
         async move {
             // Before it has a list it would only turn callers away, whom the other process can serve.
             let told =
-                if takes_over { within::within(LIST_WITHIN, list.recv()).await.is_some() } else { true };
+                if takes_over { timeout::timeout(LIST_WITHIN, list.recv()).await.is_some() } else { true };
             serving.store(told || some_known, Ordering::Release);
             let once_listed = async {
                 if !told && !some_known && list.recv().await.is_ok() {
--- a/crates/sidecar/src/net/within.rs
+++ b/crates/sidecar/src/net/timeout.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 /// What the work brings, or None when it takes longer.
-pub async fn within<T>(span: Duration, work: impl Future<Output = T>) -> Option<T> {
+pub async fn timeout<T>(span: Duration, work: impl Future<Output = T>) -> Option<T> {
     let late = async {
         Timer::after(span).await;
         None
