--- a/crates/decisions/tests/decisions/plain.rs
+++ b/crates/decisions/tests/decisions/plain.rs
@@ -3,6 +3,8 @@
 use crate::scripted::{Final, Scene, entry, ms, terms};
 use landingspread_decisions::host::{Listed, Load, Outcome, State};
 use landingspread_decisions::terms::Terms;
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
 
 fn scene(extra: &str, servers: u32) -> Scene {
     Scene::new(terms("zone", extra), "zone", 7, servers)
@@ -240,6 +242,102 @@
     assert_eq!(scene.script.0.borrow().list_calls, 2);
 }
 
+/// The times from the beginning of a list call to that of the next one, of calls that each fail after such a span.
+fn calls_apart(seed: u64, fails_after: u64, calls: usize) -> Vec<u128> {
+    let mut scene = Scene::new(terms("zone", "Discovery=subscribe"), "zone", seed, 2);
+    let calls_made = |scene: &Scene| scene.script.0.borrow().list_calls;
+    let mut began = Vec::new();
+    while began.len() <= calls {
+        let before = calls_made(&scene);
+        while calls_made(&scene) == before {
+            scene.pass(ms(20));
+        }
+        began.push(scene.now());
+        scene.pass(ms(fails_after));
+        scene.policy.list_call_failed(scene.now());
+    }
+    began.windows(2).map(|pair| (pair[1] - pair[0]).as_millis()).collect()
+}
+
+/// How many of 300 copies, a hundred to each of three tiers, have no list 14 s after discovery came back from 8 s in which it
+/// kept calls waiting. It works through so many calls a second in turn, refuses what has waited for 1.5 s, and works
+/// through that all the same.
+fn without_a_list(a_second: f64, refused: fn(&mut Scene)) -> usize {
+    let (step, back, end, most) = (ms(20), ms(8000), ms(22_000), ms(1500));
+    let told = "Discovery=subscribe Balancers=100";
+    let start = |seed| Scene::new(terms("zone", told), "zone", seed, 2);
+    let mut copies: Vec<Scene> = (0..300).map(start).collect();
+    let mut calls = vec![0; copies.len()];
+    let mut queue: VecDeque<(usize, Duration)> = VecDeque::new();
+    let (mut waiting, mut listed) = (BTreeSet::new(), BTreeSet::new());
+    let (mut now, mut work) = (Duration::ZERO, 0.0);
+    while now < end {
+        now += step;
+        for (number, copy) in copies.iter_mut().enumerate() {
+            copy.pass(step);
+            let made = copy.script.0.borrow().list_calls;
+            if made > std::mem::replace(&mut calls[number], made) {
+                queue.push_back((number, now));
+                waiting.insert(number);
+            }
+        }
+        work = if now < back || queue.is_empty() { 0.0 } else { work + a_second * step.as_secs_f64() };
+        while work >= 1.0
+            && let Some((number, came)) = queue.pop_front()
+        {
+            work -= 1.0;
+            if now - came < most && waiting.remove(&number) {
+                copies[number].policy.list_changed(now, &[]);
+                listed.insert(number);
+            }
+        }
+        let late = queue.iter().filter(|(number, came)| now - *came >= most && waiting.contains(number));
+        for number in late.map(|(number, _)| *number).collect::<Vec<_>>() {
+            waiting.remove(&number);
+            refused(&mut copies[number]);
+        }
+        if now < back {
+            // It is down: nothing is worked through, and nothing stays.
+            queue.retain(|(number, _)| waiting.contains(number));
+        }
+    }
+    copies.len() - listed.len()
+}
+
+#[test]
+fn copies_that_a_crowded_discovery_refuses_leave_it_room_to_answer_them() {
+    for a_second in [50.0, 60.0, 75.0, 100.0] {
+        let now = without_a_list(a_second, |copy| copy.policy.list_call_refused(copy.now()));
+        let as_failed = without_a_list(a_second, |copy| copy.policy.list_call_failed(copy.now()));
+        println!("{a_second}: {now}, {as_failed} where a refusal counts as any failure");
+        assert!(now <= 30, "{now} of 300 have no list; {as_failed} where a refusal counts as any failure");
+    }
+}
+
+#[test]
+fn list_calls_that_fail_begin_at_most_four_seconds_apart_however_long_each_takes_to_fail() {
+    for fails_after in [0, 200, 1000, 2000, 3000, 3400] {
+        for seed in 0..20 {
+            let apart = calls_apart(seed, fails_after, 8);
+            assert!(apart.iter().all(|ms| *ms <= 4020), "after {fails_after} ms: {apart:?}");
+        }
+    }
+    // One that takes longer still, as in the largest fleets, is followed by the shortest pause.
+    assert!(calls_apart(7, 4000, 8).iter().all(|ms| (4250..=4520).contains(ms)));
+}
+
+#[test]
+fn three_hundred_copies_whose_calls_failed_come_again_spread_out() {
+    for (fails_after, most) in [(0, 40), (1000, 45), (3000, 110)] {
+        let mut last: Vec<_> = (0..300).map(|seed| calls_apart(seed, fails_after, 5)[4]).collect();
+        last.sort();
+        let densest = |from: &u128| last.iter().filter(|ms| (*from..from + 100).contains(ms)).count();
+        let densest = last.iter().map(densest).max().expect("calls");
+        println!("after {fails_after} ms: {densest} of 300 within 0.1 s, {} to {} ms", last[0], last[299]);
+        assert!(densest <= most, "{densest} of 300 within 0.1 s after {fails_after} ms");
+    }
+}
+
 #[test]
 fn settings_that_cannot_be_read_are_named() {
     let wrong = |text: &str| Terms::decode(text).map(drop).map_err(|wrong| wrong.to_string());
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,9 +1,12 @@
 //! The lab's command line. It owns the choice between sub-commands and what is printed; all else is the library's.
 
 mod args;
+mod capacity;
 mod cases;
+mod fan_out;
 mod fleets;
 mod live;
+mod scales;
 
 use args::{CommandLine, Compare, Demo, List, Run, Sweep, Wanted};
 use cases::{case_of, find};
@@ -22,8 +25,8 @@
         let about = text.lines().find_map(|line| line.strip_prefix("about = "));
         about.unwrap_or_default().trim_matches('"')
     };
-    experiment::builtins().for_each(|(name, text)| println!("{name:14} {}", about(text)));
-    landingspread_lab::fleet::builtins().for_each(|(name, text)| println!("fleet {name:8} {}", about(text)));
+    experiment::builtins().for_each(|(name, text)| println!("{name:16} {}", about(text)));
+    landingspread_lab::fleet::builtins().for_each(|(name, text)| println!("fleet {name:10} {}", about(text)));
 }
 
 fn show(name: &str) -> Result<(), String> {
@@ -100,6 +103,7 @@
     }
     let first = ready.experiment.pickers.first().copied().unwrap_or(Named::Landingspread);
     print!("{}", experiment::table(&results, first));
+    experiment::depth_table(&results).iter().for_each(|table| print!("\n{table}"));
     let told = results.rows.iter().filter(|row| row.picker == first).flat_map(|row| {
         row.breaches.iter().map(move |breach| format!("{} seed {}: {breach}", row.name(), row.seed))
     });
@@ -113,6 +117,7 @@
     let file = File::open(&compare.results).map_err(|wrong| told(wrong.to_string()))?;
     let results = Results::read(BufReader::new(file)).map_err(told)?;
     print!("{}", experiment::table(&results, compare.picker));
+    experiment::depth_table(&results).iter().for_each(|table| print!("\n{table}"));
     Ok(())
 }
 
@@ -137,6 +142,10 @@
         Wanted::Demo(Demo {}) => live::demo(),
         Wanted::Load(wanted) => live::load(wanted),
         Wanted::Bench(wanted) => live::bench(wanted),
+        Wanted::Scale(wanted) => scales::scale(wanted),
+        Wanted::FanOut(wanted) => fan_out::play(wanted.followers, wanted.services, wanted.calm),
+        Wanted::Capacity(wanted) => capacity::capacity(wanted),
+        Wanted::Added(wanted) => live::added(wanted),
         Wanted::Fleet(_) | Wanted::Check(_) => Ok(()),
     };
     match done {
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! Threads and blocking calls throughout: what is measured must not share its run-time with what measures.
 
+pub mod added;
 pub mod bench;
 pub mod callers;
 mod child;
@@ -15,14 +16,16 @@
 mod scene;
 mod scripted;
 mod settings;
+mod watches;
 
-pub use child::{Sidecar, program};
+pub use child::{Helper, Sidecar, program};
 pub use discovery::{Discovery, Entry, Trouble};
 pub use fleet::{Behind, ColdMost, Doing, Fleet, Make, Server, Serving, Verbs};
 pub use ledger::Ledger;
 pub use load::{Figures, LoadPlan, load};
 pub use message::{Heard, Peer, read};
-pub use ports::{free, free_datagrams, nobody};
+pub use ports::{free, free_datagrams, nobody, unused};
 pub use scene::{Scene, Seen, play, run_dir};
 pub use scripted::{Does, Scripted};
 pub use settings::{Told, config_of};
+pub use watches::{Counts, Watches};
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 use crate::clock::Clock;
 use crate::launch::Fleet as Told;
 use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::or;
 use landingspread_decisions::host::Copies;
@@ -17,8 +18,9 @@
 use std::io;
 use std::net::UdpSocket;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, PoisonError};
 use std::time::{Duration, SystemTime};
+pub use zones::SEEN_EVERY;
 use zones::Zones;
 
 /// Calls from other threads wait in this number at most.
@@ -36,6 +38,27 @@
 struct Parts {
     membership: Membership<Wire>,
     zones: Option<Zones>,
+    heard: Heard,
+}
+
+/// What came, whether it could be read or not.
+#[derive(Clone, Copy, Default)]
+struct Heard {
+    datagrams: u64,
+    bytes: u64,
+}
+
+impl Heard {
+    fn add(&mut self, bytes: usize) {
+        (self.datagrams, self.bytes) = (self.datagrams + 1, self.bytes + bytes as u64);
+    }
+}
+
+impl Parts {
+    fn hear(&mut self, now: Duration, bytes: &[u8]) {
+        self.heard.add(bytes.len());
+        self.membership.heard(now, bytes);
+    }
 }
 
 type Call = Box<dyn FnOnce(&mut Parts, Duration) + Send>;
@@ -50,7 +73,7 @@
     /// The shares of zones, where the fleet leaves any.
     pub zones: Option<Receiver<Vec<ZoneShare>>>,
     traffic: Arc<AtomicU64>,
-    seen: Arc<Mutex<Vec<ZoneSeen>>>,
+    seen: zones::Seen,
 }
 
 impl Link {
@@ -59,9 +82,9 @@
         self.traffic.store(per_s.to_bits(), Ordering::Relaxed);
     }
 
-    /// How zones look to the decisions.
-    pub fn say_seen(&self, seen: Vec<ZoneSeen>) {
-        *self.seen.lock().unwrap_or_else(PoisonError::into_inner) = seen;
+    /// How zones look to the decisions at that time.
+    pub fn say_seen(&self, at: Duration, seen: Vec<ZoneSeen>) {
+        *self.seen.lock().unwrap_or_else(PoisonError::into_inner) = (at, seen);
     }
 }
 
@@ -127,9 +150,9 @@
     pub async fn members(&self, json: bool, within: Duration) -> Option<String> {
         let (reply, told) = async_channel::bounded(1);
         let ask: Call = Box::new(move |parts, now| {
-            let membership = &parts.membership;
-            let _ =
-                reply.try_send(if json { said::json(membership, now) } else { said::text(membership, now) });
+            let (membership, heard) = (&parts.membership, parts.heard);
+            let text = if json { said::json(membership, heard, now) } else { said::text(membership, now) };
+            let _ = reply.try_send(text);
         });
         self.0.try_send(ask).ok()?;
         crate::net::within::within(within, told.recv()).await?.ok()
@@ -182,7 +205,7 @@
     async_channel::bounded(PASSED_MOST)
 }
 
-/// Starts the fleet's thread. Errors are those of starting a thread: an address that is taken is tried again.
+/// Starts the fleet's thread, or its task where an executor is given. Errors are those of starting a thread: an address that is taken is tried again.
 pub fn open(
     told: Told,
     name: &str,
@@ -190,6 +213,7 @@
     clock: Clock,
     passed: Option<Passed>,
     localities: Option<(Paces, Vec<String>)>,
+    on: Option<&LocalExecutor<'static>>,
 ) -> io::Result<(Door, Link)> {
     let (calls, called) = async_channel::bounded(CALLS_MOST);
     let (tell, copies) = async_channel::bounded(1);
@@ -205,7 +229,7 @@
         budget: told.budget,
         configured: told.configured,
     };
-    let seen = Arc::<Mutex<Vec<ZoneSeen>>>::default();
+    let seen = zones::Seen::default();
     let (zones, shares) = match localities {
         Some((paces, zones)) => {
             let (tell, shares) = async_channel::bounded(1);
@@ -215,29 +239,33 @@
     };
     let own_traffic = traffic.clone();
     let listen = told.listen;
-    let run = move || {
+    let run = async move || {
         let (own, by_others) = match passed {
             Some(Passed { socket, datagrams }) => (None, Some((socket, datagrams))),
             None => (Some(listen), None),
         };
-        async_io::block_on(async move {
-            let socket = match own {
-                Some(at) => Some(bind(at).await),
-                None => None,
-            };
-            let sending = match (&socket, &by_others) {
-                (Some(socket), _) => socket.get_ref().try_clone().ok(),
-                (None, Some((socket, _))) => socket.try_clone().ok(),
-                (None, None) => None,
-            };
-            let membership = Membership::start(Wire { socket: sending }, about, seed, clock.now());
-            let passed = by_others.map(|(_, datagrams)| datagrams);
-            let parts = Parts { membership, zones };
-            let thread = Thread { parts, clock, called, tell, traffic: own_traffic };
-            thread.run(socket, passed).await;
-        });
+        let socket = match own {
+            Some(at) => Some(bind(at).await),
+            None => None,
+        };
+        let sending = match (&socket, &by_others) {
+            (Some(socket), _) => socket.get_ref().try_clone().ok(),
+            (None, Some((socket, _))) => socket.try_clone().ok(),
+            (None, None) => None,
+        };
+        let membership = Membership::start(Wire { socket: sending }, about, seed, clock.now());
+        let passed = by_others.map(|(_, datagrams)| datagrams);
+        let parts = Parts { membership, zones, heard: Heard::default() };
+        let thread = Thread { parts, clock, called, tell, traffic: own_traffic };
+        thread.run(socket, passed).await;
     };
-    std::thread::Builder::new().name("fleet".into()).spawn(run)?;
+    match on {
+        Some(executor) => executor.spawn(run()).detach(),
+        None => {
+            let run = move || async_io::block_on(run());
+            std::thread::Builder::new().name("fleet".into()).spawn(run)?;
+        }
+    }
     Ok((Door(calls), Link { copies, zones: shares, traffic, seen }))
 }
 
@@ -265,15 +293,15 @@
             let came = self.wait(tick_at, socket.as_ref(), passed.as_ref(), &mut bytes).await;
             let now = self.clock.now();
             match came {
-                Came::Datagram(length) => self.parts.membership.heard(now, &bytes[..length]),
-                Came::Passed(bytes) => self.parts.membership.heard(now, &bytes),
+                Came::Datagram(length) => self.parts.hear(now, &bytes[..length]),
+                Came::Passed(bytes) => self.parts.hear(now, &bytes),
                 Came::Call(call) => call(&mut self.parts, now),
                 Came::Time => {}
             }
             // A flood is always ready to be read: time goes on through it.
             if tick_at <= now {
                 tick_at = now + Membership::<Wire>::TICK;
-                let Parts { membership, zones } = &mut self.parts;
+                let Parts { membership, zones, .. } = &mut self.parts;
                 membership.traffic(f64::from_bits(self.traffic.load(Ordering::Relaxed)));
                 zones.iter_mut().for_each(|zones| zones.tick(now, membership));
                 membership.tick(now);
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -13,11 +13,13 @@
 pub mod within;
 
 use crate::console::Console;
+use crate::control;
 use crate::fleet;
 use crate::handover::record::Record;
 use crate::handover::{self, LOOK_EVERY, Presence};
 use crate::launch::{self, Launch};
-use async_channel::Receiver;
+use crate::start::Start;
+use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -26,11 +28,12 @@
 use discovery::Discovery;
 use endpoints::Endpoints;
 use futures_lite::StreamExt;
+use futures_lite::future::or;
 use owner::{Operators, Outside};
 use peers::Peers;
 use std::cell::RefCell;
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -55,9 +58,9 @@
 const LIST_WITHIN: Duration = Duration::from_millis(1500);
 
 /// Serves until SIGTERM; `file` is what SIGHUP reads again.
-pub fn serve(launch: Launch, file: Option<&Path>) -> io::Result<()> {
+pub fn serve(launch: Launch, file: Option<&Path>, start: Start) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(run(launch, file, executor.clone())))
+    async_io::block_on(executor.run(run(launch, file, Rc::new(start), executor.clone())))
 }
 
 /// The task that follows a discovery, where there is one.
@@ -82,6 +85,7 @@
     launch: &mut Launch,
     peers: Option<&Peers>,
     datagrams: Receiver<Vec<u8>>,
+    on: Option<&LocalExecutor<'static>>,
 ) -> io::Result<Option<(fleet::Door, fleet::Link)>> {
     let Some(told) = launch.fleet.take() else { return Ok(None) };
     let passed = match peers.filter(|_| told.by_peers) {
@@ -89,7 +93,7 @@
         None => None,
     };
     let localities = launch.localities.map(|paces| (paces, launch.zones.clone()));
-    fleet::open(told, &launch.name, launch.seed, launch.clock.clone(), passed, localities).map(Some)
+    fleet::open(told, &launch.name, launch.seed, launch.clock.clone(), passed, localities, on).map(Some)
 }
 
 /// Takes this process's part of what the sidecar has, as long as it runs.
@@ -128,21 +132,44 @@
     }
 }
 
-async fn run(
+/// All of a sidecar but its callers' listener and its signals.
+struct Inside {
+    callers: Rc<Callers>,
+    discovery: Option<Discovery>,
+    following: Option<Task<()>>,
+    /// Where discovery is by the file, and by the control machines; where they move it.
+    in_file: Option<SocketAddr>,
+    told_by_control: Option<SocketAddr>,
+    moves: Receiver<Option<SocketAddr>>,
+    ask: Sender<()>,
+    asked: Receiver<()>,
+    presence: Option<Rc<RefCell<Presence>>>,
+    door: Option<fleet::Door>,
+    serving: Arc<AtomicBool>,
+    /// Told once a list has come.
+    list: Receiver<()>,
+    some_known: bool,
+    /// How long commands may take to their end.
+    longest: Duration,
+}
+
+/// Starts all that a sidecar does but for its callers. The fleet's part has a thread of its own, or is a task where the
+/// executor is given.
+fn open(
     mut launch: Launch,
-    file: Option<&Path>,
-    executor: Rc<LocalExecutor<'static>>,
-) -> io::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Hup])?;
-    let listener = listener(&launch)?;
+    start: Rc<Start>,
+    executor: &Rc<LocalExecutor<'static>>,
+    fleet_on: Option<&LocalExecutor<'static>>,
+) -> io::Result<Inside> {
     let takes_over = launch.inherited.is_some();
     let stock = Stock::new(&launch);
     let endpoints = Rc::new(Endpoints::new(&launch, stock.clone()));
     let (queue, words) = owner::queue();
     let longest = launch.verbs.iter().map(|verb| verb.limit).max().unwrap_or_default().min(LIMIT_MOST);
     let (ask, asked) = async_channel::bounded(1);
-    let mut discovery = Discovery::new(&launch, stock.clone(), queue.clone());
-    let callers = Rc::new(Callers::new(&launch, stock.clone(), queue.clone(), executor.clone()));
+    let mut discovery = Discovery::new(&launch, stock.clone(), queue.clone(), start.clone());
+    let callers =
+        Rc::new(Callers::new(&launch, stock.clone(), queue.clone(), start.clone(), executor.clone()));
     let presence = presence(&launch).map(|presence| Rc::new(RefCell::new(presence)));
     if let Some(presence) = presence.clone() {
         executor.spawn(share(presence, stock, callers.clone(), endpoints.clone())).detach();
@@ -154,7 +181,18 @@
         // Where changes come unprompted, the watch is there from the start.
         let _ = ask.try_send(());
     }
-    let mut following = follow(discovery.as_ref(), &executor, &asked);
+    let (move_discovery, moves) = async_channel::unbounded();
+    let followed = control::Followed::of(&launch, queue.clone(), callers.clone(), move_discovery);
+    let controlled = followed.as_ref().map(|followed| followed.shared.clone());
+    // What was in force before the restart is so before the first command and the first watch.
+    let (in_file, told_by_control) = (launch.discovery, moves.try_recv().ok().flatten());
+    if let (Some(address), Some(moved)) = (told_by_control, &mut discovery) {
+        moved.move_to(address);
+    }
+    if let Some(followed) = followed {
+        executor.spawn(followed.follow()).detach();
+    }
+    let following = follow(discovery.as_ref(), executor, &asked);
     executor.spawn(endpoints.clone().reap()).detach();
     let (pass, passed) = fleet::passing();
     let pass = launch.fleet.as_ref().filter(|fleet| fleet.by_peers).map(|_| pass);
@@ -169,7 +207,7 @@
     if let Some(peers) = &peers {
         executor.spawn(peers.clone().hear(queue.clone())).detach();
     }
-    let (door, link) = join_fleet(&mut launch, peers.as_deref(), passed)?.unzip();
+    let (door, link) = join_fleet(&mut launch, peers.as_deref(), passed, fleet_on)?.unzip();
     let serving = Arc::new(AtomicBool::new(false));
     let (orders, ordered) = async_channel::bounded(64);
     let (listed, list) = async_channel::bounded(1);
@@ -177,12 +215,45 @@
     let record = record.map(|folder| Record::open(folder, &launch.name));
     let recorded = record.as_ref().map(|record| record.words.clone()).unwrap_or_default();
     if let Some(at) = launch.console {
-        Console { serving: serving.clone(), orders, record, fleet: door.clone() }.open(at)?;
+        let (serving, fleet) = (serving.clone(), door.clone());
+        Console { serving, orders, record, fleet, control: controlled }.open(at)?;
     }
     let some_known = !launch.known.entries.is_empty();
-    let outside = Outside { endpoints, peers, fleet: link, ask: ask.clone() };
+    let outside = Outside { endpoints, peers, fleet: link, ask: ask.clone(), start };
     let operators = Operators { orders: ordered, recorded, listed };
     executor.spawn(owner::own(launch, outside, operators, executor.clone(), queue, words)).detach();
+    Ok(Inside {
+        callers,
+        discovery,
+        following,
+        in_file,
+        told_by_control,
+        moves,
+        ask,
+        asked,
+        presence,
+        door,
+        serving,
+        list,
+        some_known,
+        longest,
+    })
+}
+
+async fn run(
+    launch: Launch,
+    file: Option<&Path>,
+    start: Rc<Start>,
+    executor: Rc<LocalExecutor<'static>>,
+) -> io::Result<()> {
+    let mut signals = Signals::new([Signal::Term, Signal::Hup])?;
+    let listener = listener(&launch)?;
+    start.listener_bound();
+    let takes_over = launch.inherited.is_some();
+    let inside = open(launch, start, &executor, None)?;
+    let Inside { callers, mut discovery, mut following, ask, asked, presence, .. } = inside;
+    let Inside { door, serving, list, some_known, longest, moves, mut in_file, mut told_by_control, .. } =
+        inside;
     let accepting = executor.spawn({
         let (callers, serving) = (callers.clone(), serving.clone());
         async move {
@@ -199,24 +270,45 @@
             futures_lite::future::or(callers.accept(listener), once_listed).await;
         }
     });
-    while let Some(Ok(Signal::Hup)) = signals.next().await {
-        match launch::read_again(file) {
-            Ok(new) => {
-                let (Some(address), Some(moved)) = (new.discovery, &mut discovery) else {
-                    tracing::info!("SIGHUP: without a discovery before and now there is nothing to move");
+    loop {
+        let signalled = async { Ok(signals.next().await) };
+        let moved = async {
+            match moves.recv().await {
+                Ok(address) => Err(address),
+                // Configuration comes from the file alone.
+                Err(_) => futures_lite::future::pending().await,
+            }
+        };
+        match or(signalled, moved).await {
+            Ok(Some(Ok(Signal::Hup))) => match launch::read_again(file) {
+                Ok(new) => {
+                    let (Some(address), true) = (new.discovery, discovery.is_some()) else {
+                        tracing::info!("SIGHUP: without a discovery before and now there is nothing to move");
+                        continue;
+                    };
+                    tracing::info!(discovery = %address, "SIGHUP: the configuration is read again");
+                    in_file = Some(address);
+                }
+                Err(fault) => {
+                    tracing::error!("SIGHUP: the old configuration holds: {fault}");
                     continue;
-                };
-                tracing::info!(discovery = %address, "SIGHUP: the configuration is read again");
-                // Cancelled, the watch that waits lets go of its connection.
-                if let Some(following) = following {
-                    following.cancel().await;
                 }
-                moved.move_to(address);
-                let _ = ask.try_send(());
-                following = follow(discovery.as_ref(), &executor, &asked);
-            }
-            Err(fault) => tracing::error!("SIGHUP: the old configuration holds: {fault}"),
+            },
+            Err(address) if address == told_by_control => continue,
+            Err(address) => told_by_control = address,
+            Ok(_) => break,
         }
+        let (Some(address), Some(moved)) = (told_by_control.or(in_file), &mut discovery) else { continue };
+        if told_by_control.is_some() {
+            tracing::info!(discovery = %address, "control: the list is watched there");
+        }
+        // Cancelled, the watch that waits lets go of its connection.
+        if let Some(following) = following {
+            following.cancel().await;
+        }
+        moved.move_to(address);
+        let _ = ask.try_send(());
+        following = follow(discovery.as_ref(), &executor, &asked);
     }
     tracing::info!("SIGTERM: finishing what is taken");
     serving.store(false, Ordering::Release);
@@ -239,3 +331,21 @@
     tracing::info!("all taken commands have their answers");
     Ok(())
 }
+
+/// Runs all of these sidecars but their callers, on this thread, until SIGTERM. For tests of size: they open no listener and
+/// no thread of their own.
+pub fn hollow(launches: Vec<Launch>) -> io::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let all = async {
+        let mut signals = Signals::new([Signal::Term])?;
+        let open = |launch| open(launch, Rc::new(Start::begin()), &executor, Some(&executor));
+        let copies = launches.into_iter().map(open).collect::<io::Result<Vec<Inside>>>()?;
+        tracing::info!(copies = copies.len(), "hollow");
+        let _ = signals.next().await;
+        for door in copies.iter().filter_map(|copy| copy.door.as_ref()) {
+            door.leave().await;
+        }
+        Ok(())
+    };
+    async_io::block_on(executor.run(all))
+}
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -12,7 +12,8 @@
 use crate::fleet;
 use crate::handover::record::Words;
 use crate::holds::must_hold;
-use crate::launch::Launch;
+use crate::launch::{Changed, Launch};
+use crate::start::Start;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -67,6 +68,10 @@
     Peer(u32, Vec<u8>),
     Listed(Catalog),
     ListFailed,
+    /// By discovery itself, as it has too many calls.
+    ListRefused,
+    /// Quotas and verbs by now; told once the module has them.
+    Changed(Box<Changed>, Sender<()>),
     /// The process ends: by then all that is open has its final word.
     EndsBy(Duration),
     /// It is that time.
@@ -119,6 +124,7 @@
     /// None where this copy is one of no fleet.
     pub fleet: Option<fleet::Link>,
     pub ask: Sender<()>,
+    pub start: Rc<Start>,
 }
 
 /// What operators said, and are to be told.
@@ -206,7 +212,7 @@
                 let by = self.clock.instant(not_past);
                 let target = Target { server: server.clone(), address };
                 shot.task = Some(self.executor.spawn(async move {
-                    let end = endpoints.relay(&target, &outgoing, by, &stage).await;
+                    let end = endpoints.relay(&target, &outgoing, number, by, &stage).await;
                     stage.set(Stage::Ended);
                     queue.tell(Word::Ended(cmd, number, Box::new(end)));
                 }));
@@ -319,9 +325,6 @@
     Zones(Vec<ZoneShare>),
 }
 
-/// How often the fleet is told how zones look.
-const SEEN_EVERY: Duration = Duration::from_millis(50);
-
 struct Owner {
     desk: Rc<RefCell<Desk>>,
     policy: Policy<Hand>,
@@ -331,6 +334,8 @@
     operators: Operators,
     fleet: Option<fleet::Link>,
     seen_at: Duration,
+    /// The module's next sweep that may decide anything; those before it are left out unless something is heard.
+    rests_until: Option<Duration>,
     save_to: Option<PathBuf>,
     save_at: Duration,
     saving: Saving,
@@ -361,11 +366,23 @@
     let policy = Policy::start(Hand(desk.clone()), launch.terms, launch.seed, clock.now());
     let before = launch.learnt.as_ref().map(|path| learnt::read(path, &deployment, &clock));
     let before = before.unwrap_or_default();
+    desk.borrow().outside.start.kept_files_read();
     let (save_at, save_to) = (clock.now() + SAVE_FIRST, launch.learnt);
     let saving = Saving::of(deployment);
-    let seen_at = clock.now();
-    let mut owner =
-        Owner { desk, policy, clock, before, operators, fleet, seen_at, save_to, save_at, saving };
+    let (rests_until, seen_at) = (None, clock.now());
+    let mut owner = Owner {
+        desk,
+        policy,
+        clock,
+        before,
+        operators,
+        fleet,
+        seen_at,
+        rests_until,
+        save_to,
+        save_at,
+        saving,
+    };
     owner.remember();
     let known = owner.note_addresses(launch.known);
     let now = owner.clock.now();
@@ -446,7 +463,9 @@
                     None => futures_lite::future::pending().await,
                 }
             };
-            match or(ordered, or(or(counted, shared), or(said, elapsed))).await {
+            let heard = or(ordered, or(or(counted, shared), or(said, elapsed))).await;
+            self.rest_no_longer(heard.is_some());
+            match heard {
                 Some(Heard::Order(order)) => self.operators_say(order),
                 Some(Heard::Word(word)) => self.hear(word),
                 Some(Heard::Copies(copies)) => self.copies_told(&copies),
@@ -460,6 +479,7 @@
                 self.policy.woken(now);
                 self.say_seen(now);
                 self.save(now);
+                self.rest();
             }
         }
     }
@@ -473,8 +493,8 @@
     fn say_seen(&mut self, now: Duration) {
         let Some(fleet) = self.fleet.as_ref().filter(|fleet| fleet.zones.is_some()) else { return };
         if self.seen_at <= now {
-            self.seen_at = now + SEEN_EVERY;
-            fleet.say_seen(self.policy.zones_seen(now));
+            self.seen_at = now + fleet::SEEN_EVERY;
+            fleet.say_seen(now, self.policy.zones_seen(now));
         }
     }
 
@@ -486,7 +506,26 @@
         }
     }
 
+    /// A sidecar without calls would else be woken fifty times a second for nothing.
+    fn rest(&mut self) {
+        let (next, wake) = (self.policy.next_sweep(), self.next_wake());
+        self.rests_until = Some(next).filter(|next| wake.is_some_and(|wake| wake < *next));
+    }
+
+    /// The sweeps go on as if none had been left out.
+    fn rest_no_longer(&mut self, heard: bool) {
+        let Some(until) = self.rests_until.take() else { return };
+        let now = self.clock.now();
+        let next = self.policy.rested(if heard { now.min(until) } else { until });
+        let wakes = &mut self.desk.borrow_mut().wakes;
+        wakes.clear();
+        wakes.push(Reverse(next));
+    }
+
     fn next_wake(&self) -> Option<Duration> {
+        if self.rests_until.is_some() {
+            return self.rests_until;
+        }
         self.desk.borrow().wakes.peek().map(|Reverse(at)| *at)
     }
 
@@ -512,6 +551,11 @@
             }
             Word::Peer(peer, words) => self.peer_said(now, peer, &words),
             Word::ListFailed => self.policy.list_call_failed(now),
+            Word::ListRefused => self.policy.list_call_refused(now),
+            Word::Changed(changed, taken) => {
+                self.policy.terms_changed(now, &changed.quotas, &changed.verbs);
+                let _ = taken.try_send(());
+            }
             Word::EndsBy(at) => self.ends_by(now, at),
             Word::AllDue => self.desk.borrow_mut().end_relays(),
         }
@@ -617,6 +661,9 @@
         must_hold!(!shot.ended, "relay {number} of {id} ends once");
         shot.ended = true;
         shot.task = None;
+        if outcome.never_ran() {
+            open.outgoing.window.never_ran(number);
+        }
         let (server, latency) = (shot.server.clone(), now.saturating_sub(shot.sent));
         if let Some(answer) = answer
             && !open.finished
