Callers of the lab dial anew where a kept connection was closed while idle

A copy that is killed closes its idle connections. The caller now looks whether the other side has closed before it writes.

--- a/crates/lab/src/sockets/callers.rs
+++ b/crates/lab/src/sockets/callers.rs
@@ -185,6 +185,8 @@
             if left.is_zero() {
                 return (Final::Lost, None);
             }
+            // One that its copy closed while it was idle has carried nothing of this command: a client dials anew.
+            conn.take_if(|peer| peer.is_closed());
             let kept = conn.is_some();
             let to = self.plan.targets[*target % self.plan.targets.len()];
             let Some(mut peer) =
--- a/crates/lab/src/sockets/message.rs
+++ b/crates/lab/src/sockets/message.rs
@@ -82,6 +82,23 @@
         self.message(&Side::Answers)?.ok_or_else(|| ErrorKind::UnexpectedEof.into())
     }
 
+    /// Whether the other side has closed it, as far as can be known without sending: what is sent then reaches nobody.
+    pub fn is_closed(&self) -> bool {
+        let peeked = self.stream.set_nonblocking(true).and_then(|()| {
+            loop {
+                match self.stream.peek(&mut [0]) {
+                    Err(wrong) if wrong.kind() == ErrorKind::Interrupted => {}
+                    done => break done,
+                }
+            }
+        });
+        let closed = match peeked {
+            Ok(count) => count == 0 && self.filled == 0,
+            Err(wrong) => wrong.kind() != ErrorKind::WouldBlock,
+        };
+        closed || self.stream.set_nonblocking(false).is_err()
+    }
+
     pub fn patience(&self, span: Option<Duration>) {
         // A span of nothing would mean for ever.
         let span = span.map(|span| span.max(Duration::from_millis(1)));
