A plan on processes for cold servers under the sum of all copies

Two servers return and one is new (fault start) before 20 or 30 copies with uneven callers, six just started and five cut off, into a surge; the margins against N + 2 root N + 2 are printed.

--- a/crates/lab/src/fleet/builtin.rs
+++ b/crates/lab/src/fleet/builtin.rs
@@ -1,12 +1,13 @@
 //! The plans of fleets that come with the lab.
 
-const PLANS: [(&str, &str); 10] = [
+const PLANS: [(&str, &str); 11] = [
     ("members", include_str!("../../plans/fleet/members.toml")),
     ("zones", include_str!("../../plans/fleet/zones.toml")),
     ("zones-calm", include_str!("../../plans/fleet/zones-calm.toml")),
     ("kills", include_str!("../../plans/fleet/kills.toml")),
     ("cuts", include_str!("../../plans/fleet/cuts.toml")),
     ("cold", include_str!("../../plans/fleet/cold.toml")),
+    ("cold-sum", include_str!("../../plans/fleet/cold-sum.toml")),
     ("half-gone", include_str!("../../plans/fleet/half-gone.toml")),
     ("quiet", include_str!("../../plans/fleet/quiet.toml")),
     ("lossy", include_str!("../../plans/fleet/lossy.toml")),
--- a/crates/lab/src/fleet/plan.rs
+++ b/crates/lab/src/fleet/plan.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 pub const PROCESSES_MOST: usize = 5_000;
+const UNEVEN_MOST: usize = 100;
 
 /// A fleet, its load, and what befalls it. Times are seconds since the start.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -25,6 +26,9 @@
     /// Commands a second that come to each copy, on processes.
     #[serde(default = "rate")]
     pub rate_each: f64,
+    /// Each fourth copy gets so many times what the others get, on processes; `rate_each` is the mean.
+    #[serde(default = "even", skip_serializing_if = "is_even")]
+    pub uneven: usize,
     /// Mean time that a server takes for one.
     #[serde(default = "work")]
     pub work: f64,
@@ -81,6 +85,8 @@
     Reset,
     /// The servers named, or those of a zone, end, and start again cold (on processes).
     Crash,
+    /// The servers named are new: no list names them before, and they start cold then (on processes).
+    Start,
     /// Nothing comes through to or from them.
     Silent,
     /// They take `factor` times as long (on processes).
@@ -174,6 +180,14 @@
     10.0
 }
 
+fn even() -> usize {
+    1
+}
+
+fn is_even(times: &usize) -> bool {
+    *times == 1
+}
+
 fn work() -> f64 {
     0.01
 }
@@ -233,7 +247,7 @@
 
     /// Whether it befalls servers, and not paths or copies.
     pub fn of_servers(&self) -> bool {
-        matches!(self.kind, Kind::Crash | Kind::Silent | Kind::Slow)
+        matches!(self.kind, Kind::Crash | Kind::Start | Kind::Silent | Kind::Slow)
     }
 
     /// Whether it befalls this server.
@@ -300,6 +314,9 @@
             return found(key, &format!("{figure} is no figure above 0"));
         }
     }
+    if !(1..=UNEVEN_MOST).contains(&plan.uneven) {
+        return found("uneven", &format!("{} does not lie from 1 to {UNEVEN_MOST}", plan.uneven));
+    }
     plan.faults.iter().enumerate().find_map(|(at, fault)| {
         let key = |leaf: &str| format!("faults.{at}.{leaf}");
         if !fault.at.is_finite() || fault.at < 0.0 {
--- a/crates/lab/src/fleet/rig/copy.rs
+++ b/crates/lab/src/fleet/rig/copy.rs
@@ -2,7 +2,7 @@
 
 use super::Ways;
 use super::words::Words;
-use crate::fleet::plan::FleetPlan;
+use crate::fleet::plan::{Fault, FleetPlan, Kind};
 use crate::fleet::views::Truth;
 use crate::fleet::zones::Held;
 use crate::sockets::{Discovery, Entry, Peer, Sidecar, unused};
@@ -24,6 +24,8 @@
     pub sidecar: Sidecar,
     pub truth: Truth,
     discovery: Arc<Discovery>,
+    /// Of all servers, also such as no list names yet.
+    entries: Vec<Entry>,
     console: SocketAddr,
     with_fleet: bool,
     zones: Vec<String>,
@@ -43,17 +45,13 @@
         words: &Words,
     ) -> Result<Copy, String> {
         let discovery = Discovery::start().map_err(told)?;
-        for (place, address) in servers.iter().enumerate() {
-            discovery.say(Entry {
-                id: format!("s{place}"),
-                address: *address,
-                zone: plan.zones[place % plan.zones.len()].clone(),
-                cell: 0,
-                state: "ready",
-                weight: 1.0,
-                started: None,
-            });
-        }
+        let entries: Vec<Entry> = servers.iter().enumerate().map(|at| entry(plan, at)).collect();
+        let new = |server: usize| {
+            let starts = |fault: &Fault| fault.kind == Kind::Start && fault.has_server(server, &plan.zones);
+            plan.faults.iter().any(starts)
+        };
+        let listed = entries.iter().enumerate().filter(|(server, _)| !new(*server));
+        listed.for_each(|(_, entry)| discovery.say(entry.clone()));
         let (listen, console) = (unused().into(), unused().into());
         let text = config(plan, ways, number, (listen, console, discovery.address), words);
         let file = format!("c{number}.toml");
@@ -62,6 +60,7 @@
             sidecar,
             truth: Truth::Runs,
             discovery,
+            entries,
             console,
             with_fleet: ways.with_fleet,
             zones: plan.zones.clone(),
@@ -112,8 +111,8 @@
 
     /// Its list says that a server has started just now.
     pub fn say_started(&self, server: usize) {
-        if let Some(entry) = self.discovery.entry(&format!("s{server}")) {
-            self.discovery.say(Entry { started: Some(SystemTime::now()), ..entry });
+        if let Some(entry) = self.entries.get(server) {
+            self.discovery.say(Entry { started: Some(SystemTime::now()), ..entry.clone() });
         }
     }
 
@@ -176,6 +175,18 @@
     }
 }
 
+fn entry(plan: &FleetPlan, (place, address): (usize, &SocketAddr)) -> Entry {
+    Entry {
+        id: format!("s{place}"),
+        address: *address,
+        zone: plan.zones[place % plan.zones.len()].clone(),
+        cell: 0,
+        state: "ready",
+        weight: 1.0,
+        started: None,
+    }
+}
+
 fn config(
     plan: &FleetPlan,
     ways: &Ways,
--- a/crates/lab/src/fleet/rig/mod.rs
+++ b/crates/lab/src/fleet/rig/mod.rs
@@ -11,6 +11,7 @@
 use super::views::{Allowed, Figures, Judge, Look, Set, Truth};
 use super::weather::{Fate, Party, Weather};
 use super::zones::{self, Lost};
+use crate::cold::Peaks;
 use crate::plan::{Repeats, Spread};
 use crate::referee::{Breach, Final};
 use crate::sockets::callers::{Asking, CallPlan, Done, Pace, run as run_callers};
@@ -94,6 +95,8 @@
     pub seconds: Vec<Second>,
     pub seen: Vec<Seen>,
     pub broken_rules: [u64; 4],
+    /// What cold servers were brought by all copies together.
+    pub cold: Peaks,
     pub breaches: Vec<String>,
     /// The share of the commands that were answered within their goal.
     pub kept: f64,
@@ -241,8 +244,14 @@
         };
         let rate = self.plan.rate_each * self.plan.processes as f64;
         let least = 2.0 * self.plan.processes as f64;
+        let times = |number: usize| if number.is_multiple_of(4) { self.plan.uneven } else { 1 };
+        let addresses = self.copies.iter().map(|copy| copy.sidecar.address).enumerate();
+        let targets: Vec<SocketAddr> =
+            addresses.flat_map(|(number, address)| vec![address; times(number)]).collect();
+        // Each connection begins at the next target: as many of them as there are, or a multiple.
+        let least = least.max(2.0 * targets.len() as f64);
         CallPlan {
-            targets: self.copies.iter().map(|copy| copy.sidecar.address).collect(),
+            targets,
             verbs: verbs(self.plan).iter().map(asking).collect(),
             tenants: vec![("acme".into(), 1.0)],
             connections: (rate * copy::LIMIT.as_secs_f64()).clamp(least, CONNECTIONS_MOST) as usize,
@@ -294,6 +303,7 @@
             seconds: locked(&seconds).clone(),
             seen: std::mem::take(&mut self.seen),
             broken_rules,
+            cold: self.cold_peaks(),
             breaches: breaches.iter().map(Breach::to_string).collect(),
             kept: answered as f64 / came.max(1) as f64,
             datagrams: sent / self.plan.seconds / self.plan.processes as f64,
@@ -306,6 +316,12 @@
         self.copies.iter().filter_map(|copy| cpu_of(copy.sidecar.pid())).sum()
     }
 
+    fn cold_peaks(&self) -> Peaks {
+        let mut all = Peaks::default();
+        self.servers.servers.iter().for_each(|server| all.join(&server.cold_peaks()));
+        all
+    }
+
     fn drive(&mut self, show: &mut dyn FnMut(&str), seconds: &Mutex<Vec<Second>>) -> Result<(), String> {
         let length = self.plan.seconds;
         let (mut look_at, mut second) = (Duration::ZERO, 1);
@@ -443,7 +459,7 @@
         for server in (0..self.plan.servers).filter(|server| fault.has_server(*server, &self.plan.zones)) {
             match (fault.kind, begins) {
                 (Kind::Crash, true) => self.end_server(server),
-                (Kind::Crash, false) => self.start_server(server),
+                (Kind::Crash, false) | (Kind::Start, true) => self.start_server(server),
                 (Kind::Slow, _) => {
                     let slow = fault.factor.filter(|_| begins).unwrap_or(1.0);
                     self.servers.servers[server].change(|serving| serving.slow = slow);
--- a/crates/lab/src/fleet/weather.rs
+++ b/crates/lab/src/fleet/weather.rs
@@ -118,7 +118,7 @@
                 Kind::Garble => fate.garble = either(fate.garble),
                 Kind::Delay => fate.delay += Duration::from_secs_f64(fault.delay.unwrap_or(0.0)),
                 Kind::Kill | Kind::Term | Kind::Stop | Kind::Starve => {}
-                Kind::Crash | Kind::Slow | Kind::Surge | Kind::Leave => {}
+                Kind::Crash | Kind::Start | Kind::Slow | Kind::Surge | Kind::Leave => {}
             }
         }
         fate
