--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -3,19 +3,21 @@
 //! connection that waits, answer a taken command by its own choice, or reach the module but by the queue.
 
 use super::buffers::{Buffer, HOLD_MOST, Place, SIZE, Stock};
-use super::endpoints::{Answer, Next, Outgoing, Rest};
+use super::endpoints::{Answer, Next, Outgoing, Rest, Window};
 use super::http::{self, Bad, Coming, Marked};
 use super::leaving::{self, Asker};
 use super::owner::{Came, Final, Queue, Word};
 use super::within::within;
 use crate::clock::Clock;
 use crate::launch::{Launch, Verb};
+use crate::start::Start;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::AsyncReadExt;
-use futures_lite::future::or;
+use futures_lite::future::{or, yield_now};
 use landingspread_decisions::host::{Arrival, Id};
+use landingspread_decisions::terms::{self, Repeats};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -49,6 +51,8 @@
 pub struct Callers {
     clock: Clock,
     verbs: Vec<Verb>,
+    /// Of each verb, for how long repeats are dropped, if it is receipted.
+    windows: Vec<Option<Duration>>,
     tenants: Vec<String>,
     cost_header: Option<String>,
     max_open: usize,
@@ -71,6 +75,7 @@
     numbers: Cell<u64>,
     stock: Rc<Stock>,
     queue: Queue,
+    start: Rc<Start>,
     executor: Rc<LocalExecutor<'static>>,
 }
 
@@ -125,11 +130,18 @@
         launch: &Launch,
         stock: Rc<Stock>,
         queue: Queue,
+        start: Rc<Start>,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Callers {
+        let window = |verb: &terms::Verb| match verb.repeats {
+            // What the module leaves for its own clock is left here too.
+            Repeats::Receipted(_) => Some(verb.memory.saturating_sub(launch.terms.resolution)),
+            Repeats::Pure | Repeats::Effectful => None,
+        };
         Callers {
             clock: launch.clock.clone(),
             verbs: launch.verbs.clone(),
+            windows: launch.terms.verbs.iter().map(window).collect(),
             tenants: launch.tenants.clone(),
             cost_header: launch.cost_header.clone(),
             max_open: launch.max_open,
@@ -144,6 +156,7 @@
             numbers: Cell::new(0),
             stock,
             queue,
+            start,
             executor,
         }
     }
@@ -270,6 +283,10 @@
         while ahead.is_some() || self.something_comes(&stream, since).await {
             let Some(behind) = self.one_message(&stream, since, crowded, ahead).await else { return };
             (ahead, since) = (behind, None);
+            // One who writes ahead and reads as fast is never waited for: all others would wait instead.
+            if ahead.is_some() {
+                yield_now().await;
+            }
         }
     }
 
@@ -347,7 +364,11 @@
             Asked::Health if self.all_due.get().is_some() => {
                 self.turn_away(stream, &Turned(503, "ending"), false).await
             }
-            Asked::Health => self.say(stream, 200, b"", b"ready\n", keep).await,
+            Asked::Health => {
+                let ahead = self.say(stream, 200, b"", b"ready\n", keep).await;
+                self.start.health_answered();
+                ahead
+            }
             Asked::Cmd(_) if crowded || self.open.get() >= self.max_open => {
                 self.turn_away(stream, &Turned(503, "too many commands are open"), keep).await
             }
@@ -490,7 +511,8 @@
         let body = coming.take(&self.stock).await;
         let (give, next) = async_channel::bounded(1);
         let rest = (!whole).then(|| Rest { next, marked, left, spent: Cell::new(false) });
-        let outgoing = Outgoing { head, body, rest, careful, asker: Asker::of(stream) };
+        let window = Window::of(self.windows.get(verb).copied().flatten());
+        let outgoing = Outgoing { head, body, rest, careful, asker: Asker::of(stream), window };
         let (caller, word) = async_channel::bounded(1);
         self.queue.tell(Word::Came(Box::new(Came { number, arrival, outgoing, caller })));
         let heard = async { word.recv().await.map_err(|_| Bad::Ended) };
@@ -607,6 +629,8 @@
                 return None;
             }
             written = self.write(stream, b"", &answer, marked).await;
+            // Where both sides are as fast as this one nothing here waits, and all others would.
+            yield_now().await;
         }
         let ended = written && within(WRITE_WITHIN, http::write_end(stream, marked)).await.is_some();
         answer.finish();
