The test of cold credits in a surge plays the seeds that fail without the mend

The test passed with the mend of credit_cold (sharers.max(evenly)) taken out: at 100 copies it played seed 1 alone. It plays 1 to 5 and 18 now; nothing it played before is left out. Without the mend, on a scratch copy: 'quiet-then-burst front.copies=100 LandingspreadFleet seed 5: ["rule 4 at 10.818 s: a cold server is brought 2.80 s of work where it can do 0.70 s; server s3"]'; of 20 seeds, 5 and 18 have 1 and 2 lives beyond (worst ratio 1.015).

--- a/crates/lab/tests/cold.rs
+++ b/crates/lab/tests/cold.rs
@@ -4,15 +4,16 @@
 use landingspread_lab::cold::{Bound, Brought, Peaks, allowance};
 use landingspread_lab::experiment::{self, Ready};
 use landingspread_lab::pickers::Named;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
-fn swept(name: &str, pickers: &[Named], seeds: u64, copies: &[&str]) -> Peaks {
+fn swept(name: &str, pickers: &[Named], seeds: RangeInclusive<u64>, copies: &[&str]) -> Peaks {
     let mut ready: Ready = experiment::find(name).expect("it is built in");
     ready.experiment.pickers = pickers.into();
-    ready.reseed(seeds);
+    ready.reseed(*seeds.end());
     let settings = ready.settings.clone();
     let wanted = |setting: usize| settings[setting].point.iter().any(|(_, value)| copies.contains(&&**value));
-    ready.runs.retain(|run| wanted(run.setting));
+    ready.runs.retain(|run| wanted(run.setting) && seeds.contains(&run.seed));
     let results = experiment::sweep(&ready, 0, &|_, _| {}).expect("it can be played");
     let mut peaks = Peaks::default();
     for row in &results.rows {
@@ -30,23 +31,25 @@
 
 #[test]
 fn the_sum_of_all_copies_stays_within_chance_by_the_configured_count() {
-    held(&swept("cold-sum", &[Named::Landingspread], 10, &["3", "10", "30", "100"]), 200);
-    held(&swept("cold-sum-many", &[Named::Landingspread], 2, &["400"]), 8);
+    held(&swept("cold-sum", &[Named::Landingspread], 1..=10, &["3", "10", "30", "100"]), 200);
+    held(&swept("cold-sum-many", &[Named::Landingspread], 1..=2, &["400"]), 8);
 }
 
 /// Before the mend each copy took a surge that all have for its own part of the traffic, and its floor of credits for
 /// that of a large copy: 100 copies sent 400 a second where 18 are allowed.
 #[test]
 fn the_sum_of_all_copies_stays_within_chance_where_the_fleet_tells_their_traffic() {
-    held(&swept("cold-sum", &[Named::LandingspreadFleet], 5, &["3", "10", "30"]), 100);
-    held(&swept("cold-sum", &[Named::LandingspreadFleet], 1, &["100"]), 5);
+    held(&swept("cold-sum", &[Named::LandingspreadFleet], 1..=5, &["3", "10", "30"]), 100);
+    // Without the mend a server falls with the seeds 5 and 18.
+    held(&swept("cold-sum", &[Named::LandingspreadFleet], 1..=5, &["100"]), 25);
+    held(&swept("cold-sum", &[Named::LandingspreadFleet], 18..=18, &["100"]), 5);
 }
 
 /// Before the mend a copy that heard nobody for more than 40 s took itself for the only one: each of 30 or 100 copies
 /// went by the credits of a whole fleet.
 #[test]
 fn the_sum_of_copies_that_hear_nobody_for_long_goes_by_the_configured_count() {
-    held(&swept("cold-apart", &[Named::LandingspreadFleet], 2, &["30"]), 10);
+    held(&swept("cold-apart", &[Named::LandingspreadFleet], 1..=2, &["30"]), 10);
 }
 
 fn brings(commands: usize, budget: f64, least: usize) -> Option<usize> {
