--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -65,6 +65,9 @@
 /// Seconds from a failed list call to the next, at most, and from the beginning of one that took longer to fail.
 const PAUSE_FIRST: f64 = 0.5;
 const CALLS_APART: f64 = 4.0;
+/// After one that discovery refused: it works in vain through what queues too long, so all copies together make few.
+const PAUSE_REFUSED: f64 = 8.0;
+const REFUSED_EACH: f64 = 10.0;
 
 /// So much of the goal may go into checks before a draw, where they alone tell what servers hold.
 const LOOKS_COST: f64 = 0.012;
@@ -203,6 +206,33 @@
         self.tell_words();
     }
 
+    /// Asked after a sweep: when the next one is due that may decide anything, if nothing is told before.
+    pub fn next_sweep(&self) -> Duration {
+        let next = self.swept + self.sweep_span();
+        if !self.cmds.is_empty() || self.zones.may_fall_silent() {
+            return next;
+        }
+        let marks = self.fleet.marked().filter_map(|slot| self.fleet[slot].mark()).map(|mark| mark.next);
+        let checks = marks.filter(|_| self.terms.allowed.checks).min();
+        let due = self.choose_at.min(checks.unwrap_or(Duration::MAX));
+        let due = due.min(self.asking.next.unwrap_or(Duration::MAX));
+        next + self.sweep_span() * self.sweeps_between(next, due)
+    }
+
+    /// Sweeps that were due before then were left out: they would have decided nothing. When the next is due.
+    pub fn rested(&mut self, until: Duration) -> Duration {
+        let sweeps = self.sweeps_between(self.swept + self.sweep_span(), until);
+        self.swept += self.sweep_span() * sweeps;
+        self.late /= 1 << sweeps.min(31);
+        self.swept + self.sweep_span()
+    }
+
+    /// Sweeps from `first` on that come before then.
+    fn sweeps_between(&self, first: Duration, then: Duration) -> u32 {
+        let span = self.sweep_span().as_nanos();
+        then.saturating_sub(first).as_nanos().div_ceil(span).min(u128::from(u32::MAX >> 8)) as u32
+    }
+
     fn tell_words(&mut self) {
         let cost =
             self.terms.balancers * self.seen.words.length().max(WORDS_LEAST) as f64 / words::MOST as f64;
@@ -245,13 +275,23 @@
         self.place_held();
     }
 
+    /// It was down, silent or broken.
     pub fn list_call_failed(&mut self, now: Duration) {
-        self.now = now;
-        // Calls that all come again at once would fail again together.
-        let longest = PAUSE_FIRST * f64::from(1u32 << self.asking.failures.min(3));
         // What it took to fail has spread them already, and must not add to the time in which a change goes unheard.
         let lasted = now.saturating_sub(self.asking.began).as_secs_f64();
-        let longest = longest.min(CALLS_APART - lasted).max(PAUSE_FIRST);
+        let longest = PAUSE_FIRST * f64::from(1u32 << self.asking.failures.min(3));
+        self.call_again(now, longest.min(CALLS_APART - lasted).max(PAUSE_FIRST));
+    }
+
+    /// Discovery kept it waiting, and then said that it has too many.
+    pub fn list_call_refused(&mut self, now: Duration) {
+        let longest = PAUSE_FIRST * f64::from(1u32 << self.asking.failures.min(4));
+        self.call_again(now, longest.max(self.terms.balancers / REFUSED_EACH).min(PAUSE_REFUSED));
+    }
+
+    /// Calls that all come again at once would fail again together.
+    fn call_again(&mut self, now: Duration, longest: f64) {
+        self.now = now;
         self.asking.failures += 1;
         self.asking.next = Some(now + Duration::from_secs_f64(longest * (0.5 + 0.5 * self.chance())));
     }
--- a/crates/sidecar/src/launch/mod.rs
+++ b/crates/sidecar/src/launch/mod.rs
@@ -5,13 +5,17 @@
 //! Two forms give one checked type: the platform's JSON (`platform.rs`) and the operators' TOML (`file.rs`).
 
 mod checked;
+mod control;
 mod file;
 mod fleet;
+mod live;
 mod localities;
 mod platform;
 
 pub use checked::{Fault, Fleet, Launch, Verb};
+pub use control::Control;
 pub use file::EXAMPLE;
+pub use live::{Changed, Live};
 
 use checked::fault;
 use std::path::{Path, PathBuf};
@@ -42,6 +46,11 @@
     take(path, &told)
 }
 
+/// One configuration in the operators' form, whatever the environment says.
+pub fn of_text(name: &str, text: &str) -> Result<Launch, Fault> {
+    file::take(name, text, &|_| None)
+}
+
 /// Reads the file once more. A process keeps the environment that it began with: what the file says of
 /// discovery by now is newer.
 pub fn read_again(path: Option<&Path>) -> Result<Launch, Fault> {
