Two runs of the scale rig in one process have addresses of their own

Cause: addresses of copies went by the process's number alone (rig.rs, base), so the two tests, which run at once in one process, handed the same ones out; before, the first happened to be over in time.

--- a/crates/lab/src/scale/rig.rs
+++ b/crates/lab/src/scale/rig.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -27,6 +27,7 @@
 /// Numbers of copies give their addresses: labs that run beside each other begin elsewhere.
 const NUMBERS_EACH: u32 = 8_192;
 const LABS: u32 = 31;
+static RUNS: AtomicU32 = AtomicU32::new(0);
 
 /// What the command keeps to.
 #[derive(Clone, Copy, Debug)]
@@ -239,7 +240,9 @@
         })
         .collect();
     watches.say_all(&entries);
-    let base = ((std::process::id() % LABS) * NUMBERS_EACH) as usize;
+    // Two runs of one process may go at once, as tests do.
+    let lab = std::process::id().wrapping_add(RUNS.fetch_add(1, Ordering::Relaxed)) % LABS;
+    let base = (lab * NUMBERS_EACH) as usize;
     let most = Need { processes: 0, memory_mb: 0.0 };
     let mut rig = Rig { wanted, program, dir, base, watches, groups: Vec::new(), reals: Vec::new(), most };
     let began = Instant::now();
