A list has buffers of its own, whoever holds all others; callers rest on every descriptor

Cause: a call to discovery took its buffers from those of the callers. While callers half way through commands hold all of them, each call ends at once with 'TooLarge', and no change is heard.

Change: a call has buffers of its own, up to a list's most, and gives them back with the list.

--- a/crates/sidecar/src/net/discovery.rs
+++ b/crates/sidecar/src/net/discovery.rs
@@ -96,7 +96,10 @@
         let query = self.generation.map(query).unwrap_or_default();
         let head = format!("GET /catalog/members{query} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address);
         in_time(UP_IN, http::write(&conn, head.as_bytes(), b"")).await?;
-        let answer = http::read_long(&conn, &self.stock, self.stock.buffers_for_a_list());
+        // Of its own, and given back with the list: callers half way through a command may hold all others.
+        let most = self.stock.buffers_for_a_list();
+        let buffers = Stock::small(most + 1);
+        let answer = http::read_long(&conn, &buffers, most);
         let (status, keep, mut rsp) = in_time(wait + IN_TURN, answer).await?;
         if status != Some(200) {
             return Err(format!("status {status:?}"));
