--- a/crates/decisions/src/book.rs
+++ b/crates/decisions/src/book.rs
@@ -99,6 +99,8 @@
     /// When to call next; `None` while a call is out or the subscription stands.
     pub next: Option<Duration>,
     pub failures: u32,
+    /// How many in a row discovery itself refused.
+    pub refusals: u32,
     /// When the last call began: where a list came it is followed by another at once.
     pub began: Duration,
 }
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -279,22 +279,26 @@
 
     /// It was down, silent or broken.
     pub fn list_call_failed(&mut self, now: Duration) {
-        // What it took to fail has spread them already, and must not add to the time in which a change
-        // goes unheard.
-        let lasted = now.saturating_sub(self.asking.began).as_secs_f64();
+        self.asking.refusals = 0;
         let longest = PAUSE_FIRST * f64::from(1u32 << self.asking.failures.min(3));
-        self.call_again(now, longest.min(CALLS_APART - lasted).max(PAUSE_FIRST));
+        self.call_again(now, longest, CALLS_APART);
     }
 
     /// Discovery kept it waiting, and then said that it has too many.
     pub fn list_call_refused(&mut self, now: Duration) {
+        self.asking.refusals += 1;
         let longest = PAUSE_FIRST * f64::from(1u32 << self.asking.failures.min(4));
-        self.call_again(now, longest.max(self.terms.balancers / REFUSED_EACH).min(PAUSE_REFUSED));
+        let most = if self.asking.refusals < 2 { CALLS_APART } else { PAUSE_REFUSED };
+        self.call_again(now, longest.max(self.terms.balancers / REFUSED_EACH), most);
     }
 
     /// Calls that all come again at once would fail again together.
-    fn call_again(&mut self, now: Duration, longest: f64) {
+    fn call_again(&mut self, now: Duration, longest: f64, most: f64) {
         self.now = now;
+        // What it took to fail has spread them already, and must not add to the time in which a
+        // change goes unheard.
+        let lasted = now.saturating_sub(self.asking.began).as_secs_f64();
+        let longest = longest.min(most - lasted).max(PAUSE_FIRST);
         self.asking.failures += 1;
         self.asking.next = Some(now + Duration::from_secs_f64(longest * (0.5 + 0.5 * self.chance())));
     }
