--- a/crates/decisions/src/host.rs
+++ b/crates/decisions/src/host.rs
@@ -19,6 +19,10 @@
     /// Tells one peer, or all of them, at most 256 bytes.
     fn tell(&mut self, peer: Option<u32>, words: &[u8]);
     fn note(&mut self, text: &str);
+    /// An attempt goes to a server in slow start without a credit: a rule of this module is broken.
+    fn slow_start_violated(&mut self, server: &Id) {
+        self.note(&format!("invariant violated: slow start of {server}"));
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -558,6 +558,7 @@
         let idle = self.renew_idle(id, to);
         let Some(cmd) = self.cmds.get_mut(id) else { return };
         let server = &mut self.fleet[to];
+        let uncredited = server.ramp_from().is_some() && server.cold_credit < 1.0;
         (server.used, server.awaited) = (Some(self.now), 0.0);
         let ahead = server.report().map(|(figure, _)| figure + server.sends).filter(|_| self.looks > 0);
         let (number, server_id) = (cmd.relays.len() as u32, server.id.clone());
@@ -575,6 +576,9 @@
         }
         self.seen.sent.add(self.now, 1.0);
         self.zones.sent(self.fleet[to].zone, self.now);
+        if uncredited {
+            self.host.slow_start_violated(&server_id);
+        }
         self.host.relay(id, &server_id, not_past);
     }
 
--- a/crates/sidecar/src/console/calls.rs
+++ b/crates/sidecar/src/console/calls.rs
@@ -7,6 +7,8 @@
 #[derive(Debug, PartialEq)]
 pub enum Call {
     Status,
+    /// What was done and why, counted.
+    Counters,
     WhoIsOut,
     /// The members of the fleet, as JSON or as text.
     Members {
@@ -76,7 +78,7 @@
     let path = http::path_of(cmd.path.unwrap_or(""));
     let path = path.split('?').next().unwrap_or("");
     let allow = match path {
-        "/status" | "/maintenance" | "/fleet" | "/zones" | "/control" => "GET",
+        "/status" | "/counters" | "/maintenance" | "/fleet" | "/zones" | "/control" => "GET",
         "/maintenance/enter" | "/maintenance/exit" | "/zones/leave" | "/zones/return" => "PUT",
         _ => return Err(turned(404, "no such call")),
     };
@@ -85,6 +87,7 @@
     }
     match path {
         "/status" => Ok(Call::Status),
+        "/counters" => Ok(Call::Counters),
         "/maintenance" => Ok(Call::WhoIsOut),
         "/fleet" | "/zones" | "/control" => {
             let accepts = cmd.headers.iter().filter(|header| header.name.eq_ignore_ascii_case("accept"));
@@ -132,6 +135,8 @@
     fn calls_are_understood_and_others_are_a_no() {
         let out = |server: &str, out| Ok(Call::Maintenance { server: server.into(), out });
         assert_eq!(told("GET /status", ""), Ok(Call::Status));
+        assert_eq!(told("GET /counters", ""), Ok(Call::Counters));
+        assert_eq!(told("PUT /counters", ""), Err(405));
         assert_eq!(told("GET http://a:1/status?x", ""), Ok(Call::Status));
         assert_eq!(told("GET /fleet", ""), Ok(Call::Members { json: false }));
         let asks =
--- a/crates/sidecar/src/console/mod.rs
+++ b/crates/sidecar/src/console/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 
 use crate::control::said::Shared;
+use crate::counters;
 use crate::fleet;
 use crate::handover::LOOK_EVERY;
 use crate::handover::record::{Record, WORDS_MOST, Word, Words, unix_ms};
@@ -170,6 +171,7 @@
         match call {
             Call::Status if self.serving.load(Ordering::Acquire) => calls::said(200, "serving\n"),
             Call::Status => calls::said(503, "not serving\n"),
+            Call::Counters => calls::said(200, &counters::text()),
             Call::WhoIsOut => {
                 let words = self.words.borrow();
                 let out = words.iter().filter(|(_, word)| word.out).map(|(server, _)| format!("{server}\n"));
--- /dev/null
+++ b/crates/sidecar/src/counters.rs
@@ -0,0 +1,206 @@
+//! What this process has done and why, as counters: reasons for every close, retry and refusal, outcomes of attempts, and
+//! violations of invariants. They only grow; any thread may add to them. The console tells them at `GET /counters`, and
+//! the log when the process ends.
+
+use crate::invariants::{self, Invariant};
+use landingspread_decisions::host::Outcome;
+use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Why a client's connection was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// The client closed or reset it.
+    ClientLeft,
+    /// The client asked for it, by `Connection: close` or by HTTP/1.0.
+    ClientAsked,
+    /// It was idle for too long, or had to give way to another.
+    Idle,
+    /// What came is no request, or stopped half way.
+    BadRequest,
+    /// All places or all buffers are taken.
+    Crowded,
+    /// The process ends, or hands over to another.
+    Shutdown,
+    /// An answer that was being passed on broke off, or could not be written.
+    AnswerBroken,
+}
+
+impl CloseReason {
+    const ALL: [CloseReason; 7] = [
+        CloseReason::ClientLeft,
+        CloseReason::ClientAsked,
+        CloseReason::Idle,
+        CloseReason::BadRequest,
+        CloseReason::Crowded,
+        CloseReason::Shutdown,
+        CloseReason::AnswerBroken,
+    ];
+
+    /// Its name as a label.
+    pub fn name(self) -> &'static str {
+        match self {
+            CloseReason::ClientLeft => "client_left",
+            CloseReason::ClientAsked => "client_asked",
+            CloseReason::Idle => "idle",
+            CloseReason::BadRequest => "bad_request",
+            CloseReason::Crowded => "crowded",
+            CloseReason::Shutdown => "shutdown",
+            CloseReason::AnswerBroken => "answer_broken",
+        }
+    }
+}
+
+/// Why a request was refused or failed without a server's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// It is no request that this sidecar serves.
+    BadRequest,
+    /// Too many requests are open, or no place is left.
+    Crowded,
+    /// No buffer is free.
+    NoBuffer,
+    /// The process ends.
+    Shutdown,
+    /// The decisions shed it before any attempt.
+    Shed,
+    /// No attempt ran, and none that could is left.
+    NeverRan,
+    /// An attempt may have run, and trying again is harmless.
+    Repeatable,
+    /// An attempt may have run, and nobody knows.
+    Unknown,
+    /// Another request with the same id is open.
+    SameId,
+}
+
+impl RefusalReason {
+    const ALL: [RefusalReason; 9] = [
+        RefusalReason::BadRequest,
+        RefusalReason::Crowded,
+        RefusalReason::NoBuffer,
+        RefusalReason::Shutdown,
+        RefusalReason::Shed,
+        RefusalReason::NeverRan,
+        RefusalReason::Repeatable,
+        RefusalReason::Unknown,
+        RefusalReason::SameId,
+    ];
+
+    /// Its name as a label.
+    pub fn name(self) -> &'static str {
+        match self {
+            RefusalReason::BadRequest => "bad_request",
+            RefusalReason::Crowded => "crowded",
+            RefusalReason::NoBuffer => "no_buffer",
+            RefusalReason::Shutdown => "shutdown",
+            RefusalReason::Shed => "shed",
+            RefusalReason::NeverRan => "never_ran",
+            RefusalReason::Repeatable => "repeatable",
+            RefusalReason::Unknown => "unknown",
+            RefusalReason::SameId => "same_id",
+        }
+    }
+}
+
+/// Outcomes in the order in which they are counted.
+const OUTCOMES: [Outcome; 8] = [
+    Outcome::Ok,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::Timeout,
+    Outcome::ConnectFailed,
+    Outcome::Reset,
+    Outcome::Cancelled,
+    Outcome::Moot,
+];
+
+/// An outcome's name as a label.
+pub fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Ok => "ok",
+        Outcome::Error => "error",
+        Outcome::Full => "full",
+        Outcome::Timeout => "timeout",
+        Outcome::ConnectFailed => "connect_failed",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::Moot => "never_sent",
+    }
+}
+
+static REQUESTS: AtomicU64 = AtomicU64::new(0);
+static CLOSES: [AtomicU64; CloseReason::ALL.len()] = [const { AtomicU64::new(0) }; CloseReason::ALL.len()];
+static REFUSALS: [AtomicU64; RefusalReason::ALL.len()] =
+    [const { AtomicU64::new(0) }; RefusalReason::ALL.len()];
+static ATTEMPTS: [AtomicU64; OUTCOMES.len()] = [const { AtomicU64::new(0) }; OUTCOMES.len()];
+static RETRIES: [AtomicU64; OUTCOMES.len()] = [const { AtomicU64::new(0) }; OUTCOMES.len()];
+
+fn place(outcome: Outcome) -> usize {
+    OUTCOMES.iter().position(|known| *known == outcome).unwrap_or(0)
+}
+
+fn add(to: &AtomicU64) {
+    to.fetch_add(1, Ordering::Relaxed);
+}
+
+/// A request was handed to the decisions.
+pub fn request_taken() {
+    add(&REQUESTS);
+}
+
+/// A client's connection was closed.
+pub fn connection_closed(why: CloseReason) {
+    tracing::debug!(reason = why.name(), "client connection closed");
+    add(&CLOSES[why as usize]);
+}
+
+/// A request had a refusal or a failure as its final answer.
+pub fn refused(request: &str, why: RefusalReason) {
+    tracing::debug!(request, reason = why.name(), "refused");
+    add(&REFUSALS[why as usize]);
+}
+
+/// An attempt ended.
+pub fn attempt_ended(outcome: Outcome) {
+    add(&ATTEMPTS[place(outcome)]);
+}
+
+/// A further attempt was made, after one that ended so.
+pub fn retried(request: &str, attempt: u32, after: Outcome) {
+    tracing::debug!(request, attempt, after = outcome_name(after), "retry");
+    add(&RETRIES[place(after)]);
+}
+
+/// All counters as lines of text, in the form that metric collectors read: `name{label="value"} count`.
+pub fn text() -> String {
+    let mut lines = String::new();
+    let mut line = |name: &str, label: &str, value: &str, count: u64| {
+        // Writing to a String cannot fail.
+        let _ = writeln!(lines, "landingspread_{name}_total{{{label}=\"{value}\"}} {count}");
+    };
+    let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+    line("requests", "state", "taken", read(&REQUESTS));
+    for (outcome, (attempts, retries)) in OUTCOMES.into_iter().zip(ATTEMPTS.iter().zip(&RETRIES)) {
+        line("attempts", "outcome", outcome_name(outcome), read(attempts));
+        line("retries", "after", outcome_name(outcome), read(retries));
+    }
+    for (reason, count) in RefusalReason::ALL.into_iter().zip(&REFUSALS) {
+        line("refusals", "reason", reason.name(), read(count));
+    }
+    for (reason, count) in CloseReason::ALL.into_iter().zip(&CLOSES) {
+        line("client_connections_closed", "reason", reason.name(), read(count));
+    }
+    for invariant in Invariant::ALL {
+        line("invariant_violations", "invariant", invariant.name(), invariants::violations(invariant));
+    }
+    lines
+}
+
+/// Logs every counter that is not zero, in one line.
+pub fn log_all() {
+    let counted = text();
+    let counted = counted.lines().filter(|line| !line.ends_with(" 0"));
+    let counted = counted.map(|line| line.trim_start_matches("landingspread_")).collect::<Vec<_>>().join(" ");
+    tracing::info!("counters: {counted}");
+}
--- a/crates/sidecar/src/net/buffers.rs
+++ b/crates/sidecar/src/net/buffers.rs
@@ -155,6 +155,11 @@
         self.filled -= gap.len();
     }
 
+    /// Drops all but the first so many bytes.
+    pub fn truncate(&mut self, count: usize) {
+        self.filled = self.filled.min(count);
+    }
+
     pub fn fill(&mut self, count: usize) {
         self.filled += count;
     }
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -2,30 +2,37 @@
 //! back. It owns the callers' sockets and what is answered to bad input; it must never hold a buffer for a
 //! connection that waits, answer a taken command by its own choice, or reach the module but by the queue.
 
+use super::attempts::{AttemptGuard, RepeatRule};
 use super::buffers::{Buffer, HOLD_MOST, Place, SIZE, Stock};
-use super::endpoints::{Answer, Next, Outgoing, Rest, Window};
+use super::endpoints::{Answer, Next, Outgoing, Rest};
 use super::http::{self, Bad, Coming, Marked};
 use super::leaving::{self, Asker};
 use super::owner::{Came, Final, Queue, Word};
+use super::read_ahead::ReadAhead;
+use super::request::{Asked, Reader, Rejection, Request, answer_head, rejection, rejection_of};
 use super::timeout::timeout;
 use crate::clock::Clock;
-use crate::launch::{Launch, Verb};
+use crate::counters::{self, CloseReason, RefusalReason};
+use crate::invariants::must_hold;
+use crate::launch::Launch;
 use crate::start::Start;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::AsyncReadExt;
 use futures_lite::future::{or, yield_now};
-use landingspread_decisions::host::{Arrival, Id};
-use landingspread_decisions::terms::{self, Repeats};
+use landingspread_decisions::host::Arrival;
+use landingspread_decisions::terms;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A head that trickles in for longer is given up, and so is a body of which nothing comes for so long.
-const READ_WITHIN: Duration = Duration::from_secs(5);
+/// A head that trickles in for longer is given up.
+const HEAD_WITHIN: Duration = Duration::from_secs(5);
+/// A client of which nothing comes for so long in the middle of a request has stopped.
+const STALLED: Duration = Duration::from_secs(5);
 /// A caller who reads nothing for so long has gone.
 const WRITE_WITHIN: Duration = Duration::from_secs(20);
 /// A body that takes longer than this is no command's.
@@ -44,19 +51,14 @@
 /// So many new ones at once that say nothing are a crowd.
 const CROWD: usize = 8;
 const NO_ROOM_YET: Duration = Duration::from_millis(5);
-const LEFT_MOST_MS: u64 = 3_600_000;
-const COST_MOST_MS: f64 = 3_600_000.0;
-const ID_MOST: usize = 128;
 
 pub struct Callers {
     clock: Clock,
-    verbs: Vec<Verb>,
+    reader: Reader,
     /// Time limits by now, of commands that say none of their own.
     limits: RefCell<Vec<Duration>>,
-    /// Of each verb, for how long repeats are dropped, if it is receipted.
-    windows: Vec<Option<Duration>>,
-    tenants: Vec<String>,
-    cost_header: Option<String>,
+    /// Of each verb, what its requests' further attempts go by.
+    repeat_rules: Vec<RepeatRule>,
     max_open: usize,
     open: Cell<usize>,
     /// Set by SIGTERM: when the last command must have its final word.
@@ -109,24 +111,6 @@
     close: Sender<()>,
 }
 
-/// What is said before the module hears of a command.
-struct Turned(u16, &'static str);
-
-struct Cmd {
-    id: Id,
-    verb: usize,
-    tenant: usize,
-    left: Duration,
-    cost: Option<Duration>,
-    head: Vec<u8>,
-}
-
-/// What a message asks for.
-enum Asked {
-    Health,
-    Cmd(Cmd),
-}
-
 impl Callers {
     pub fn new(
         launch: &Launch,
@@ -135,18 +119,22 @@
         start: Rc<Start>,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Callers {
-        let window = |verb: &terms::Verb| match verb.repeats {
+        let repeat_rule = |verb: &terms::Verb| RepeatRule {
+            repeats: verb.repeats,
             // What the module leaves for its own clock is left here too.
-            Repeats::Receipted(_) => Some(verb.memory.saturating_sub(launch.terms.resolution)),
-            Repeats::Pure | Repeats::Effectful => None,
+            window: verb.memory.saturating_sub(launch.terms.resolution),
+            parallel: launch.terms.allowed.parallel,
         };
-        Callers {
-            clock: launch.clock.clone(),
+        let reader = Reader {
             verbs: launch.verbs.clone(),
-            limits: RefCell::new(launch.verbs.iter().map(|verb| verb.limit).collect()),
-            windows: launch.terms.verbs.iter().map(window).collect(),
             tenants: launch.tenants.clone(),
             cost_header: launch.cost_header.clone(),
+        };
+        Callers {
+            clock: launch.clock.clone(),
+            reader,
+            limits: RefCell::new(launch.verbs.iter().map(|verb| verb.limit).collect()),
+            repeat_rules: launch.terms.verbs.iter().map(repeat_rule).collect(),
             max_open: launch.max_open,
             open: Cell::new(0),
             all_due: Cell::new(None),
@@ -282,29 +270,55 @@
         let _ = stream.get_ref().set_nodelay(true);
         let stream = Rc::new(stream);
         let mut since = Some(self.clock.now());
-        let mut ahead = None;
-        while ahead.is_some() || self.something_comes(&stream, since).await {
-            let Some(behind) = self.one_message(&stream, since, crowded, ahead).await else { return };
-            (ahead, since) = (behind, None);
+        let ahead = ReadAhead::new(&self.stock, &self.clock);
+        let why = loop {
+            if ahead.is_empty()
+                && let Err(why) = self.something_comes(&stream, since).await
+            {
+                break why;
+            }
+            if let Err(why) = self.one_message(&stream, since, crowded, &ahead).await {
+                break why;
+            }
+            since = None;
             // One who writes ahead and reads as fast is never waited for: all others would wait instead.
-            if ahead.is_some() {
+            if !ahead.is_empty() {
                 yield_now().await;
             }
-        }
+        };
+        // Whoever has left or has asked for the end wants no answer; what stands behind half an answer cannot have one.
+        let owed = !matches!(
+            why,
+            CloseReason::ClientLeft
+                | CloseReason::ClientAsked
+                | CloseReason::BadRequest
+                | CloseReason::AnswerBroken
+        );
+        must_hold!(
+            Closing,
+            !(owed && ahead.holds_whole_request()),
+            "closed as {} over a request",
+            why.name()
+        );
+        counters::connection_closed(why);
     }
 
     fn number(&self) -> u64 {
         self.numbers.replace(self.numbers.get() + 1)
     }
 
-    /// `since`: when a stranger connected.
-    async fn something_comes(&self, stream: &Async<TcpStream>, since: Option<Duration>) -> bool {
+    /// `since`: when a stranger connected. An error is why the connection ends instead.
+    async fn something_comes(
+        &self,
+        stream: &Async<TcpStream>,
+        since: Option<Duration>,
+    ) -> Result<(), CloseReason> {
         if since.is_some() {
             // A client sends no command again that a new connection has lost: it does not count as idle yet.
             let comes = timeout(FRESH, stream.readable()).await;
             self.fresh.set(self.fresh.get() - 1);
             if let Some(comes) = comes {
-                return comes.is_ok();
+                return comes.map_err(|_| CloseReason::ClientLeft);
             }
         }
         let number = (since.is_none(), self.number());
@@ -313,76 +327,86 @@
         let comes = async { stream.readable().await.is_ok() };
         let ends = async {
             let _ = closed.recv().await;
-            // A command may have come in this very moment.
-            matches!(stream.get_ref().peek(&mut [0]), Ok(1))
+            false
         };
         let most = since.map_or(IDLE_MOST, |since| self.left_to_a_stranger(since));
         let comes = timeout(most, or(comes, ends)).await.unwrap_or(false);
         self.idle.borrow_mut().remove(&number);
-        comes
+        // A request may have come in the very moment in which its connection was to end.
+        if comes || leaving::has_unread(stream) {
+            return Ok(());
+        }
+        Err(if self.parting.get() { CloseReason::Shutdown } else { CloseReason::Idle })
     }
 
     fn left_to_a_stranger(&self, since: Duration) -> Duration {
         (since + STRANGER).saturating_sub(self.clock.now())
     }
 
-    /// `ahead` was written behind the message before this one. What is written behind this one comes back, if the
-    /// connection may carry another.
+    /// Answers the next message. An error is why the connection ends with it.
     async fn one_message(
         &self,
         stream: &Rc<Async<TcpStream>>,
         since: Option<Duration>,
         crowded: bool,
-        ahead: Option<Buffer>,
-    ) -> Option<Option<Buffer>> {
-        let Some(buffer) = ahead.or_else(|| self.stock.buffer()) else {
-            self.turn_away(stream, &Turned(503, "no buffer is free"), false).await;
-            return None;
+        ahead: &ReadAhead,
+    ) -> Result<(), CloseReason> {
+        let Some(buffer) = ahead.take().or_else(|| self.stock.buffer()) else {
+            let _ = self.reject(stream, &rejection(503, "no buffer is free"), false).await;
+            counters::refused("", RefusalReason::NoBuffer);
+            return Err(CloseReason::Crowded);
         };
         let read = async {
             match since {
                 Some(since) => self.read_from_stranger(stream, buffer, since).await,
-                None => self.read(stream, buffer, READ_WITHIN, &|| ()).await,
+                None => self.read(stream, buffer, None, &Cell::new(self.clock.now())).await,
             }
         };
         let too_late = async {
             self.reading.closed().await;
-            Err(Some(Turned(503, "ending")))
+            Err(Unread::Rejected(rejection(503, "ending")))
         };
-        let read = or(read, too_late).await;
-        let (coming, asked) = match read {
+        let (mut coming, asked) = match or(read, too_late).await {
             Ok(read) => read,
-            Err(None) => return None,
-            Err(Some(turned)) => {
-                self.turn_away(stream, &turned, false).await;
-                return None;
+            Err(Unread::Nobody(why)) => return Err(why),
+            Err(Unread::Rejected(rejected)) => {
+                let ends = self.reading.is_closed();
+                counters::refused("", if ends { RefusalReason::Shutdown } else { RefusalReason::BadRequest });
+                let _ = self.reject(stream, &rejected, false).await;
+                return Err(if ends { CloseReason::Shutdown } else { CloseReason::BadRequest });
             }
         };
-        let ahead = Ahead::new(&self.stock);
+        let came =
+            ahead.message_came(coming.take_read(), if coming.whole() { coming.behind().len() } else { 0 });
         if coming.whole() {
             ahead.add(coming.behind());
+            coming.drop_behind();
         }
-        let keep = self.may_keep(&coming, crowded);
-        let keep = match asked {
+        let keep = self.may_keep(&coming, crowded, ahead);
+        let kept = match asked {
             Asked::Health if self.all_due.get().is_some() => {
-                self.turn_away(stream, &Turned(503, "ending"), false).await
+                let _ = self.reject(stream, &rejection(503, "ending"), false).await;
+                Err(CloseReason::Shutdown)
             }
             Asked::Health => {
-                let ahead = self.say(stream, 200, b"", b"ready\n", keep).await;
+                let said = self.say(stream, 200, b"", b"ready\n", keep.is_ok()).await;
                 self.start.health_answered();
-                ahead
+                said.and(keep)
             }
-            Asked::Cmd(_) if crowded || self.open.get() >= self.max_open => {
-                self.turn_away(stream, &Turned(503, "too many commands are open"), keep).await
+            Asked::Request(request) if crowded || self.open.get() >= self.max_open => {
+                counters::refused(&request.id, RefusalReason::Crowded);
+                let said =
+                    self.reject(stream, &rejection(503, "too many commands are open"), keep.is_ok()).await;
+                said.and(keep)
             }
-            Asked::Cmd(cmd) => {
+            Asked::Request(request) => {
                 self.open.set(self.open.get() + 1);
-                let keep = self.carry(stream, cmd, coming, crowded, &ahead).await;
+                let kept = self.carry(stream, request, coming, came, crowded, ahead).await;
                 self.open.set(self.open.get() - 1);
-                keep
+                kept
             }
         };
-        ahead.kept(keep)
+        if ahead.is_lost() { kept.and(Err(CloseReason::Crowded)) } else { kept }
     }
 
     /// A stranger half way through a command may have to give way.
@@ -391,41 +415,64 @@
         stream: &Async<TcpStream>,
         buffer: Buffer,
         since: Duration,
-    ) -> Result<(Coming, Asked), Option<Turned>> {
+    ) -> Result<(Coming, Asked), Unread> {
         let (close, closed) = async_channel::bounded(1);
         let (number, came) = (self.number(), Rc::new(Cell::new(self.clock.now())));
         self.half_way.borrow_mut().insert(number, HalfWay { came: came.clone(), close });
         let room = async {
             let _ = closed.recv().await;
             tracing::debug!("a stranger half way through a command gave way");
-            Err(None)
+            Err(Unread::Nobody(CloseReason::Crowded))
         };
-        let most = self.left_to_a_stranger(since);
-        let read = or(self.read(stream, buffer, most, &|| came.set(self.clock.now())), room).await;
+        let read = or(self.read(stream, buffer, Some(since), &came), room).await;
         self.half_way.borrow_mut().remove(&number);
         read
     }
 
-    /// Reads a command: all of it, or the beginning of one that is too long to be held. `None`: nobody is there, or is
-    /// to be there, to be told what was wrong.
+    /// Reads a command: all of it, or the beginning of one that is too long to be held. `since`: when a stranger connected;
+    /// `came`: when the last part of it came.
     async fn read(
         &self,
         stream: &Async<TcpStream>,
         buffer: Buffer,
-        most: Duration,
-        came: &dyn Fn(),
-    ) -> Result<(Coming, Asked), Option<Turned>> {
-        let head = timeout(most, Coming::command(stream, buffer, came)).await;
-        let mut coming = head.unwrap_or(Err(Bad::Late)).map_err(why)?;
-        let asked = self.understand(&coming.head).map_err(Some)?;
-        if matches!(asked, Asked::Cmd(_)) {
-            self.hold(stream, &mut coming, came).await.map_err(why)?;
+        since: Option<Duration>,
+        came: &Cell<Duration>,
+    ) -> Result<(Coming, Asked), Unread> {
+        let comes = || came.set(self.clock.now());
+        let head = async {
+            let most = since.map_or(HEAD_WITHIN, |since| self.left_to_a_stranger(since));
+            timeout(most, Coming::command(stream, buffer, &comes)).await.unwrap_or(Err(Bad::Late))
+        };
+        let mut coming = or(head, self.stalls(came)).await?;
+        let asked = self.reader.read(&coming.head, &self.limits.borrow()).map_err(Unread::Rejected)?;
+        if matches!(asked, Asked::Request(_)) {
+            or(self.hold(stream, &mut coming, &comes), self.stalls(came)).await?;
         }
         Ok((coming, asked))
     }
 
-    fn may_keep(&self, coming: &Coming, crowded: bool) -> bool {
-        coming.keep && coming.whole() && !crowded && !self.parting.get()
+    /// Comes back when nothing has come for so long that the client counts as one that has stopped.
+    async fn stalls<T>(&self, came: &Cell<Duration>) -> Result<T, Bad> {
+        loop {
+            let left = (came.get() + STALLED).saturating_sub(self.clock.now());
+            if left.is_zero() {
+                return Err(Bad::Late);
+            }
+            Timer::after(left).await;
+        }
+    }
+
+    /// An error is why the connection ends with this message's answer. One that holds a whole request more does not, but
+    /// where the client asked for it.
+    fn may_keep(&self, coming: &Coming, crowded: bool, ahead: &ReadAhead) -> Result<(), CloseReason> {
+        match () {
+            () if !coming.whole() => Err(CloseReason::BadRequest),
+            () if !coming.keep => Err(CloseReason::ClientAsked),
+            () if ahead.holds_whole_request() => Ok(()),
+            () if self.parting.get() => Err(CloseReason::Shutdown),
+            () if crowded || ahead.is_lost() => Err(CloseReason::Crowded),
+            () => Ok(()),
+        }
     }
 
     /// Reads a body that is short enough to be held whole, and the beginning of a longer one.
@@ -437,61 +484,20 @@
         let long = coming.length().is_some_and(|length| length > HOLD_MOST as u64);
         let most = if long { SIZE } else { HOLD_MOST };
         while !coming.whole() && coming.room(&self.stock, most) {
-            timeout(READ_WITHIN, coming.more(stream)).await.unwrap_or(Err(Bad::Late))?;
+            coming.more(stream).await?;
             came();
         }
         Ok(())
     }
 
-    fn understand(&self, bytes: &[u8]) -> Result<Asked, Turned> {
-        let mut headers = http::no_headers();
-        let mut head = httparse::Request::new(&mut headers);
-        if head.parse(bytes).is_err() {
-            return Err(Turned(400, "this is no HTTP/1.1 message"));
-        }
-        let (method, path) = (head.method.unwrap_or(""), http::path_of(head.path.unwrap_or("")));
-        let first = path.trim_start_matches('/').split(['/', '?']).next().unwrap_or("");
-        if method == "GET" && path == "/_health" {
-            return Ok(Asked::Health);
-        }
-        let Some((number, verb)) = self.verbs.iter().enumerate().find(|(_, verb)| verb.name == first) else {
-            return Err(Turned(404, "no such verb"));
-        };
-        if method != verb.method {
-            return Err(Turned(405, "the verb takes another method"));
-        }
-        let header = |name: &str| http::header(head.headers, name);
-        if verb.receipted && header("idempotency-key").is_none_or(str::is_empty) {
-            return Err(Turned(400, "a receipted verb needs an Idempotency-Key"));
-        }
-        let plain = |id: &&str| (1..=ID_MOST).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_graphic());
-        let id = header("x-trace-id").filter(plain);
-        let id = id.ok_or(Turned(400, "X-Trace-Id is missing or odd"))?.into();
-        let left = match header("x-expires-in-ms").map(str::parse::<u64>) {
-            None => self.limits.borrow().get(number).copied().unwrap_or(verb.limit),
-            Some(Ok(ms)) if (1..=LEFT_MOST_MS).contains(&ms) => Duration::from_millis(ms),
-            Some(_) => return Err(Turned(400, "X-Expires-In-Ms is odd")),
-        };
-        // A tenant that the settings don't name has no share of its own.
-        let tenant =
-            header("x-customer").and_then(|name| self.tenants.iter().position(|known| known == name));
-        let tenant = tenant.unwrap_or(self.tenants.len());
-        let cost = match self.cost_header.as_ref().and_then(|name| header(name)).map(str::parse::<f64>) {
-            None => None,
-            Some(Ok(ms)) if ms > 0.0 && ms < COST_MOST_MS => Some(Duration::from_secs_f64(ms / 1000.0)),
-            Some(_) => return Err(Turned(400, "the command's cost is odd")),
-        };
-        let head = outgoing_head(method, path, head.headers);
-        Ok(Asked::Cmd(Cmd { id, verb: number, tenant, left, cost, head }))
-    }
-
     /// For commands whose head comes after this.
     pub fn limits_changed(&self, limits: Vec<Duration>) {
         *self.limits.borrow_mut() = limits;
     }
 
-    fn due(&self, left: Duration) -> Duration {
-        let due = self.clock.now() + left;
+    /// When a request is due whose last byte was there at `came`.
+    fn due(&self, came: Duration, left: Duration) -> Duration {
+        let due = came + left;
         self.all_due.get().map_or(due, |all_due| all_due.min(due))
     }
 
@@ -499,19 +505,21 @@
     async fn carry(
         &self,
         stream: &Rc<Async<TcpStream>>,
-        cmd: Cmd,
+        request: Request,
         mut coming: Coming,
+        came: Duration,
         crowded: bool,
-        ahead: &Ahead,
-    ) -> bool {
-        let Cmd { id, verb, tenant, left, cost, mut head } = cmd;
+        ahead: &ReadAhead,
+    ) -> Result<(), CloseReason> {
+        let Request { id, verb, tenant, left, cost, mut head } = request;
+        counters::request_taken();
         // A command's time counts from its last byte.
         let (whole, number) = (coming.whole(), self.number());
-        let due = if whole { self.due(left) } else { self.clock.now() + BODY_WITHIN };
+        let due = if whole { self.due(came, left) } else { self.clock.now() + BODY_WITHIN };
         let arrival = Arrival { id: id.clone(), verb, due, coming: !whole, tenant, cost };
-        let careful = !whole || self.verbs[verb].method != "GET";
+        let careful = !whole || self.reader.verbs[verb].method != "GET";
         let (marked, framing) = match coming.length() {
-            Some(0) if self.verbs[verb].method == "GET" => (Marked::Plain, String::new()),
+            Some(0) if self.reader.verbs[verb].method == "GET" => (Marked::Plain, String::new()),
             Some(length) => (Marked::Plain, format!("Content-Length: {length}\r\n")),
             None => (Marked::Chunked, "Transfer-Encoding: chunked\r\n".to_string()),
         };
@@ -519,8 +527,9 @@
         let body = coming.take(&self.stock).await;
         let (give, next) = async_channel::bounded(1);
         let rest = (!whole).then(|| Rest { next, marked, left, spent: Cell::new(false) });
-        let window = Window::of(self.windows.get(verb).copied().flatten());
-        let outgoing = Outgoing { head, body, rest, careful, asker: Asker::of(stream), window };
+        let guard = AttemptGuard::new(self.repeat_rules[verb]);
+        let outgoing =
+            Outgoing { id: id.clone(), head, body, rest, careful, asker: Asker::of(stream), guard };
         let (caller, word) = async_channel::bounded(1);
         self.queue.tell(Word::Came(Box::new(Came { number, arrival, outgoing, caller })));
         let heard = async { word.recv().await.map_err(|_| Bad::Ended) };
@@ -530,10 +539,9 @@
                     self.reading.closed().await;
                     Err(Bad::Late)
                 };
-                or(self.feed(stream, &mut coming, &give), too_late).await?;
-                let due = self.due(left);
+                let came = or(self.feed(stream, &mut coming, &give, ahead), too_late).await?;
+                let due = self.due(came, left);
                 self.queue.tell(Word::Whole(id.clone(), number, due));
-                ahead.add(coming.behind());
                 let end = async {
                     // Nobody takes it any more where the command is over.
                     let _ = give.send(Next::End(self.clock.instant(due))).await;
@@ -541,36 +549,45 @@
                 };
                 or(end, gone(stream)).await?;
             }
-            ahead.until_gone(stream).await;
+            // Past the shutdown what is read more would have to be answered too.
+            ahead.until_gone(stream, || !self.parting.get()).await;
             Err(Bad::Ended)
         };
         let word = match or(heard, goes).await {
             Ok(word) => word,
             Err(wrong) => {
-                self.queue.tell(Word::Left(id, number));
-                if let Some(turned) = why(wrong) {
-                    self.turn_away(stream, &turned, false).await;
-                }
-                return false;
+                self.queue.tell(Word::Left(id.clone(), number));
+                let Some(rejected) = rejection_of(wrong) else { return Err(CloseReason::ClientLeft) };
+                counters::refused(&id, RefusalReason::BadRequest);
+                let _ = self.reject(stream, &rejected, false).await;
+                return Err(CloseReason::BadRequest);
             }
         };
-        let keep = self.may_keep(&coming, crowded) && !ahead.lost.get();
-        let Some(keep) = self.last_word(stream, word, verb, keep, coming.minor).await else { return false };
-        if !keep {
+        let keep = self.may_keep(&coming, crowded, ahead);
+        self.final_answer(stream, word, verb, keep, coming.minor).await?;
+        if keep.is_err() {
             self.linger(stream).await;
         }
         keep
     }
 
-    /// Hands on the rest of a body, piece by piece, as fast as it is taken.
+    /// Hands on the rest of a body, piece by piece, as fast as it is taken. When its last byte was there.
     async fn feed(
         &self,
         stream: &Async<TcpStream>,
         coming: &mut Coming,
         give: &Sender<Next>,
-    ) -> Result<(), Bad> {
+        ahead: &ReadAhead,
+    ) -> Result<Duration, Bad> {
+        let mut came = self.clock.now();
         while !coming.whole() {
-            timeout(READ_WITHIN, coming.more(stream)).await.unwrap_or(Err(Bad::Late))?;
+            timeout(STALLED, coming.more(stream)).await.unwrap_or(Err(Bad::Late))?;
+            let behind = if coming.whole() { coming.behind().len() } else { 0 };
+            came = ahead.message_came(coming.take_read(), behind);
+            if coming.whole() {
+                ahead.add(coming.behind());
+                coming.drop_behind();
+            }
             let hand_on = async {
                 for piece in coming.take(&self.stock).await {
                     if give.send(Next::Piece(piece)).await.is_err() {
@@ -583,26 +600,26 @@
             // Where nothing is taken nothing is read, and the caller's leaving would go unseen.
             or(hand_on, gone(stream)).await?;
         }
-        Ok(())
+        Ok(came)
     }
 
-    /// Whether the connection is kept; None where it ends in the middle of an answer.
-    async fn last_word(
+    /// Writes the final answer. An error is why the connection ends here, in the middle of an answer or behind it.
+    async fn final_answer(
         &self,
         stream: &Async<TcpStream>,
         word: Final,
         verb: usize,
-        keep: bool,
+        keep: Result<(), CloseReason>,
         minor: u8,
-    ) -> Option<bool> {
+    ) -> Result<(), CloseReason> {
         match word {
             Final::Answered(answer) => self.pass_on(stream, *answer, verb, keep, minor).await,
             Final::Declined(come_back) => {
                 let come_back = come_back.map(|span| format!("Retry-After: {:.3}\r\n", span.as_secs_f64()));
                 let come_back = come_back.as_deref().unwrap_or("").as_bytes();
-                Some(self.say(stream, 503, come_back, b"declined\n", keep).await)
+                self.say(stream, 503, come_back, b"declined\n", keep.is_ok()).await
             }
-            Final::Terminated => Some(self.say(stream, 502, b"", b"terminated\n", keep).await),
+            Final::Terminated => self.say(stream, 502, b"", b"terminated\n", keep.is_ok()).await,
         }
     }
 
@@ -612,9 +629,9 @@
         stream: &Async<TcpStream>,
         mut answer: Answer,
         verb: usize,
-        keep: bool,
+        keep: Result<(), CloseReason>,
         minor: u8,
-    ) -> Option<bool> {
+    ) -> Result<(), CloseReason> {
         let length = answer.coming.length();
         let (marked, framing) = match length {
             Some(length) => (Marked::Plain, format!("Content-Length: {length}\r\n")),
@@ -623,8 +640,7 @@
             None => (Marked::Plain, String::new()),
         };
         let ends_it = length.is_none() && marked == Marked::Plain;
-        let keep = keep && !ends_it;
-        let head = answer_head(&answer.coming.head, &framing, keep);
+        let head = answer_head(&answer.coming.head, &framing, keep.is_ok() && !ends_it);
         let mut written = self.write(stream, &head, &answer, marked).await;
         while written && !answer.coming.whole() {
             answer.coming.drop_taken();
@@ -634,7 +650,7 @@
                     // Only a reset tells that this is not the end.
                     let _ = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
                 }
-                return None;
+                return Err(CloseReason::AnswerBroken);
             }
             written = self.write(stream, b"", &answer, marked).await;
             // Where both sides are as fast as this one nothing here waits, and all others would.
@@ -642,7 +658,11 @@
         }
         let ended = written && timeout(WRITE_WITHIN, http::write_end(stream, marked)).await.is_some();
         answer.finish();
-        ended.then_some(keep)
+        match ended {
+            false => Err(CloseReason::AnswerBroken),
+            true if ends_it => Err(CloseReason::ClientAsked),
+            true => Ok(()),
+        }
     }
 
     async fn write(&self, stream: &Async<TcpStream>, head: &[u8], answer: &Answer, marked: Marked) -> bool {
@@ -650,14 +670,20 @@
         matches!(timeout(WRITE_WITHIN, writing).await, Some(Ok(())))
     }
 
-    async fn turn_away(&self, stream: &Async<TcpStream>, turned: &Turned, keep: bool) -> bool {
-        let Turned(status, why) = turned;
-        tracing::debug!(status, why, "turned away");
-        let keep = self.say(stream, *status, b"", format!("{why}\n").as_bytes(), keep).await;
+    /// Answers a message that the decisions do not hear of. An error: the answer could not be written.
+    async fn reject(
+        &self,
+        stream: &Async<TcpStream>,
+        rejected: &Rejection,
+        keep: bool,
+    ) -> Result<(), CloseReason> {
+        let Rejection { status, why } = rejected;
+        tracing::debug!(status, why, "rejected");
+        let said = self.say(stream, *status, b"", format!("{why}\n").as_bytes(), keep).await;
         if !keep {
             self.linger(stream).await;
         }
-        keep
+        said
     }
 
     /// Closing on bytes that nobody read resets the connection, and with it the answer on its way.
@@ -676,6 +702,7 @@
         timeout(LINGER.min(left), read_off).await;
     }
 
+    /// Writes a short answer. An error: it could not be written.
     async fn say(
         &self,
         stream: &Async<TcpStream>,
@@ -683,76 +710,29 @@
         more: &[u8],
         body: &[u8],
         keep: bool,
-    ) -> bool {
+    ) -> Result<(), CloseReason> {
         let close = if keep { "" } else { "Connection: close\r\n" };
         let length = body.len();
         let mut head = format!("HTTP/1.1 {status} {}\r\n{close}", http::reason(status)).into_bytes();
         head.extend_from_slice(more);
         head.extend_from_slice(format!("Content-Length: {length}\r\n\r\n").as_bytes());
-        matches!(timeout(WRITE_WITHIN, http::write(stream, &head, body)).await, Some(Ok(()))) && keep
+        match timeout(WRITE_WITHIN, http::write(stream, &head, body)).await {
+            Some(Ok(())) => Ok(()),
+            _ => Err(CloseReason::ClientLeft),
+        }
     }
 }
 
-/// What a caller writes ahead of its answer: the beginning of its next command, a buffer of it at most.
-struct Ahead {
-    stock: Rc<Stock>,
-    bytes: RefCell<Option<Buffer>>,
-    /// No buffer was free for it.
-    lost: Cell<bool>,
+/// Why there is no request to be answered by the decisions.
+enum Unread {
+    /// Nobody is there, or is to be there, to be told what was wrong.
+    Nobody(CloseReason),
+    Rejected(Rejection),
 }
 
-impl Ahead {
-    fn new(stock: &Rc<Stock>) -> Ahead {
-        Ahead { stock: stock.clone(), bytes: RefCell::default(), lost: Cell::new(false) }
-    }
-
-    fn add(&self, bytes: &[u8]) {
-        if bytes.is_empty() {
-            return;
-        }
-        let mut held = self.bytes.borrow_mut();
-        if held.is_none() {
-            *held = self.stock.buffer();
-        }
-        let room = held.as_mut().and_then(|buffer| buffer.spare().get_mut(..bytes.len()));
-        match room {
-            Some(room) => room.copy_from_slice(bytes),
-            None => return self.lost.set(true),
-        }
-        held.iter_mut().for_each(|buffer| buffer.fill(bytes.len()));
-    }
-
-    /// How much more may be read; nothing where what is held is full, or there is no buffer to hold it.
-    fn room(&self) -> usize {
-        let mut held = self.bytes.borrow_mut();
-        if held.is_none() {
-            *held = self.stock.buffer();
-        }
-        held.as_mut().filter(|_| !self.lost.get()).map_or(0, |held| held.spare().len())
-    }
-
-    /// Comes back when the caller has left. What it writes ahead would hide that, so it is read as far as there is room;
-    /// past that the end is looked for behind what is not read.
-    async fn until_gone(&self, mut stream: &Async<TcpStream>) {
-        let mut bytes = [0; 1024];
-        while matches!(stream.peek(&mut [0]).await, Ok(1..)) {
-            let most = self.room().min(bytes.len());
-            if most == 0 {
-                if leaving::ended(stream) {
-                    return;
-                }
-                Timer::after(leaving::LOOK_EVERY).await;
-                continue;
-            }
-            match stream.read(&mut bytes[..most]).await {
-                Ok(count @ 1..) => self.add(&bytes[..count]),
-                _ => return,
-            }
-        }
-    }
-
-    fn kept(self, keep: bool) -> Option<Option<Buffer>> {
-        (keep && !self.lost.get()).then(|| self.bytes.into_inner())
+impl From<Bad> for Unread {
+    fn from(bad: Bad) -> Unread {
+        rejection_of(bad).map_or(Unread::Nobody(CloseReason::ClientLeft), Unread::Rejected)
     }
 }
 
@@ -761,45 +741,3 @@
     leaving::until_ended(stream).await;
     Err(Bad::Ended)
 }
-
-/// What is said of a message that is none; None where its sender has gone.
-fn why(bad: Bad) -> Option<Turned> {
-    match bad {
-        Bad::Malformed => Some(Turned(400, "this is no HTTP/1.1 message")),
-        Bad::TooLarge => Some(Turned(413, "a head is too large")),
-        Bad::Late => Some(Turned(408, "it took too long to come")),
-        Bad::Ended | Bad::Broken => None,
-    }
-}
-
-fn add_header(to: &mut Vec<u8>, header: &httparse::Header<'_>) {
-    to.extend_from_slice(header.name.as_bytes());
-    to.extend_from_slice(b": ");
-    to.extend_from_slice(header.value);
-    to.extend_from_slice(b"\r\n");
-}
-
-fn outgoing_head(method: &str, path: &str, headers: &[httparse::Header<'_>]) -> Vec<u8> {
-    let mut head = format!("{method} {path} HTTP/1.1\r\n").into_bytes();
-    // Each relay tells the time that it has itself.
-    let passed = |header: &&httparse::Header<'_>| {
-        http::passes_on(header.name) && !header.name.eq_ignore_ascii_case("x-expires-in-ms")
-    };
-    headers.iter().filter(passed).for_each(|header| add_header(&mut head, header));
-    head
-}
-
-fn answer_head(of: &[u8], framing: &str, keep: bool) -> Vec<u8> {
-    let close = if keep { "" } else { "Connection: close\r\n" };
-    let mut head = format!("HTTP/1.1 200 OK\r\n{close}").into_bytes();
-    let mut headers = http::no_headers();
-    let mut rsp = httparse::Response::new(&mut headers);
-    // It was parsed once already, when its end was looked for.
-    if rsp.parse(of).is_ok() {
-        let passed = rsp.headers.iter().filter(|header| http::passes_on(header.name));
-        passed.for_each(|header| add_header(&mut head, header));
-    }
-    head.extend_from_slice(framing.as_bytes());
-    head.extend_from_slice(b"\r\n");
-    head
-}
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -2,6 +2,7 @@
 //! each relay whether its last byte was written; it must never send anything twice, pick an endpoint, or use
 //! a connection again whose last answer was not whole.
 
+use super::attempts::{AttemptGuard, Location};
 use super::buffers::{HOLD_MOST, Place, Stock};
 use super::http::{self, Bad, Coming, Marked, Piece};
 use super::leaving::Asker;
@@ -48,6 +49,7 @@
 
 /// The bytes of a command as every relay of it sends them, but for the time left.
 pub struct Outgoing {
+    pub id: Id,
     pub head: Vec<u8>,
     pub body: Vec<Piece>,
     /// What is still to come of a body too long to be held.
@@ -55,37 +57,8 @@
     /// A break in the middle would end it, as it is not sent again elsewhere.
     pub careful: bool,
     pub asker: Asker,
-    pub window: Window,
-}
-
-/// How long a receipted command's repeats are dropped, counted from the first byte of each relay that may have run. The
-/// module decides by when relays are asked for; a connection may come up so much later.
-pub struct Window {
-    /// None for what is not receipted.
-    span: Option<Duration>,
-    /// The first byte of each relay, by number, but of those that are known not to have run.
-    begun: RefCell<BTreeMap<u32, Instant>>,
-}
-
-impl Window {
-    pub fn of(span: Option<Duration>) -> Window {
-        Window { span, begun: RefCell::default() }
-    }
-
-    /// Whether this relay's first byte may go out now; it counts as gone then.
-    fn begin(&self, relay: u32) -> bool {
-        let Some(span) = self.span else { return true };
-        let (mut begun, now) = (self.begun.borrow_mut(), Instant::now());
-        let open = begun.values().all(|at| now.saturating_duration_since(*at) < span);
-        if open {
-            begun.insert(relay, now);
-        }
-        open
-    }
-
-    pub fn never_ran(&self, relay: u32) {
-        self.begun.borrow_mut().remove(&relay);
-    }
+    /// Asked right before each attempt's first byte.
+    pub guard: AttemptGuard,
 }
 
 /// The rest of a body, as the caller's side reads it. What is taken from it is gone: there is no other relay then.
@@ -114,6 +87,7 @@
 pub struct Target {
     pub server: Id,
     pub address: SocketAddr,
+    pub location: Location,
 }
 
 /// A 200 answer: whole, or as much as has come with the connection that brings the rest.
@@ -261,7 +235,7 @@
         };
         // Its caller may have left in the very moment in which the connection came up, and its repeats may no longer be
         // dropped by then.
-        let owed = || !cmd.asker.left() && cmd.window.begin(number);
+        let owed = || !cmd.asker.left() && cmd.guard.begin(&cmd.id, number, to.location).is_ok();
         let write = async |conn: &Conn| {
             stage.set(Stage::Begun);
             self.write(conn, &head(), cmd, until).await
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -158,35 +158,57 @@
     }
 }
 
-async fn more(mut stream: &Async<TcpStream>, buffer: &mut Buffer) -> Result<(), Bad> {
+/// Reads what comes next; how many bytes that were.
+async fn more(mut stream: &Async<TcpStream>, buffer: &mut Buffer) -> Result<usize, Bad> {
     let spare = buffer.spare();
     if spare.is_empty() {
         return Err(Bad::TooLarge);
     }
-    let count = stream.read(spare).await?;
+    let count = loop {
+        match stream.read(spare).await {
+            // A signal ends no connection.
+            Err(wrong) if wrong.kind() == io::ErrorKind::Interrupted => {}
+            read => break read?,
+        }
+    };
     buffer.fill(count);
-    if count == 0 { Err(Bad::Ended) } else { Ok(()) }
+    if count == 0 { Err(Bad::Ended) } else { Ok(count) }
 }
 
-/// Reads on until the head is whole.
+/// Reads on until the head is whole. How many bytes were read comes with it.
 async fn read_head(
     stream: &Async<TcpStream>,
     buffer: &mut Buffer,
     shape_of: fn(&[u8]) -> Result<Option<Shape>, Bad>,
     came: &dyn Fn(),
-) -> Result<Shape, Bad> {
+) -> Result<(Shape, usize), Bad> {
+    let mut read = 0;
     loop {
         match shape_of(buffer.filled())? {
             Some(shape) if shape.interim => buffer.drop_front(shape.head),
-            Some(shape) => return Ok(shape),
+            Some(shape) => return Ok((shape, read)),
             None => {
-                more(stream, buffer).await?;
+                read += more(stream, buffer).await?;
                 came();
             }
         }
     }
 }
 
+/// Whether these bytes begin with a request that has come to its last byte.
+pub fn is_whole_request(bytes: &[u8]) -> bool {
+    let Ok(Some(shape)) = Shape::of_command(bytes) else { return false };
+    let body = &bytes[shape.head..];
+    match shape.framing {
+        Framing::Length(length) => body.len() >= length,
+        Framing::Chunked => {
+            matches!(Body::new(Framing::Chunked).unchunk(&mut body.to_vec(), &mut 0), Ok(true))
+        }
+        // No request is framed by the end of its connection.
+        Framing::ToEnd => false,
+    }
+}
+
 /// A message whose head has come, and as much of its body as was read and not taken yet.
 pub struct Coming {
     pub head: Vec<u8>,
@@ -199,6 +221,8 @@
     body: Body,
     length: Option<u64>,
     whole: bool,
+    /// How many bytes were read from its connection since this was last asked.
+    read: usize,
     /// Full buffers of contents, before those of `buffer`.
     held: Vec<Piece>,
     /// Contents up to the body's end, and what was not looked at behind them.
@@ -221,14 +245,14 @@
         shape_of: fn(&[u8]) -> Result<Option<Shape>, Bad>,
         came: &dyn Fn(),
     ) -> Result<Coming, Bad> {
-        let shape = read_head(stream, &mut buffer, shape_of, came).await?;
+        let (shape, read) = read_head(stream, &mut buffer, shape_of, came).await?;
         let Shape { minor, framing, keep, expects, .. } = shape;
         let head = buffer.filled()[..shape.head].to_vec();
         buffer.drop_front(shape.head);
         let length = if let Framing::Length(length) = framing { Some(length as u64) } else { None };
         let body = Body::new(framing);
         let (held, whole) = (Vec::new(), false);
-        let mut coming = Coming { head, minor, keep, expects, body, length, whole, held, buffer };
+        let mut coming = Coming { head, minor, keep, expects, body, length, whole, read, held, buffer };
         coming.take_in()?;
         Ok(coming)
     }
@@ -244,11 +268,21 @@
         self.whole
     }
 
+    /// How many bytes were read from its connection since this was last asked.
+    pub fn take_read(&mut self) -> usize {
+        std::mem::take(&mut self.read)
+    }
+
     /// What has come behind the whole message: the beginning of another.
     pub fn behind(&self) -> &[u8] {
         &self.buffer.filled()[self.body.end..]
     }
 
+    /// What came behind the whole message is kept elsewhere by now.
+    pub fn drop_behind(&mut self) {
+        self.buffer.truncate(self.body.end);
+    }
+
     /// Of the whole body, where the message tells it or it has all come and none was taken.
     pub fn length(&self) -> Option<u64> {
         self.length.or(self.whole.then_some(self.held_bytes()))
@@ -290,7 +324,7 @@
 
     /// Reads what comes next. There must be room.
     pub async fn more(&mut self, stream: &Async<TcpStream>) -> Result<(), Bad> {
-        self.body.more(stream, &mut self.buffer).await?;
+        self.read += self.body.more(stream, &mut self.buffer).await?;
         self.take_in()
     }
 
@@ -359,11 +393,11 @@
         Body { framing, end: 0, left, at: At::Size, ended: false }
     }
 
-    async fn more(&mut self, stream: &Async<TcpStream>, buffer: &mut Buffer) -> Result<(), Bad> {
+    async fn more(&mut self, stream: &Async<TcpStream>, buffer: &mut Buffer) -> Result<usize, Bad> {
         match more(stream, buffer).await {
             Err(Bad::Ended) if matches!(self.framing, Framing::ToEnd) => {
                 self.ended = true;
-                Ok(())
+                Ok(0)
             }
             other => other,
         }
@@ -521,7 +555,11 @@
         }
         let mut left = &mut slices[..count];
         while !left.is_empty() {
-            let written = stream.write_vectored(left).await?;
+            let written = match stream.write_vectored(left).await {
+                // A signal ends no connection.
+                Err(wrong) if wrong.kind() == io::ErrorKind::Interrupted => continue,
+                written => written?,
+            };
             if written == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
--- a/crates/sidecar/src/net/leaving.rs
+++ b/crates/sidecar/src/net/leaving.rs
@@ -30,6 +30,16 @@
     }
 }
 
+/// Whether bytes lie at the system that nobody has read yet.
+pub fn has_unread(stream: &Async<TcpStream>) -> bool {
+    loop {
+        match stream.get_ref().peek(&mut [0]) {
+            Err(wrong) if wrong.kind() == ErrorKind::Interrupted => {}
+            looked => return matches!(looked, Ok(1..)),
+        }
+    }
+}
+
 /// Comes back when the connection has ended, looked at every `LOOK_EVERY`.
 pub async fn until_ended(stream: &Async<TcpStream>) {
     while !ended(stream) {
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! Starts the parts of the sidecar and joins them, and ends them in order after SIGTERM. It owns the one
 //! thread's executor and the listener's address; it must never touch a command or an endpoint itself.
 
+mod attempts;
 pub mod buffers;
 pub mod callers;
 pub mod discovery;
@@ -10,10 +11,13 @@
 mod leaving;
 pub mod owner;
 mod peers;
+mod read_ahead;
+mod request;
 pub mod timeout;
 
 use crate::console::Console;
 use crate::control;
+use crate::counters;
 use crate::fleet;
 use crate::handover::record::Record;
 use crate::handover::{self, LOOK_EVERY, Presence};
@@ -328,7 +332,8 @@
         stop_taking(&callers, accepting).await;
     }
     callers.ended().await;
-    tracing::info!("all taken commands have their answers");
+    tracing::info!("all taken requests have their answers");
+    counters::log_all();
     Ok(())
 }
 
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -3,15 +3,17 @@
 //! watch. It owns which commands are open and how each relay of them stands; it must never decide anything
 //! itself, wait for a socket, or call the module from within one of the module's own calls.
 
+use super::attempts::Location;
 use super::endpoints::{Answer, End, Endpoints, Outgoing, Stage, Target};
 use super::learnt::{self, Before, SAVE_EVERY, SAVE_FIRST, Saving};
 use super::peers::Peers;
 use crate::catalog::Catalog;
 use crate::clock::Clock;
 use crate::console::Order;
+use crate::counters::{self, RefusalReason};
 use crate::fleet;
 use crate::handover::record::Words;
-use crate::holds::must_hold;
+use crate::invariants::must_hold;
 use crate::launch::{Changed, Launch};
 use crate::start::Start;
 use async_channel::{Receiver, Sender};
@@ -90,7 +92,7 @@
 
     pub fn tell(&self, word: Word) {
         let taken = self.0.try_send(word).is_ok();
-        must_hold!(taken, "the owner hears every word");
+        must_hold!(Internal, taken, "the owner hears every word");
     }
 }
 
@@ -105,7 +107,14 @@
     stage: Rc<Cell<Stage>>,
     /// Dropped, it stops the relay and closes its connection. None for what was never sent.
     task: Option<Task<()>>,
-    ended: bool,
+    /// None while it is out.
+    outcome: Option<Outcome>,
+}
+
+impl Shot {
+    fn ended(&self) -> bool {
+        self.outcome.is_some()
+    }
 }
 
 struct Open {
@@ -117,6 +126,28 @@
     shots: Vec<Shot>,
 }
 
+impl Open {
+    /// Why it is refused, or fails, by what its attempts came to.
+    fn refusal_reason(&self, word: &Final) -> Option<RefusalReason> {
+        let never_ran = self.shots.iter().all(|shot| shot.outcome.is_none_or(Outcome::never_ran));
+        match word {
+            Final::Answered(_) => None,
+            Final::Declined(_) | Final::Terminated if self.shots.is_empty() => Some(RefusalReason::Shed),
+            Final::Declined(_) if never_ran => Some(RefusalReason::NeverRan),
+            Final::Declined(_) => Some(RefusalReason::Repeatable),
+            Final::Terminated => Some(RefusalReason::Unknown),
+        }
+    }
+}
+
+/// A server as the list tells it.
+struct KnownServer {
+    address: SocketAddr,
+    location: Location,
+    /// It is to get nothing new.
+    drains: bool,
+}
+
 /// What the owner reaches the outside by.
 pub struct Outside {
     pub endpoints: Rc<Endpoints>,
@@ -141,7 +172,7 @@
     clock: Clock,
     most_relays: usize,
     open: BTreeMap<Id, Open>,
-    addresses: BTreeMap<Id, SocketAddr>,
+    servers: BTreeMap<Id, KnownServer>,
     wakes: BinaryHeap<Reverse<Duration>>,
     /// No relay lasts longer.
     ends_by: Duration,
@@ -150,12 +181,20 @@
     queue: Queue,
 }
 
+impl KnownServer {
+    fn target(&self, server: &Id) -> Target {
+        Target { server: server.clone(), address: self.address, location: self.location }
+    }
+}
+
 impl Desk {
     /// The one final word of a command.
     fn finish(&mut self, cmd: &Id, word: Final) {
         let Some(open) = self.open.get_mut(cmd) else { return };
         tracing::debug!("{cmd} is {}", word.name());
-        must_hold!(!open.finished, "one final word for {cmd}");
+        must_hold!(OneAnswer, !open.finished, "one final word for {cmd}");
+        open.refusal_reason(&word).into_iter().for_each(|why| counters::refused(cmd, why));
+        open.outgoing.guard.request_over();
         if !std::mem::replace(&mut open.finished, true) {
             // A caller that has just left hears nothing more.
             let _ = open.caller.try_send(word);
@@ -186,7 +225,7 @@
     }
 
     fn forget_ended(&mut self, cmd: &Id) {
-        let over = |open: &Open| open.finished && open.shots.iter().all(|shot| shot.ended);
+        let over = |open: &Open| open.finished && open.shots.iter().all(Shot::ended);
         if self.open.get(cmd).is_some_and(over) {
             self.open.remove(cmd);
         }
@@ -195,22 +234,27 @@
     fn relay(&mut self, cmd: &Id, server: &Id, not_past: Duration) {
         let now = self.clock.now();
         let Some(open) = self.open.get_mut(cmd) else {
-            must_hold!(false, "relays are of open commands: {cmd}");
+            must_hold!(Internal, false, "relays are of open commands: {cmd}");
             return;
         };
         let number = open.shots.len() as u32;
         let not_past = if not_past.is_zero() { open.due } else { not_past.min(open.due) };
         let not_past = not_past.min(self.ends_by);
         let stage = Rc::new(Cell::new(Stage::Unwritten));
-        let address = self.addresses.get(server).copied();
+        let last = open.shots.last().and_then(|shot| shot.outcome);
+        last.into_iter().for_each(|last| counters::retried(cmd, number, last));
+        let known = self.servers.get(server);
+        // The decisions leave a server with the word that it drains, and use nothing of its grace.
+        let drains = known.is_some_and(|known| known.drains);
+        must_hold!(Sending, !drains, "attempt {number} of {cmd} to {server}, which drains");
+        let target = known.filter(|_| !drains).map(|known| known.target(server));
         let may_go = !open.finished && now < not_past && open.shots.len() < self.most_relays;
-        let mut shot = Shot { server: server.clone(), sent: now, stage, task: None, ended: false };
-        match address.filter(|_| may_go) {
-            Some(address) => {
+        let mut shot = Shot { server: server.clone(), sent: now, stage, task: None, outcome: None };
+        match target.filter(|_| may_go) {
+            Some(target) => {
                 let (endpoints, queue) = (self.outside.endpoints.clone(), self.queue.clone());
                 let (outgoing, stage, cmd) = (open.outgoing.clone(), shot.stage.clone(), cmd.clone());
                 let by = self.clock.instant(not_past);
-                let target = Target { server: server.clone(), address };
                 shot.task = Some(self.executor.spawn(async move {
                     let end = endpoints.relay(&target, &outgoing, number, by, &stage).await;
                     stage.set(Stage::Ended);
@@ -229,7 +273,7 @@
     /// passed on has its final word and goes on.
     fn end_relays(&mut self) {
         let of = |(cmd, open): (&Id, &Open)| {
-            let out = (0u32..).zip(&open.shots).filter(|(_, shot)| !shot.ended && !open.finished);
+            let out = (0u32..).zip(&open.shots).filter(|(_, shot)| !shot.ended() && !open.finished);
             out.map(|(number, _)| (cmd.clone(), number)).collect::<Vec<_>>()
         };
         let out: Vec<(Id, u32)> = self.open.iter().flat_map(of).collect();
@@ -251,6 +295,7 @@
             Stage::Unwritten | Stage::Begun => Outcome::Moot,
         };
         shot.task = None;
+        open.outgoing.guard.ended(number, outcome);
         let end = End { spent: !open.outgoing.unsent(), ..End::bare(outcome) };
         self.queue.tell(Word::Ended(cmd.clone(), number, Box::new(end)));
     }
@@ -278,12 +323,11 @@
 
     fn check(&mut self, server: &Id) {
         let desk = self.0.borrow();
-        let Some(address) = desk.addresses.get(server).copied() else {
+        let Some(target) = desk.servers.get(server).map(|known| known.target(server)) else {
             desk.queue.tell(Word::Checked(server.clone(), Outcome::Moot, Load::default()));
             return;
         };
         let (endpoints, queue) = (desk.outside.endpoints.clone(), desk.queue.clone());
-        let target = Target { server: server.clone(), address };
         let check = async move {
             let (outcome, load) = endpoints.check(&target).await;
             queue.tell(Word::Checked(target.server, outcome, load));
@@ -315,6 +359,10 @@
     fn note(&mut self, text: &str) {
         tracing::info!("{text}");
     }
+
+    fn slow_start_violated(&mut self, server: &Id) {
+        must_hold!(SlowStart, false, "an attempt without a credit to {server}");
+    }
 }
 
 /// Operators are heard before all that waits.
@@ -356,7 +404,7 @@
         clock: clock.clone(),
         most_relays: launch.terms.allowed.relays as usize,
         open: BTreeMap::new(),
-        addresses: BTreeMap::new(),
+        servers: BTreeMap::new(),
         wakes: BinaryHeap::new(),
         ends_by: Duration::MAX,
         outside,
@@ -384,7 +432,7 @@
         saving,
     };
     owner.remember();
-    let known = owner.note_addresses(launch.known);
+    let known = owner.note_servers(launch.known);
     let now = owner.clock.now();
     owner.policy.list_cached(now, &known);
     owner.policy.recall(now, &owner.before.learnt);
@@ -541,7 +589,7 @@
             Word::Listed(catalog) => {
                 let _ = self.operators.listed.try_send(());
                 let whole = catalog.whole;
-                let entries = self.note_addresses(catalog);
+                let entries = self.note_servers(catalog);
                 if whole {
                     self.policy.list_told(now, &entries);
                     self.policy.recall(now, &std::mem::take(&mut self.before.learnt));
@@ -573,26 +621,33 @@
 
     /// A server that is gone, or not in a whole list, is forgotten: new ones come under new ids all day. What waits for a
     /// connection to one that takes nothing new, or that has moved, is taken back.
-    fn note_addresses(&mut self, catalog: Catalog) -> Vec<Listed> {
+    fn note_servers(&mut self, catalog: Catalog) -> Vec<Listed> {
         let desk = &mut *self.desk.borrow_mut();
         let mut left = Vec::new();
-        let Desk { addresses, outside: Outside { endpoints, .. }, .. } = desk;
-        let old = if catalog.whole { std::mem::take(addresses) } else { BTreeMap::new() };
+        let Desk { servers, outside: Outside { endpoints, .. }, .. } = desk;
+        let old = if catalog.whole { std::mem::take(servers) } else { BTreeMap::new() };
         for entry in &catalog.entries {
             let server = &entry.listed.server;
-            let before = match entry.listed.state {
-                State::Gone => {
-                    endpoints.forget(server);
-                    addresses.remove(server)
-                }
-                _ => addresses.insert(server.clone(), entry.address),
+            let state = entry.listed.state;
+            if state == State::Gone {
+                endpoints.forget(server);
+            }
+            let before = servers.remove(server);
+            let before = before.as_ref().or(old.get(server));
+            let moved = before.is_some_and(|before| before.address != entry.address);
+            let known = KnownServer {
+                address: entry.address,
+                location: Location { zone: entry.listed.zone, cell: entry.listed.cell },
+                drains: state == State::Draining,
             };
-            let moved = before.or(old.get(server).copied()).is_some_and(|before| before != entry.address);
-            if moved || entry.listed.state != State::Ready {
+            if state != State::Gone {
+                servers.insert(server.clone(), known);
+            }
+            if moved || state != State::Ready {
                 left.push(server.clone());
             }
         }
-        for server in old.into_keys().filter(|server| !addresses.contains_key(server)) {
+        for server in old.into_keys().filter(|server| !servers.contains_key(server)) {
             endpoints.forget(&server);
             left.push(server);
         }
@@ -617,6 +672,7 @@
         let mut desk = self.desk.borrow_mut();
         if desk.open.contains_key(&arrival.id) {
             // Two commands under one id could not be told apart by any endpoint.
+            counters::refused(&arrival.id, RefusalReason::SameId);
             let _ = caller.try_send(Final::Terminated);
             return;
         }
@@ -632,7 +688,7 @@
         let Some(open) = desk.open.get_mut(id).filter(|open| open.number == number) else { return };
         open.due = due;
         // An endpoint begins when the last byte has come.
-        open.shots.iter_mut().filter(|shot| !shot.ended).for_each(|shot| shot.sent = now);
+        open.shots.iter_mut().filter(|shot| !shot.ended()).for_each(|shot| shot.sent = now);
         drop(desk);
         self.policy.body_came(now, id, due);
     }
@@ -644,6 +700,7 @@
         let left = |open: &&mut Open| open.number == number && !open.finished;
         let Some(open) = desk.open.get_mut(id).filter(left) else { return };
         open.finished = true;
+        open.outgoing.guard.request_over();
         desk.withdraw(id);
         drop(desk);
         self.policy.client_left(now, id);
@@ -654,16 +711,15 @@
         let End { outcome, load, answer, spent } = end;
         let mut desk = self.desk.borrow_mut();
         let Some(open) = desk.open.get_mut(&id) else {
-            must_hold!(false, "a relay ends before its command is forgotten: {id}");
+            must_hold!(Internal, false, "a relay ends before its command is forgotten: {id}");
             return;
         };
         let Some(shot) = open.shots.get_mut(number as usize) else { return };
-        must_hold!(!shot.ended, "relay {number} of {id} ends once");
-        shot.ended = true;
+        must_hold!(OneAnswer, !shot.ended(), "relay {number} of {id} ends once");
+        shot.outcome = Some(outcome);
         shot.task = None;
-        if outcome.never_ran() {
-            open.outgoing.window.never_ran(number);
-        }
+        open.outgoing.guard.ended(number, outcome);
+        counters::attempt_ended(outcome);
         let (server, latency) = (shot.server.clone(), now.saturating_sub(shot.sent));
         if let Some(answer) = answer
             && !open.finished
