A client that stops half way through a request is told within 3 s

Change: one rule for every read of a request: no byte for 2.3 s, or for 0.5 s once a new client's first 2.3 s are over, ends it with 408.

--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -31,8 +31,10 @@
 
 /// A head that trickles in for longer is given up.
 const HEAD_WITHIN: Duration = Duration::from_secs(5);
-/// A client of which nothing comes for so long in the middle of a request has stopped.
-const STALLED: Duration = Duration::from_secs(5);
+/// A client of which nothing comes for so long in the middle of a request has stopped: it is owed a word within 3 s.
+const STALLED: Duration = Duration::from_millis(2300);
+/// The same once a new client's time for its first request is over.
+const STALLED_LATE: Duration = Duration::from_millis(500);
 /// A caller who reads nothing for so long has gone.
 const WRITE_WITHIN: Duration = Duration::from_secs(20);
 /// A body that takes longer than this is no command's.
@@ -443,18 +445,22 @@
             let most = since.map_or(HEAD_WITHIN, |since| self.left_to_a_stranger(since));
             timeout(most, Coming::command(stream, buffer, &comes)).await.unwrap_or(Err(Bad::Late))
         };
-        let mut coming = or(head, self.stalls(came)).await?;
+        let mut coming = or(head, self.stalls(came, since)).await?;
         let asked = self.reader.read(&coming.head, &self.limits.borrow()).map_err(Unread::Rejected)?;
         if matches!(asked, Asked::Request(_)) {
-            or(self.hold(stream, &mut coming, &comes), self.stalls(came)).await?;
+            or(self.hold(stream, &mut coming, &comes), self.stalls(came, since)).await?;
         }
         Ok((coming, asked))
     }
 
     /// Comes back when nothing has come for so long that the client counts as one that has stopped.
-    async fn stalls<T>(&self, came: &Cell<Duration>) -> Result<T, Bad> {
+    async fn stalls<T>(&self, came: &Cell<Duration>, since: Option<Duration>) -> Result<T, Bad> {
         loop {
-            let left = (came.get() + STALLED).saturating_sub(self.clock.now());
+            let stalled = came.get() + STALLED;
+            // A new client's request is awaited within its time, and a little longer as long as it goes on.
+            let until =
+                since.map_or(stalled, |since| stalled.min((since + STRANGER).max(came.get() + STALLED_LATE)));
+            let left = until.saturating_sub(self.clock.now());
             if left.is_zero() {
                 return Err(Bad::Late);
             }
