--- a/crates/lab/src/args.rs
+++ b/crates/lab/src/args.rs
@@ -27,10 +27,38 @@
     Fleet(Fleet),
     Check(Check),
     Scale(Scale),
+    Soak(Soak),
     FanOut(FanOut),
     Capacity(Capacity),
 }
 
+/// real processes under load and overlapping troubles, judged by the rules; the last line is held or broken
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+pub struct Soak {
+    /// the first seed
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// how many seeds, one after another
+    #[argh(option, default = "1")]
+    pub seeds: u64,
+    /// how long each is played, as in 20s
+    #[argh(option, default = "std::time::Duration::from_secs(20)", from_str_fn(span))]
+    pub time: std::time::Duration,
+    /// sidecar processes, in place of 24
+    #[argh(option)]
+    pub sidecars: Option<usize>,
+    /// the landingspread to run; the one beside this program where it is not given
+    #[argh(option)]
+    pub program: Option<PathBuf>,
+}
+
+fn span(text: &str) -> Result<std::time::Duration, String> {
+    let seconds = text.strip_suffix('s').unwrap_or(text).parse::<f64>().ok();
+    let span = seconds.and_then(|seconds| std::time::Duration::try_from_secs_f64(seconds).ok());
+    span.ok_or_else(|| format!("{text:?} is no span such as 20s"))
+}
+
 /// time until every sidecar has a change of configuration in force, with control machines killed and regions cut
 #[derive(FromArgs)]
 #[argh(subcommand, name = "fan-out")]
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod referee;
 pub mod report;
 pub mod scale;
+pub mod soak;
 pub mod sockets;
 pub mod tally;
 pub mod world;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -7,6 +7,7 @@
 mod fleets;
 mod live;
 mod scales;
+mod soaks;
 
 use args::{CommandLine, Compare, Demo, List, Run, Sweep, Wanted};
 use cases::{case_of, find};
@@ -129,6 +130,9 @@
     if let Wanted::Check(wanted) = &wanted {
         return fleets::check(wanted);
     }
+    if let Wanted::Soak(wanted) = &wanted {
+        return soaks::soak(wanted);
+    }
     let done = match &wanted {
         Wanted::List(List {}) => {
             list();
@@ -146,7 +150,7 @@
         Wanted::FanOut(wanted) => fan_out::play(wanted.followers, wanted.services, wanted.calm),
         Wanted::Capacity(wanted) => capacity::capacity(wanted),
         Wanted::Added(wanted) => live::added(wanted),
-        Wanted::Fleet(_) | Wanted::Check(_) => Ok(()),
+        Wanted::Fleet(_) | Wanted::Check(_) | Wanted::Soak(_) => Ok(()),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/sidecar/tests/soak.rs
@@ -0,0 +1,31 @@
+//! The short form of the soak: a dozen real processes under overlapping troubles, judged by the rules. The long form is
+//! `landingspread-lab soak --seed N --time 20s`.
+
+use landingspread_lab::soak::{Plan, play};
+use std::path::Path;
+use std::time::Duration;
+
+const LENGTH: Duration = Duration::from_secs(12);
+const SIDECARS: usize = 12;
+const SERVERS: usize = 9;
+const SEEDS: [u64; 2] = [46, 47];
+
+#[test]
+fn a_dozen_processes_keep_the_rules_under_troubles_that_overlap() {
+    for seed in SEEDS {
+        let plan = Plan::sized(seed, LENGTH, SIDECARS, SERVERS);
+        let program = Path::new(env!("CARGO_BIN_EXE_landingspread"));
+        let verdict = play(&plan, program).expect("a run that was judged");
+        println!(
+            "seed {seed}: {} requests, {} attempts, {} troubles",
+            verdict.requests, verdict.attempts, verdict.troubles
+        );
+        assert!(
+            verdict.violations.is_empty(),
+            "seed {seed}: {:#?}\n{:#?}",
+            verdict.violations,
+            plan.troubles
+        );
+        assert!(verdict.answered * 2 > verdict.requests && verdict.troubles >= 4, "{verdict:#?}");
+    }
+}
