A copy looks itself at a zone that its neighbours find silent, and holds up no verdict

A new debug line (zones: looks) shows why: two of three copies of the zone found the other silent 0.7 s after the cut, and the verdict waited for the third, which had sent nothing there since (looks=Answers, sent 2.9 s ago; near_silent=2 near_answered=0). So it is the program and not the machine: rule.rs asks for three of three, and a copy that sends nothing has no sign to give. Ruled out: the queue for a processor (verdicts on the other zone came in time in the same processes), lost words (all had heard the two).

Change: a copy whose neighbours find a zone silent, and that has no sign of its own as young as 0.5 s, checks a server there at once; a check that fails counts as a loss. A zone that was lost to a copy without commands no longer keeps it from resting.

New tests: one of words between three copies (fails without the mend), one of the decisions.

--- a/crates/decisions/src/policy.rs
+++ b/crates/decisions/src/policy.rs
@@ -121,7 +121,7 @@
 const BUSY_FOR: Duration = Duration::from_secs(2);
 
 pub struct Policy<H: Host> {
-    host: H,
+    pub(crate) host: H,
     pub(crate) terms: Terms,
     pub(crate) now: Duration,
     seed: u64,
@@ -211,7 +211,7 @@
     /// Asked after a sweep: when the next one is due that may decide anything, if nothing is told before.
     pub fn next_sweep(&self) -> Duration {
         let next = self.swept + self.sweep_span();
-        if !self.cmds.is_empty() || self.zones.may_fall_silent() {
+        if !self.cmds.is_empty() || self.zones.may_fall_silent(self.now) {
             return next;
         }
         let marks = self.fleet.marked().filter_map(|slot| self.fleet[slot].mark()).map(|mark| mark.next);
--- a/crates/decisions/src/zones.rs
+++ b/crates/decisions/src/zones.rs
@@ -15,6 +15,8 @@
 const LOST_FOR: Duration = Duration::from_secs(2);
 /// So many lost ones at once are no chance.
 const LOST_ENOUGH: u32 = 2;
+/// A check that fails so soon after a look is that look's.
+const LOOK_FOR: Duration = Duration::from_secs(1);
 /// A zone whose servers answer this many times as slowly as the mean is slow.
 const SLOW: f64 = 1.4;
 
@@ -23,7 +25,8 @@
 pub struct ZoneShare {
     pub zone: u32,
     pub share: f64,
-    /// In a zone that is left: a number that changes with each trial that is this copy's to make.
+    /// In a zone that is left: a number that changes with each trial that is this copy's to make. In one that is in use: the
+    /// same for a look at it, as others find it silent.
     pub trial: Option<u64>,
 }
 
@@ -52,6 +55,8 @@
     open: u32,
     lost: u32,
     lost_at: Duration,
+    /// When it was last looked at because others find it silent.
+    looked_at: Option<Duration>,
 }
 
 #[derive(Debug, Default)]
@@ -80,8 +85,10 @@
     }
 
     /// Whether time alone may make any of them silent, or let it be so no longer.
-    pub fn may_fall_silent(&self) -> bool {
-        self.0.iter().any(|zone| zone.waiting.is_some() || zone.lost > 0)
+    pub fn may_fall_silent(&self, now: Duration) -> bool {
+        let waits = |zone: &Zone| zone.open > 0 && zone.waiting.is_some();
+        let lost = |zone: &Zone| zone.lost > 0 && now < zone.lost_at + LOST_FOR;
+        self.0.iter().any(|zone| waits(zone) || lost(zone))
     }
 
     pub fn sent(&mut self, zone: u32, now: Duration) {
@@ -114,7 +121,9 @@
         let Some(zone) = self.at(zone) else { return };
         match outcome {
             Outcome::Ok | Outcome::Error | Outcome::Full => zone.answer(now),
-            Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset if zone.share <= 0.0 => {
+            Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset
+                if zone.share <= 0.0 || zone.looked_at.is_some_and(|at| now <= at + LOOK_FOR) =>
+            {
                 // A trial that nobody answers is as good as several commands.
                 zone.waiting.get_or_insert(now);
                 (zone.lost, zone.lost_at) = (zone.lost.max(LOST_ENOUGH), now);
@@ -162,13 +171,19 @@
                     open: 0,
                     lost: 0,
                     lost_at: now,
+                    looked_at: None,
                 };
                 self.zones.0.push(new);
             }
             let Some(known) = self.zones.at(*zone) else { continue };
             let before = std::mem::replace(&mut known.share, share);
-            let turn = trial.filter(|trial| known.trial != Some(*trial) && share <= 0.0);
+            let new = trial.filter(|trial| known.trial != Some(*trial));
+            let turn = new.filter(|_| share <= 0.0);
+            let look = new.filter(|_| share > 0.0 && before > 0.0);
             known.trial = *trial;
+            if look.is_some() {
+                known.looked_at = Some(now);
+            }
             if before <= 0.0 && share > 0.0 {
                 (known.waiting, known.open, known.lost) = (None, 0, 0);
                 self.take_back(*zone);
@@ -176,6 +191,7 @@
                 self.leave_zone(*zone);
             }
             turn.into_iter().for_each(|turn| self.try_one(*zone, turn));
+            look.into_iter().for_each(|look| self.look_at_one(*zone, look));
         }
     }
 
@@ -249,6 +265,19 @@
         self.in_zone(zone).into_iter().for_each(|slot| self.restarted(slot, now));
     }
 
+    /// One server is checked at once, another with each look: others find the zone silent, and this copy does not know.
+    fn look_at_one(&mut self, zone: u32, look: u64) {
+        let slots = self.in_zone(zone);
+        if slots.is_empty() || !self.terms.allowed.checks {
+            return;
+        }
+        let slot = slots[(look % slots.len() as u64) as usize];
+        if !std::mem::replace(&mut self.fleet[slot].checking, true) {
+            let server = self.fleet[slot].id.clone();
+            self.host.check(&server);
+        }
+    }
+
     /// One server is due to be looked at, another with each turn.
     fn try_one(&mut self, zone: u32, turn: u64) {
         let (slots, now) = (self.in_zone(zone), self.now);
--- a/crates/decisions/tests/decisions/zones.rs
+++ b/crates/decisions/tests/decisions/zones.rs
@@ -99,6 +99,27 @@
     assert!(seen.iter().all(|seen| seen.silent.is_none()), "{seen:?}");
 }
 
+#[test]
+fn a_zone_that_others_find_silent_is_checked_once_a_look_and_a_failure_is_told() {
+    let mut scene = scene("");
+    let silent = |scene: &mut Scene| {
+        let now = scene.now();
+        let seen = scene.policy.zones_seen(now);
+        seen.iter().find(|seen| seen.zone == 1).and_then(|seen| seen.silent).is_some()
+    };
+    for look in 1..=3 {
+        scene.script.0.borrow_mut().checks.clear();
+        told(&mut scene, 1.0, Some(look));
+        told(&mut scene, 1.0, Some(look));
+        assert_eq!(scene.script.0.borrow().checks.len(), 1, "one check a look");
+        scene.check_all(Outcome::Ok);
+        assert!(!silent(&mut scene));
+    }
+    told(&mut scene, 1.0, Some(4));
+    scene.check_all(Outcome::ConnectFailed);
+    assert!(silent(&mut scene));
+}
+
 #[test]
 fn servers_that_are_left_are_no_part_of_those_that_may_be_marked() {
     let mut scene = scene("");
--- a/crates/localities/src/localities.rs
+++ b/crates/localities/src/localities.rs
@@ -13,6 +13,11 @@
 
 /// Copies take turns at trials: all zones' together make one in this span.
 const TRIAL_EACH: Duration = Duration::from_millis(250);
+/// A copy looks again at a zone that its neighbours find silent so often, unless it has a sign as young of its own: one that
+/// sends nothing there would hold up a verdict for as long.
+const SECOND_LOOK_EACH: Duration = Duration::from_millis(500);
+/// Tells the numbers of such looks from those of trials.
+const SECOND_LOOK: u64 = 1 << 63;
 /// Answers to what was sent so soon after a zone was left may be to what was sent before: clocks and words are that rough.
 const SOON: Duration = Duration::from_millis(200);
 /// A step that nothing speaks against, nor for, is taken after this many times its length.
@@ -89,7 +94,8 @@
     pub zone: usize,
     /// From 0 to 1, of what the zone would get.
     pub share: f64,
-    /// A number that changes with each turn at a trial that this copy has; none while it has none.
+    /// A number that changes with each turn at a trial that this copy has, or at a second look where the zone is not left;
+    /// none while it has none.
     pub trial: Option<u64>,
 }
 
@@ -389,6 +395,9 @@
 
     /// Whether a trial there is this copy's, by the copies of its zone that count.
     fn turn(&self, now: Duration, zone: usize, heard: &[Heard]) -> Option<u64> {
+        if self.needs_second_look(zone, heard) {
+            return Some(SECOND_LOOK | (now.as_micros() / SECOND_LOOK_EACH.as_micros()) as u64);
+        }
         let known = self.verdicts.get(&self.ids[zone])?;
         if self.stage(zone) != Stage::Left || known.verdict.stage != Stage::Left {
             return None;
@@ -404,6 +413,24 @@
         (turn > 0 && turn % count == before).then_some(u64::from(known.verdict.number) << 32 | turn)
     }
 
+    /// A neighbour finds a zone silent that is in use, and this copy has no young sign of its own.
+    fn needs_second_look(&self, zone: usize, heard: &[Heard]) -> bool {
+        if self.cut_off || self.stage(zone) == Stage::Left {
+            return false;
+        }
+        let own_sign = match self.looks[zone].looks {
+            Looks::Silent { .. } => true,
+            Looks::Answers { sent, .. } => sent <= SECOND_LOOK_EACH,
+            Looks::Unknown => false,
+        };
+        let silent = |word: &ZoneWord, age: Duration| {
+            word.zone == self.ids[zone]
+                && matches!(word.looks, Looks::Silent { since } if since + age <= SPAN)
+        };
+        let near = heard.iter().filter(|peer| peer.zone == self.own && !peer.said.cut_off);
+        !own_sign && near.into_iter().any(|peer| peer.said.looks.iter().any(|word| silent(word, peer.age)))
+    }
+
     // Its own word
 
     fn look_words(&self) -> Vec<ZoneWord> {
--- a/crates/localities/tests/parts.rs
+++ b/crates/localities/tests/parts.rs
@@ -20,6 +20,8 @@
     /// How what each sent last ended, and when.
     last: Vec<(Looks, Duration)>,
     down: Vec<bool>,
+    /// Who sends nothing to the zone away unless it is asked to look.
+    idle: Vec<bool>,
 }
 
 impl Scene {
@@ -36,6 +38,7 @@
             words: vec![Vec::new(); copies as usize],
             last: vec![(Looks::Unknown, Duration::ZERO); copies as usize],
             down: vec![false; copies as usize],
+            idle: vec![false; copies as usize],
         }
     }
 
@@ -47,7 +50,7 @@
             let words = self.words.clone();
             for at in (0..self.copies.len()).filter(|at| !self.down[*at]) {
                 let share = self.copies[at].shares()[AWAY];
-                if share.share > 0.0 || share.trial.is_some() {
+                if (share.share > 0.0 && !self.idle[at]) || share.trial.is_some() {
                     let looks = match silent(at) {
                         true => Looks::Silent { since: Duration::ZERO },
                         false => Looks::Answers { sent: Duration::ZERO, slow: false },
@@ -117,6 +120,24 @@
     }
 }
 
+#[test]
+fn a_copy_that_sends_nothing_there_is_asked_to_look_and_holds_up_no_verdict() {
+    let mut scene = Scene::new(3);
+    scene.idle[2] = true;
+    scene.pass(SECOND * 3, &all, &nobody);
+    assert_eq!(scene.turns(), 0, "nobody finds it silent");
+    scene.pass(TICK * 6, &all, &|_| true);
+    let stages = scene.stages();
+    assert!(stages.iter().all(|stage| *stage == Stage::Left), "{stages:?}");
+    // One neighbour alone is contradicted, not followed.
+    let mut scene = Scene::new(3);
+    scene.idle[2] = true;
+    scene.pass(SECOND * 3, &all, &nobody);
+    scene.pass(SECOND * 3, &all, &|copy| copy == 0);
+    let stages = scene.stages();
+    assert!(stages.iter().all(|stage| *stage == Stage::Whole), "{stages:?}");
+}
+
 #[test]
 fn one_copy_at_a_time_has_the_turn_and_one_that_dies_costs_a_turn() {
     let mut scene = Scene::new(6);
--- a/crates/sidecar/src/fleet/zones.rs
+++ b/crates/sidecar/src/fleet/zones.rs
@@ -62,6 +62,9 @@
     tell: Sender<Vec<ZoneShare>>,
     told: Vec<ZoneShare>,
     told_at: Option<Duration>,
+    /// How zones looked when that was last logged: what was heard from each, and how many neighbours find it silent and
+    /// answering.
+    logged: Vec<(std::mem::Discriminant<Looks>, u32, u32)>,
 }
 
 fn id_of(address: Address) -> u64 {
@@ -86,7 +89,14 @@
         tell: Sender<Vec<ZoneShare>>,
     ) -> Zones {
         let about = About { id: id_of(of.address), zone: of.zone.clone(), zones, paces };
-        Zones { localities: Localities::start(Log, about), seen, tell, told: Vec::new(), told_at: None }
+        Zones {
+            localities: Localities::start(Log, about),
+            seen,
+            tell,
+            told: Vec::new(),
+            told_at: None,
+            logged: Vec::new(),
+        }
     }
 
     pub fn tick(&mut self, now: Duration, membership: &mut Membership<Wire>) {
@@ -108,10 +118,35 @@
             age: member.said().map_or(Duration::ZERO, |(_, at)| now.saturating_sub(at)),
         });
         let news = self.localities.tick(now, &own, peers);
+        self.log_looks();
         membership.say(self.localities.word(), news);
         self.tell(now);
     }
 
+    /// How each zone looks, here and to its neighbours, whenever that has changed.
+    fn log_looks(&mut self) {
+        let of = |standing: Standing<'_>| {
+            let (near, looks) = (standing.evidence.near, std::mem::discriminant(&standing.looks));
+            (looks, near.silent, near.answered)
+        };
+        let looks: Vec<_> = self.localities.standings().map(of).collect();
+        if looks == self.logged {
+            return;
+        }
+        self.logged = looks;
+        for standing in self.localities.standings() {
+            let near = standing.evidence.near;
+            tracing::debug!(
+                zone = standing.zone,
+                looks = ?standing.looks,
+                near_silent = near.silent,
+                near_answered = near.answered,
+                cut_off = self.localities.cut_off(),
+                "zones: looks"
+            );
+        }
+    }
+
     fn tell(&mut self, now: Duration) {
         let share = |share: landingspread_localities::Share| ZoneShare {
             zone: share.zone as u32,
