Failures of this machine are told from a server's, and what rests gives way to who waits

Cause: accept answered any error with a log line and a pause of 5 ms, while clients that rest kept the descriptors that it lacked; a dial that failed for want of a descriptor, port, buffer or right was ConnectFailed, which marks servers (endpoints.rs, connection()).

Change: local_failure.rs tells errors apart. For want of descriptors a kept connection to a server gives way, then a client that rests; ECONNABORTED and EINTR end no pause; a dial that fails on this side is tried again within the time of a dial and is never held against the server; repeated failures are logged once a second. The soak has two troubles more (no descriptor left for 0.4 s, discovery that takes calls and says nothing) and tells the plan of a seed that breaks.

--- a/crates/lab/src/soak/judge.rs
+++ b/crates/lab/src/soak/judge.rs
@@ -276,9 +276,9 @@
 
     /// Until when discovery could not be reached, if that was so between these moments.
     fn reachable_again(&self, from: Duration, to: Duration) -> Duration {
-        use super::plan::TroubleKind::{DiscoveryDown, DiscoveryStale, Reload};
+        use super::plan::TroubleKind::{DiscoveryDown, DiscoverySilent, DiscoveryStale, Reload};
         let outages = self.seen.troubles.iter().filter(|(at, trouble)| {
-            let away = matches!(trouble.kind, DiscoveryDown | DiscoveryStale | Reload);
+            let away = matches!(trouble.kind, DiscoveryDown | DiscoveryStale | DiscoverySilent | Reload);
             away && *at <= to && *at + trouble.lasts + TOLD >= from
         });
         outages.map(|(at, trouble)| *at + trouble.lasts).max().unwrap_or(from).max(from)
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -98,6 +98,8 @@
             TroubleKind::DiscoveryDown => self.discovery(crate::sockets::Trouble::Down),
             TroubleKind::DiscoveryStale => self.discovery(crate::sockets::Trouble::Stale),
             TroubleKind::Crowd(which) => self.processes.crowd(*which),
+            TroubleKind::NoDescriptors(which) => self.processes.limit_descriptors(which, true),
+            TroubleKind::DiscoverySilent => self.discovery(crate::sockets::Trouble::Silent),
         }
     }
 
@@ -106,7 +108,8 @@
             TroubleKind::Pause(which) => self.processes.go_on(which),
             TroubleKind::Vanish(which) => self.servers.come_back(which),
             TroubleKind::Hang(which) => self.servers.hang(which, false),
-            TroubleKind::DiscoveryDown | TroubleKind::DiscoveryStale => {
+            TroubleKind::NoDescriptors(which) => self.processes.limit_descriptors(which, false),
+            TroubleKind::DiscoveryDown | TroubleKind::DiscoveryStale | TroubleKind::DiscoverySilent => {
                 self.discovery(crate::sockets::Trouble::None);
             }
             TroubleKind::Crowd(_) => self.processes.crowd_leaves(),
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -16,6 +16,10 @@
 const APART: Duration = Duration::from_millis(2200);
 /// Within a group they begin within this span of each other.
 const SPREAD_MS: u64 = 900;
+/// How many kinds of troubles there are.
+const KINDS: usize = 12;
+/// For so long a process has no descriptor left: requests wait no longer than answers may be late.
+const NO_DESCRIPTORS: Duration = Duration::from_millis(400);
 /// How long a process may be held up: deadlines allow for so much.
 const PAUSE: Duration = Duration::from_millis(120);
 
@@ -42,6 +46,10 @@
     DiscoveryStale,
     /// Silent clients take up a sidecar's connections.
     Crowd(usize),
+    /// These may open no descriptor more than they have.
+    NoDescriptors(Vec<usize>),
+    /// Discovery takes calls and says nothing.
+    DiscoverySilent,
 }
 
 /// One trouble of a run.
@@ -91,7 +99,7 @@
 /// Two or three troubles of different kinds that overlap.
 fn group(rng: &mut ChaCha8Rng, at: Duration, sidecars: usize, servers: usize) -> Vec<Trouble> {
     let count = rng.random_range(2..=3);
-    let mut kinds: Vec<usize> = (0..10).collect();
+    let mut kinds: Vec<usize> = (0..KINDS).collect();
     let mut drawn = Vec::new();
     for _ in 0..count {
         let kind = kinds.swap_remove(rng.random_range(0..kinds.len()));
@@ -121,7 +129,9 @@
         6 => (TroubleKind::Hang(some(rng, servers, servers / 3)), short),
         7 => (TroubleKind::DiscoveryDown, short),
         8 => (TroubleKind::DiscoveryStale, short),
-        _ => (TroubleKind::Crowd(rng.random_range(0..sidecars)), short),
+        9 => (TroubleKind::Crowd(rng.random_range(0..sidecars)), short),
+        10 => (TroubleKind::NoDescriptors(some(rng, sidecars, sidecars / 6)), NO_DESCRIPTORS),
+        _ => (TroubleKind::DiscoverySilent, short),
     };
     Trouble { at, lasts, kind }
 }
--- a/crates/lab/src/soak/processes.rs
+++ b/crates/lab/src/soak/processes.rs
@@ -3,7 +3,7 @@
 use super::plan::Plan;
 use super::record::{Records, Signal as Seen};
 use crate::sockets::{Discovery, Sidecar, nobody};
-use rustix::process::Signal;
+use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, prlimit};
 use serde_json::{Value, json};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -198,6 +198,18 @@
         }
     }
 
+    /// These may open no descriptor past those that they have, or as many as ever.
+    pub fn limit_descriptors(&mut self, which: &[usize], limited: bool) {
+        for number in which {
+            let pid = self.all[*number].process.pid();
+            let maximum = getrlimit(Resource::Nofile).maximum;
+            let open = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count);
+            let current = if limited { Some(open as u64) } else { maximum };
+            // One that has ended has no limits.
+            let _ = prlimit(Pid::from_raw(pid as i32), Resource::Nofile, Rlimit { current, maximum });
+        }
+    }
+
     /// Writes configurations that name the other discovery. SIGHUP goes to those that are ready.
     pub fn reload(&mut self) {
         self.named = 1 - self.named;
--- a/crates/lab/src/soaks.rs
+++ b/crates/lab/src/soaks.rs
@@ -13,8 +13,8 @@
     let mut held = true;
     for seed in wanted.seed..wanted.seed + wanted.seeds {
         match one(wanted, seed) {
-            Ok(verdict) => {
-                say(seed, &verdict);
+            Ok((plan, verdict)) => {
+                say(seed, &plan, &verdict);
                 held &= verdict.violations.is_empty();
             }
             Err(wrong) => {
@@ -27,16 +27,17 @@
     if held { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-fn one(wanted: &Soak, seed: u64) -> Result<Verdict, String> {
+fn one(wanted: &Soak, seed: u64) -> Result<(Plan, Verdict), String> {
     let program = wanted.program.clone().map_or_else(sockets::program, Ok)?;
     let mut plan = Plan::drawn(seed, wanted.time);
     if let Some(sidecars) = wanted.sidecars {
         plan = Plan::sized(seed, wanted.time, sidecars.max(2), plan.servers);
     }
-    play(&plan, &program)
+    let verdict = play(&plan, &program)?;
+    Ok((plan, verdict))
 }
 
-fn say(seed: u64, verdict: &Verdict) {
+fn say(seed: u64, plan: &Plan, verdict: &Verdict) {
     let Verdict { violations, requests, attempts, answered, refused, failed, left, crossed, troubles } =
         verdict;
     println!(
@@ -44,5 +45,8 @@
          {failed} failed, {left} left, {crossed} crossed an end, {} violations",
         violations.len()
     );
+    if !violations.is_empty() {
+        plan.troubles.iter().for_each(|trouble| println!("  {trouble}"));
+    }
     violations.iter().take(TOLD_MOST).for_each(|violation| println!("  {violation}"));
 }
--- a/crates/lab/src/sockets/discovery.rs
+++ b/crates/lab/src/sockets/discovery.rs
@@ -47,6 +47,8 @@
     Stale,
     /// The whole list is empty.
     Empty,
+    /// Calls are taken and nothing is said until it is over.
+    Silent,
 }
 
 #[derive(Default)]
@@ -181,7 +183,7 @@
         let mut list = self.list();
         list.calls += 1;
         let after = figure("after");
-        if after.is_none() && list.written.is_none() {
+        if after.is_none() && list.written.is_none() && list.trouble != Trouble::Silent {
             return (list.trouble != Trouble::Down).then(|| list.whole().to_string());
         }
         let after = after.unwrap_or(0);
@@ -190,7 +192,9 @@
             if list.trouble == Trouble::Down || self.over.load(Ordering::Relaxed) {
                 break None;
             }
+            let silent = list.trouble == Trouble::Silent;
             match &list.written {
+                _ if silent => {}
                 Some((generation, text)) if *generation > after => break Some(text.clone()),
                 Some(_) => {}
                 None if list.news_after(after) || Instant::now() >= until => {
--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -4,9 +4,10 @@
 
 use super::attempts::{AttemptGuard, RepeatRule};
 use super::buffers::{Buffer, HOLD_MOST, Place, SIZE, Stock};
-use super::endpoints::{Answer, Next, Outgoing, Rest};
+use super::endpoints::{Answer, Endpoints, Next, Outgoing, Rest};
 use super::http::{self, Bad, Coming, Marked};
 use super::leaving::{self, Asker};
+use super::local_failure::{Cause, Repeated, cause};
 use super::owner::{Came, Final, Queue, Word};
 use super::read_ahead::ReadAhead;
 use super::request::{Asked, Reader, Rejection, Request, answer_head, rejection, rejection_of};
@@ -53,6 +54,8 @@
 /// So many new ones at once that say nothing are a crowd.
 const CROWD: usize = 8;
 const NO_ROOM_YET: Duration = Duration::from_millis(5);
+/// A connection that gives way has done so by then.
+const NO_DESCRIPTOR_YET: Duration = Duration::from_millis(1);
 
 pub struct Callers {
     clock: Clock,
@@ -82,6 +85,8 @@
     stock: Rc<Stock>,
     queue: Queue,
     start: Rc<Start>,
+    endpoints: Rc<Endpoints>,
+    failed_accepts: Repeated,
     executor: Rc<LocalExecutor<'static>>,
 }
 
@@ -119,6 +124,7 @@
         stock: Rc<Stock>,
         queue: Queue,
         start: Rc<Start>,
+        endpoints: Rc<Endpoints>,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Callers {
         let repeat_rule = |verb: &terms::Verb| RepeatRule {
@@ -150,6 +156,8 @@
             stock,
             queue,
             start,
+            endpoints,
+            failed_accepts: Repeated::default(),
             executor,
         }
     }
@@ -176,15 +184,30 @@
                     self.fresh.set(self.fresh.get() + 1);
                     self.executor.spawn(self.clone().talk(stream, place, crowded)).detach();
                 }
-                Some(Err(wrong)) => {
-                    tracing::warn!("accept: {wrong}");
-                    Timer::after(NO_ROOM_YET).await;
-                }
+                Some(Err(wrong)) => self.accept_failed(&wrong).await,
                 None => return,
             }
         }
     }
 
+    /// Whoever waits at the listener has most likely written a request, and nobody has it yet: what rests gives way.
+    async fn accept_failed(&self, wrong: &std::io::Error) {
+        self.failed_accepts.add("accept", wrong);
+        match cause(wrong) {
+            Cause::Passing => yield_now().await,
+            Cause::Descriptors => {
+                // Who is half way through a request is no more to blame than who waits.
+                let gives_way = self.endpoints.close_longest_kept()
+                    || self.close_strangers()
+                    || self.close_longest_idle();
+                Timer::after(if gives_way { NO_DESCRIPTOR_YET } else { NO_ROOM_YET }).await;
+            }
+            Cause::Machine | Cause::Elsewhere => {
+                Timer::after(NO_ROOM_YET).await;
+            }
+        }
+    }
+
     /// Ends `accept` once nobody waits to be taken.
     pub fn take_no_more(&self) {
         self.taking.close();
--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -6,6 +6,7 @@
 use super::buffers::{HOLD_MOST, Place, Stock};
 use super::http::{self, Bad, Coming, Marked, Piece};
 use super::leaving::Asker;
+use super::local_failure::{Cause, Repeated, cause};
 use super::timeout::timeout;
 use crate::launch::Launch;
 use async_channel::Receiver;
@@ -34,7 +35,7 @@
 /// and as long after any server has sent more than its answer.
 const QUIET_AFTER_EXTRA: Duration = Duration::from_millis(60);
 const EXTRA_REMEMBERED: Duration = Duration::from_secs(60);
-/// So many connections to a server may rest before one is used again sooner.
+/// So many connections to a server may rest before the one that has rested for longest is used again sooner.
 const RESTING_FEW: usize = 8;
 /// An answer of unknown length is held for so long, in case it is short; past that it goes on as it comes.
 const HOLD_FOR: Duration = Duration::from_millis(50);
@@ -42,8 +43,10 @@
 const STALLED: Duration = Duration::from_secs(20);
 /// What was written ahead of a break may hold the endpoint's word.
 const LAST_WORD: Duration = Duration::from_millis(20);
+/// A dial that failed on this side is tried again so soon.
+const DIAL_AGAIN: Duration = Duration::from_millis(5);
 /// More than this many to one endpoint are not kept.
-const KEPT_MOST: usize = 16;
+const KEPT_MOST: usize = 32;
 
 /// How far a relay has come. What is not written whole has never run.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -180,6 +183,7 @@
     breaks: RefCell<Breaks>,
     /// When a server last sent more than its answer.
     extra_seen: Cell<Option<Instant>>,
+    failed_dials: Repeated,
     stock: Rc<Stock>,
     kept_for: Duration,
     dial_timeout: Duration,
@@ -207,7 +211,8 @@
         let (kept_for, dial_timeout) = (launch.conn_idle.mul_f64(KEPT_FOR), launch.dial_timeout);
         let check_path = if launch.terms.checks_tell { "/_load" } else { "/ping" };
         let (kept, breaks, extra_seen) = (RefCell::default(), RefCell::default(), Cell::default());
-        Endpoints { kept, breaks, extra_seen, stock, kept_for, dial_timeout, check_path }
+        let failed_dials = Repeated::default();
+        Endpoints { kept, breaks, extra_seen, failed_dials, stock, kept_for, dial_timeout, check_path }
     }
 
     /// Sends the command once and hears how that ended, at the latest at `not_past`; where its body is still coming, at
@@ -442,22 +447,45 @@
                 None => return Err(Outcome::Moot),
             }
         };
-        let Some(Ok(stream)) = timeout(self.dial_timeout, Async::<TcpStream>::connect(to.address)).await
-        else {
-            return Err(Outcome::ConnectFailed);
-        };
+        let stream = self.dial(to).await?;
         let _ = stream.get_ref().set_nodelay(true);
         Ok((Conn { stream, _place: place }, None))
     }
 
-    /// The one idle for the shortest time that will do. Only those tried are looked at, as each look is a system
-    /// call in the way of a command; `reap` finds the others.
+    /// What fails on this side is tried again for as long as a dial may take, and is held against no server.
+    async fn dial(&self, to: &Target) -> Result<Async<TcpStream>, Outcome> {
+        let until = Instant::now() + self.dial_timeout;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let Some(dialled) = timeout(left, Async::<TcpStream>::connect(to.address)).await else {
+                return Err(Outcome::ConnectFailed);
+            };
+            let wrong = match dialled {
+                Ok(stream) => return Ok(stream),
+                Err(wrong) => wrong,
+            };
+            let why = cause(&wrong);
+            if why == Cause::Elsewhere {
+                return Err(Outcome::ConnectFailed);
+            }
+            self.failed_dials.add("dial", &wrong);
+            if Instant::now() + DIAL_AGAIN >= until {
+                return Err(Outcome::Moot);
+            }
+            if why != Cause::Descriptors || !self.close_longest_kept() {
+                Timer::after(DIAL_AGAIN).await;
+            }
+        }
+    }
+
+    /// One that has been quiet for long enough: the one that was used last, as it is the least likely to have ended. Only those
+    /// tried are looked at, as each look is a system call in the way of a request; `reap` finds the others.
     fn kept_one(&self, to: &Target, careful: bool) -> Option<Kept> {
         let mut kept = self.kept.borrow_mut();
         let all = kept.get_mut(&to.server)?;
         for at in (0..all.len()).rev() {
             let idle = all[at].since.elapsed();
-            if idle < self.quiet_needed(careful, all.len()) {
+            if idle < self.quiet_needed() {
                 continue;
             }
             // Those before it have been idle for longer still.
@@ -465,19 +493,25 @@
                 return None;
             }
             let kept = all.remove(at);
-            if kept.address == to.address && self.usable(&to.server, &kept) {
+            if self.fits(to, &kept) {
                 return Some(kept);
             }
         }
-        None
+        let sooner = !careful && all.len() >= RESTING_FEW && self.quiet_needed() == QUIET;
+        let rested = all.first().is_some_and(|first| first.since.elapsed() >= QUIET_LEAST);
+        let longest = (sooner && rested).then(|| all.remove(0));
+        longest.filter(|kept| self.fits(to, kept))
+    }
+
+    fn fits(&self, to: &Target, kept: &Kept) -> bool {
+        kept.address == to.address && self.usable(&to.server, kept)
     }
 
-    /// How long a connection must have been quiet to be used again, where so many rest.
-    fn quiet_needed(&self, careful: bool, resting: usize) -> Duration {
+    /// How long a connection must have been quiet to be used again, where others may be opened.
+    fn quiet_needed(&self) -> Duration {
         match self.extra_seen.get() {
             Some(at) if at.elapsed() < EXTRA_REMEMBERED => QUIET_AFTER_EXTRA,
-            _ if careful || resting < RESTING_FEW => QUIET,
-            _ => QUIET_LEAST,
+            _ => QUIET,
         }
     }
 
@@ -517,7 +551,8 @@
         all.push(Kept { conn, address: to.address, since: Instant::now() });
     }
 
-    fn close_longest_kept(&self) -> bool {
+    /// Closes the connection that has rested for longest, of any server. `false`: none rests.
+    pub fn close_longest_kept(&self) -> bool {
         let mut kept = self.kept.borrow_mut();
         let first = |all: &&mut Vec<Kept>| all.first().map(|kept| kept.since);
         let oldest = kept.values_mut().filter(|all| !all.is_empty()).min_by_key(first);
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod http;
 mod learnt;
 mod leaving;
+mod local_failure;
 pub mod owner;
 mod peers;
 mod read_ahead;
@@ -172,8 +173,14 @@
     let longest = launch.verbs.iter().map(|verb| verb.limit).max().unwrap_or_default().min(LIMIT_MOST);
     let (ask, asked) = async_channel::bounded(1);
     let mut discovery = Discovery::new(&launch, stock.clone(), queue.clone(), start.clone());
-    let callers =
-        Rc::new(Callers::new(&launch, stock.clone(), queue.clone(), start.clone(), executor.clone()));
+    let callers = Rc::new(Callers::new(
+        &launch,
+        stock.clone(),
+        queue.clone(),
+        start.clone(),
+        endpoints.clone(),
+        executor.clone(),
+    ));
     let presence = presence(&launch).map(|presence| Rc::new(RefCell::new(presence)));
     if let Some(presence) = presence.clone() {
         executor.spawn(share(presence, stock, callers.clone(), endpoints.clone())).detach();
