A failing test of a start whose address is in use for a moment, listed as red

Seen on real processes: one that starts 0.6 s before an earlier one has let go of the address ends with 'Address already in use', a refusal to start.

--- a/crates/sidecar/tests/local_failures.rs
+++ b/crates/sidecar/tests/local_failures.rs
@@ -124,3 +124,19 @@
     within("it ends", || !sidecar.running());
     assert!(told.elapsed() < ms(2700), "it ended {:?} after SIGTERM", told.elapsed());
 }
+
+#[test]
+fn a_start_whose_address_is_in_use_for_a_moment_goes_on() {
+    let server = endpoint(Does::Answer);
+    let discovery = list_source();
+    let known = catalog(1, &[("s1", server.address, "ready")]);
+    let address = nobody();
+    // As an earlier process that takes a moment to end.
+    let earlier = std::net::TcpListener::bind(address).expect("a listener");
+    let file = std::env::temp_dir().join(format!("landingspread-{address}.json"));
+    let mut sidecar = Sidecar::spawn(address, file, &told(&known, address, discovery.address), &[]);
+    thread::sleep(ms(600));
+    drop(earlier);
+    sidecar.wait_ready();
+    assert_eq!(sidecar.cmd("view", "after", LEFT_MS), 200);
+}
