The callers' address is tried for 5 s before a start ends, and signals are heard meanwhile

Cause: run() bound the address once; whatever failed at that moment ended the process, as 'Address already in use' while an earlier process still ended. Change: an address in use, and failures of this machine, are tried again each 50 ms for 5 s; SIGTERM ends the wait at once, SIGHUP is carried out behind it. A wrong address still ends the start at once.

--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -34,6 +34,7 @@
 use endpoints::Endpoints;
 use futures_lite::StreamExt;
 use futures_lite::future::or;
+use local_failure::{Cause, Repeated, cause};
 use owner::{Operators, Outside};
 use peers::Peers;
 use std::cell::RefCell;
@@ -43,7 +44,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long after SIGTERM the platform lets commands finish, but for their longest time limit, and how much of
 /// that limit it goes by at most.
@@ -59,6 +60,10 @@
 /// New connections go on coming for up to 0.4 s.
 const GO_ON_TAKING: Duration = Duration::from_millis(600);
 
+/// The callers' address is tried for so long, as an earlier process may have it still, and so often.
+const BIND_WITHIN: Duration = Duration::from_secs(5);
+const BIND_AGAIN: Duration = Duration::from_millis(50);
+
 /// A process that takes over waits so long for a list before it goes by the one it was given.
 const LIST_WITHIN: Duration = Duration::from_millis(1500);
 
@@ -129,11 +134,30 @@
     }
 }
 
-/// The listener for callers, and whether it is one that another process may listen at too.
-fn listener(launch: &Launch) -> io::Result<Async<TcpListener>> {
+/// The listener for callers: inherited from whoever holds it for all processes, or this one's own.
+async fn listener(launch: &Launch) -> io::Result<Async<TcpListener>> {
     match handover::inherited(launch.inherited, launch.listen) {
         Some(listener) => Async::new(listener),
-        None => Async::<TcpListener>::bind(launch.listen),
+        None => bind(launch.listen).await,
+    }
+}
+
+/// An earlier process may not have ended yet, and what this machine lacks may be there in a moment: an address that
+/// cannot be had for longer ends the start.
+async fn bind(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let begun = Instant::now();
+    let failures = Repeated::default();
+    loop {
+        let wrong = match Async::<TcpListener>::bind(address) {
+            Ok(listener) => return Ok(listener),
+            Err(wrong) => wrong,
+        };
+        let may_pass = wrong.kind() == io::ErrorKind::AddrInUse || cause(&wrong) != Cause::Elsewhere;
+        if !may_pass || begun.elapsed() >= BIND_WITHIN {
+            return Err(io::Error::new(wrong.kind(), format!("{address}: {wrong}")));
+        }
+        failures.add("listen", &wrong);
+        Timer::after(BIND_AGAIN).await;
     }
 }
 
@@ -258,7 +282,19 @@
     executor: Rc<LocalExecutor<'static>>,
 ) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Hup])?;
-    let listener = listener(&launch)?;
+    let mut reload_due = false;
+    let bound = async { Some(listener(&launch).await) };
+    let ends = async {
+        while let Some(Ok(Signal::Hup)) = signals.next().await {
+            reload_due = true;
+        }
+        None
+    };
+    let Some(listener) = or(bound, ends).await else {
+        tracing::info!("SIGTERM before the callers' address could be had");
+        return Ok(());
+    };
+    let listener = listener?;
     start.listener_bound();
     let takes_over = launch.inherited.is_some();
     let inside = open(launch, start, &executor, None)?;
@@ -282,7 +318,12 @@
         }
     });
     loop {
-        let signalled = async { Ok(signals.next().await) };
+        let signalled = async {
+            match std::mem::take(&mut reload_due) {
+                true => Ok(Some(Ok(Signal::Hup))),
+                false => Ok(signals.next().await),
+            }
+        };
         let moved = async {
             match moves.recv().await {
                 Ok(address) => Err(address),
