A failing test of an answer right behind a long body's last byte, listed as red

A request that ran is told to its client as one that never did, so that trying again is harmless. The new test holds back the word that a piece was the last one, and fails each time.

--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -4,11 +4,12 @@
 
 use super::attempts::{AttemptGuard, RepeatRule};
 use super::buffers::{Buffer, HOLD_MOST, Place, SIZE, Stock};
-use super::endpoints::{Answer, Endpoints, Next, Outgoing, Rest};
+use super::endpoints::{Answer, Next, Outgoing, Rest};
 use super::http::{self, Bad, Coming, Marked};
 use super::leaving::{self, Asker};
 use super::local_failure::{Cause, Repeated, cause};
 use super::owner::{Came, Final, Queue, Word};
+use super::pool::Pool;
 use super::read_ahead::ReadAhead;
 use super::request::{Asked, Reader, Rejection, Request, answer_head, rejection, rejection_of};
 use super::timeout::timeout;
@@ -85,7 +86,7 @@
     stock: Rc<Stock>,
     queue: Queue,
     start: Rc<Start>,
-    endpoints: Rc<Endpoints>,
+    pool: Rc<Pool>,
     failed_accepts: Repeated,
     executor: Rc<LocalExecutor<'static>>,
 }
@@ -124,7 +125,7 @@
         stock: Rc<Stock>,
         queue: Queue,
         start: Rc<Start>,
-        endpoints: Rc<Endpoints>,
+        pool: Rc<Pool>,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Callers {
         let repeat_rule = |verb: &terms::Verb| RepeatRule {
@@ -156,7 +157,7 @@
             stock,
             queue,
             start,
-            endpoints,
+            pool,
             failed_accepts: Repeated::default(),
             executor,
         }
@@ -197,9 +198,8 @@
             Cause::Passing => yield_now().await,
             Cause::Descriptors => {
                 // Who is half way through a request is no more to blame than who waits.
-                let gives_way = self.endpoints.close_longest_kept()
-                    || self.close_strangers()
-                    || self.close_longest_idle();
+                let gives_way =
+                    self.pool.close_longest_kept() || self.close_strangers() || self.close_longest_idle();
                 Timer::after(if gives_way { NO_DESCRIPTOR_YET } else { NO_ROOM_YET }).await;
             }
             Cause::Machine | Cause::Elsewhere => {
@@ -555,7 +555,8 @@
         head.extend_from_slice(framing.as_bytes());
         let body = coming.take(&self.stock).await;
         let (give, next) = async_channel::bounded(1);
-        let rest = (!whole).then(|| Rest { next, marked, left, spent: Cell::new(false) });
+        let rest =
+            (!whole).then(|| Rest { next, marked, length: coming.length(), left, spent: Cell::new(false) });
         let guard = AttemptGuard::new(self.repeat_rules[verb]);
         let outgoing =
             Outgoing { id: id.clone(), head, body, rest, careful, asker: Asker::of(stream), guard };
--- /dev/null
+++ b/crates/sidecar/src/net/endpoints_tests.rs
@@ -0,0 +1,66 @@
+//! Attempts on a real socket, with what reaches them from the caller's side held back by hand.
+
+use super::*;
+use crate::net::attempts::{AttemptGuard, Location, RepeatRule};
+use async_io::Async;
+use landingspread_decisions::terms::Repeats;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+
+const BODY: usize = 100_000;
+
+/// Reads a whole request of this size and answers it at once.
+fn answers_at_once(listener: &TcpListener, size: usize) {
+    let (mut stream, _) = listener.accept().expect("a connection");
+    let mut bytes = vec![0; size];
+    stream.read_exact(&mut bytes).expect("a whole request");
+    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").expect("an answer");
+}
+
+/// The caller's side has handed on the last byte of a long body and has not said yet that it was the last, when the answer
+/// comes.
+#[test]
+fn an_answer_right_behind_the_last_byte_of_a_long_body_is_its_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let client = Rc::new(Async::new(TcpStream::connect(address).expect("a client")).expect("a socket"));
+    let _ = listener.accept().expect("the client's connection");
+    let stock = Stock::with(64, 16);
+    let head = b"POST /confirm HTTP/1.1\r\nContent-Length: 100000\r\n".to_vec();
+    let told = "X-Expires-In-Ms: 1000\r\n\r\n";
+    let size = head.len() + told.len() + BODY;
+    let server = std::thread::spawn(move || answers_at_once(&listener, size));
+    let (give, next) = async_channel::unbounded();
+    for piece in Piece::filled(&stock, BODY) {
+        give.try_send(Next::Piece(piece)).ok().expect("room for it");
+    }
+    let rest = Rest {
+        next,
+        marked: Marked::Plain,
+        length: Some(BODY as u64),
+        left: Duration::from_secs(1),
+        spent: Cell::new(false),
+    };
+    let rule = RepeatRule { repeats: Repeats::Effectful, window: Duration::ZERO, parallel: false };
+    let outgoing = Outgoing {
+        id: "r1".into(),
+        head,
+        body: Vec::new(),
+        rest: Some(rest),
+        careful: true,
+        asker: Asker::of(&client),
+        guard: AttemptGuard::new(rule),
+    };
+    let pool = Rc::new(Pool::with(Duration::from_secs(1), Duration::from_secs(1), stock.clone()));
+    let endpoints = Rc::new(Endpoints { pool, stock, check_path: "/ping" });
+    let target = Target { server: "s1".into(), address, location: Location { zone: 0, cell: 0 } };
+    let stage = Cell::new(Stage::Unwritten);
+    let attempt = async {
+        let until = Instant::now() + Duration::from_secs(2);
+        endpoints.relay(&target, &outgoing, 0, until, &stage).await.outcome
+    };
+    let outcome = async_io::block_on(attempt);
+    server.join().expect("the server answered");
+    assert_eq!(outcome, Outcome::Ok);
+    drop(give);
+}
--- a/crates/sidecar/src/net/http.rs
+++ b/crates/sidecar/src/net/http.rs
@@ -49,6 +49,18 @@
 }
 
 impl Piece {
+    /// So many bytes, in as many pieces as that takes.
+    #[cfg(test)]
+    pub fn filled(stock: &Rc<Stock>, count: usize) -> Vec<Piece> {
+        let sizes = (0..count).step_by(SIZE).map(|from| SIZE.min(count - from));
+        let piece = |size: usize| {
+            let mut buffer = stock.buffer().expect("a buffer");
+            buffer.fill(size);
+            Piece { buffer, range: 0..size }
+        };
+        sizes.map(piece).collect()
+    }
+
     pub fn bytes(&self) -> &[u8] {
         &self.buffer.filled()[self.range.clone()]
     }
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -12,6 +12,7 @@
 mod local_failure;
 pub mod owner;
 mod peers;
+mod pool;
 mod read_ahead;
 mod request;
 pub mod timeout;
@@ -37,6 +38,7 @@
 use local_failure::{Cause, Repeated, cause};
 use owner::{Operators, Outside};
 use peers::Peers;
+use pool::Pool;
 use std::cell::RefCell;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -107,12 +109,7 @@
 }
 
 /// Takes this process's part of what the sidecar has, as long as it runs.
-async fn share(
-    presence: Rc<RefCell<Presence>>,
-    stock: Rc<Stock>,
-    callers: Rc<Callers>,
-    endpoints: Rc<Endpoints>,
-) {
+async fn share(presence: Rc<RefCell<Presence>>, stock: Rc<Stock>, callers: Rc<Callers>, pool: Rc<Pool>) {
     let mut shared = None;
     loop {
         let another = presence.borrow_mut().another();
@@ -121,7 +118,7 @@
             stock.take_part(if another { 2 } else { 1 });
         }
         callers.make_room();
-        endpoints.make_room();
+        pool.make_room();
         Timer::after(LOOK_EVERY).await;
     }
 }
@@ -192,7 +189,8 @@
 ) -> io::Result<Inside> {
     let takes_over = launch.inherited.is_some();
     let stock = Stock::new(&launch);
-    let endpoints = Rc::new(Endpoints::new(&launch, stock.clone()));
+    let pool = Rc::new(Pool::new(&launch, stock.clone()));
+    let endpoints = Rc::new(Endpoints::new(&launch, pool.clone(), stock.clone()));
     let (queue, words) = owner::queue();
     let longest = launch.verbs.iter().map(|verb| verb.limit).max().unwrap_or_default().min(LIMIT_MOST);
     let (ask, asked) = async_channel::bounded(1);
@@ -202,12 +200,12 @@
         stock.clone(),
         queue.clone(),
         start.clone(),
-        endpoints.clone(),
+        pool.clone(),
         executor.clone(),
     ));
     let presence = presence(&launch).map(|presence| Rc::new(RefCell::new(presence)));
     if let Some(presence) = presence.clone() {
-        executor.spawn(share(presence, stock, callers.clone(), endpoints.clone())).detach();
+        executor.spawn(share(presence, stock, callers.clone(), pool.clone())).detach();
     }
     if let Some(folder) = launch.state.as_ref().filter(|_| takes_over && launch.learnt.is_none()) {
         launch.learnt = Some(folder.join(format!("{}.learnt", handover::plain(&launch.name))));
@@ -228,7 +226,7 @@
         executor.spawn(followed.follow()).detach();
     }
     let following = follow(discovery.as_ref(), executor, &asked);
-    executor.spawn(endpoints.clone().reap()).detach();
+    executor.spawn(pool.clone().reap()).detach();
     let (pass, passed) = fleet::passing();
     let pass = launch.fleet.as_ref().filter(|fleet| fleet.by_peers).map(|_| pass);
     let peers = match Peers::bind(&launch.peers, launch.terms.ordinal, pass) {
@@ -254,7 +252,7 @@
         Console { serving, orders, record, fleet, control: controlled }.open(at)?;
     }
     let some_known = !launch.known.entries.is_empty();
-    let outside = Outside { endpoints, peers, fleet: link, ask: ask.clone(), start };
+    let outside = Outside { endpoints, pool, peers, fleet: link, ask: ask.clone(), start };
     let operators = Operators { orders: ordered, recorded, listed };
     executor.spawn(owner::own(launch, outside, operators, executor.clone(), queue, words)).detach();
     Ok(Inside {
--- a/crates/sidecar/src/net/owner.rs
+++ b/crates/sidecar/src/net/owner.rs
@@ -4,9 +4,10 @@
 //! itself, wait for a socket, or call the module from within one of the module's own calls.
 
 use super::attempts::Location;
-use super::endpoints::{Answer, End, Endpoints, Outgoing, Stage, Target};
+use super::endpoints::{Answer, End, Endpoints, Outgoing, Stage};
 use super::learnt::{self, Before, SAVE_EVERY, SAVE_FIRST, Saving};
 use super::peers::Peers;
+use super::pool::{Pool, Target};
 use crate::catalog::Catalog;
 use crate::clock::Clock;
 use crate::console::Order;
@@ -151,6 +152,7 @@
 /// What the owner reaches the outside by.
 pub struct Outside {
     pub endpoints: Rc<Endpoints>,
+    pub pool: Rc<Pool>,
     pub peers: Option<Rc<Peers>>,
     /// None where this copy is one of no fleet.
     pub fleet: Option<fleet::Link>,
@@ -347,7 +349,7 @@
     }
 
     fn let_go(&mut self, server: &Id) {
-        self.0.borrow().outside.endpoints.forget(server);
+        self.0.borrow().outside.pool.forget(server);
     }
 
     fn tell(&mut self, peer: Option<u32>, words: &[u8]) {
@@ -468,7 +470,7 @@
             self.desk.borrow_mut().withdraw_from(&id);
         }
         // What is kept to a server that is restarted is worth nothing.
-        self.desk.borrow().outside.endpoints.forget(&id);
+        self.desk.borrow().outside.pool.forget(&id);
         let _ = order.known.try_send(known);
     }
 
@@ -624,13 +626,13 @@
     fn note_servers(&mut self, catalog: Catalog) -> Vec<Listed> {
         let desk = &mut *self.desk.borrow_mut();
         let mut left = Vec::new();
-        let Desk { servers, outside: Outside { endpoints, .. }, .. } = desk;
+        let Desk { servers, outside: Outside { pool, .. }, .. } = desk;
         let old = if catalog.whole { std::mem::take(servers) } else { BTreeMap::new() };
         for entry in &catalog.entries {
             let server = &entry.listed.server;
             let state = entry.listed.state;
             if state == State::Gone {
-                endpoints.forget(server);
+                pool.forget(server);
             }
             let before = servers.remove(server);
             let before = before.as_ref().or(old.get(server));
@@ -648,7 +650,7 @@
             }
         }
         for server in old.into_keys().filter(|server| !servers.contains_key(server)) {
-            endpoints.forget(&server);
+            pool.forget(&server);
             left.push(server);
         }
         left.iter().for_each(|server| desk.withdraw_from(server));
