A long body's last byte counts as written when it is out, not when its end was noted

Cause: endpoints.rs took a body that is passed on as written only at Next::End, which the caller's side sends behind the last piece. A server that answered in between (the process was put aside there: load 17) had its 200 taken for a copy that came before the request was over: ConnectFailed, 'never ran', 503. A stop in that gap was told as never run as well. endings.md had the gap as 'none, by reading': the reading missed that the look at the answer follows in the same poll.

Change: the write counts down the told length, and sets the stage and 'over' with the last byte; an attempt that ends behind it may have run, whatever ended it.

--- a/crates/sidecar/src/net/endpoints.rs
+++ b/crates/sidecar/src/net/endpoints.rs
@@ -168,9 +168,13 @@
         // Its caller may have left in the very moment in which the connection came up, and its repeats may no longer be
         // dropped by then.
         let owed = || !cmd.asker.left() && cmd.guard.begin(&cmd.id, number, to.location).is_ok();
-        let write = async |conn: &Conn| {
+        let write = async |conn: &Conn, over: &Cell<bool>| {
             stage.set(Stage::Begun);
-            self.write(conn, &head(), cmd, until).await
+            let last_byte_out = || {
+                over.set(true);
+                stage.set(Stage::Written);
+            };
+            self.write(conn, &head(), cmd, until, &last_byte_out).await
         };
         // What came in pieces is due only from here on.
         let late = async || match &cmd.rest {
@@ -178,7 +182,6 @@
             Some(_) => Timer::at(until.get()).await,
         };
         let written = async || {
-            stage.set(Stage::Written);
             late().await;
             Outcome::Timeout
         };
@@ -242,12 +245,17 @@
         head: &[u8],
         cmd: &Outgoing,
         until: &Cell<Instant>,
+        last_byte_out: &dyn Fn(),
     ) -> Result<(), Outcome> {
         let failed = |_| Outcome::ConnectFailed;
         let held = cmd.body.iter().map(Piece::bytes);
         let Some(rest) = &cmd.rest else {
-            return http::write_part(&conn.stream, head, held, Marked::Plain).await.map_err(failed);
+            http::write_part(&conn.stream, head, held, Marked::Plain).await.map_err(failed)?;
+            last_byte_out();
+            return Ok(());
         };
+        let held_bytes: usize = cmd.body.iter().map(|piece| piece.bytes().len()).sum();
+        let mut left = rest.length.map(|length| length.saturating_sub(held_bytes as u64));
         let in_time = |written: Option<io::Result<()>>| match written {
             Some(Ok(())) => Ok(()),
             _ => Err(Outcome::ConnectFailed),
@@ -259,10 +267,16 @@
                     rest.spent.set(true);
                     let bytes = std::iter::once(piece.bytes());
                     in_time(timeout(STALLED, http::write_part(&conn.stream, b"", bytes, rest.marked)).await)?;
+                    left = left.map(|left| left.saturating_sub(piece.bytes().len() as u64));
+                    // The server may answer before the caller's side says that this was the last piece.
+                    if left == Some(0) {
+                        last_byte_out();
+                    }
                 }
                 Ok(Next::End(due)) => {
                     rest.spent.set(true);
                     in_time(timeout(STALLED, http::write_end(&conn.stream, rest.marked)).await)?;
+                    last_byte_out();
                     until.set(due);
                     return Ok(());
                 }
@@ -280,7 +294,7 @@
         to: &Target,
         careful: bool,
         owed: impl FnOnce() -> bool,
-        write: impl AsyncFnOnce(&Conn) -> Result<(), Outcome>,
+        write: impl AsyncFnOnce(&Conn, &Cell<bool>) -> Result<(), Outcome>,
         written: impl AsyncFnOnce() -> Outcome,
     ) -> Result<(Coming, Conn), Outcome> {
         let (conn, idle) = self.pool.connection(to, careful).await?;
@@ -291,15 +305,13 @@
         let buffer = self.stock.buffer().ok_or(Outcome::Moot)?;
         let over = Cell::new(false);
         let writes = async {
-            let wrong = match write(&conn).await {
-                Ok(()) => {
-                    over.set(true);
-                    return Err(written().await);
-                }
+            let wrong = match write(&conn, &over).await {
+                Ok(()) => return Err(written().await),
                 Err(wrong) => wrong,
             };
             Timer::after(LAST_WORD).await;
-            Err(wrong)
+            // What is out whole may have run, whatever ended the attempt.
+            Err(if over.get() && wrong.never_ran() { Outcome::Reset } else { wrong })
         };
         let answers = async { Ok(Coming::answer(&conn.stream, buffer).await) };
         let answer = or(writes, answers).await?;
@@ -330,8 +342,10 @@
     async fn ping(&self, to: &Target) -> (Outcome, Load) {
         let path = self.check_path;
         let head = format!("GET {path} HTTP/1.1\r\nHost: {}\r\n\r\n", to.address);
-        let write = async |conn: &Conn| {
-            http::write(&conn.stream, head.as_bytes(), b"").await.map_err(|_| Outcome::ConnectFailed)
+        let write = async |conn: &Conn, over: &Cell<bool>| {
+            http::write(&conn.stream, head.as_bytes(), b"").await.map_err(|_| Outcome::ConnectFailed)?;
+            over.set(true);
+            Ok(())
         };
         let (mut answer, conn) = match self
             .once(to, false, || true, write, async || futures_lite::future::pending().await)
--- a/crates/sidecar/src/net/endpoints_tests.rs
+++ b/crates/sidecar/src/net/endpoints_tests.rs
@@ -32,7 +32,7 @@
     let server = std::thread::spawn(move || answers_at_once(&listener, size));
     let (give, next) = async_channel::unbounded();
     for piece in Piece::filled(&stock, BODY) {
-        give.try_send(Next::Piece(piece)).ok().expect("room for it");
+        assert!(give.try_send(Next::Piece(piece)).is_ok(), "room for it");
     }
     let rest = Rest {
         next,
