The test of a crowd tells the program's log where it fails

It fell in two of three plays beside a load of 17 and left no log, so its cause is not known. Its assertion is as it was.

--- a/crates/sidecar/tests/streams.rs
+++ b/crates/sidecar/tests/streams.rs
@@ -309,7 +309,8 @@
             }
             crowd.push(stream);
         }
-        assert_eq!(sidecar.status(&cmd("view", &format!("c{wave}"), 1900)), Some(200), "wave {wave}");
+        let status = sidecar.status(&cmd("view", &format!("c{wave}"), 1900));
+        assert_eq!(status, Some(200), "wave {wave}: {}", sidecar.account());
     }
     assert_eq!(crowd.len(), 2000);
     assert!(most_memory(&sidecar) <= 16);
