--- a/crates/sidecar/tests/pipelining.rs
+++ b/crates/sidecar/tests/pipelining.rs
@@ -6,7 +6,7 @@
 
 use helpers::*;
 use landingspread_lab::sockets::{Discovery, Does, Peer, Scripted};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -121,3 +121,45 @@
     let wrong: Vec<String> = cases.into_iter().flat_map(|case| case()).collect();
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
+
+/// To a client of HTTP/1.0 the end of the connection is the end of an answer without a length: a close over bytes that nobody
+/// read would be a reset in its place.
+#[test]
+fn an_answer_that_its_connection_ends_is_no_reset_over_bytes_written_behind_the_request() {
+    let listener = free();
+    let server = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut peer = Peer::new(stream);
+            while let Ok(Some(heard)) = peer.command() {
+                if heard.path() == "/ping" {
+                    let _ = peer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                    continue;
+                }
+                // Longer than an answer is held for.
+                let _ = peer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf");
+                std::thread::sleep(ms(150));
+                let _ = peer.write(b"-half");
+                break;
+            }
+        }
+    });
+    let (sidecar, _discovery) = Sidecar::with(&[("s1", server)]);
+    for number in 0..5 {
+        let request = cmd("view", &format!("e{number}"), 1000).replace("HTTP/1.1", "HTTP/1.0");
+        let mut stream = written(&sidecar, &[request]);
+        let behind = stream.try_clone().expect("a handle");
+        let floods = std::thread::spawn(move || {
+            // More than is read ahead lies unread when the answer ends.
+            let _ = (&behind).write_all(&[b'x'; 60_000]);
+        });
+        let mut heard = Vec::new();
+        let ended = stream.read_to_end(&mut heard);
+        floods.join().expect("it is written");
+        assert!(
+            ended.is_ok() && heard.ends_with(b"half-half"),
+            "{ended:?}: {}",
+            String::from_utf8_lossy(&heard)
+        );
+    }
+}
