--- a/crates/sidecar/src/net/callers.rs
+++ b/crates/sidecar/src/net/callers.rs
@@ -594,11 +594,12 @@
             }
         };
         let keep = self.may_keep(&coming, crowded, ahead);
-        self.final_answer(stream, word, verb, keep, coming.minor).await?;
-        if keep.is_err() {
+        let kept = self.final_answer(stream, word, verb, keep, coming.minor).await.and(keep);
+        // Behind half an answer, or to nobody, there is nothing that a reset could take along.
+        if !matches!(kept, Ok(()) | Err(CloseReason::AnswerBroken | CloseReason::ClientLeft)) {
             self.linger(stream).await;
         }
-        keep
+        kept
     }
 
     /// Hands on the rest of a body, piece by piece, as fast as it is taken. When its last byte was there.
