Keep only the cases as folders of the review

Cause: each folder of review/ counts as a case, and the build of the stand-ins left its output, with paths of the machine, below review/. Change: the stand-ins are one package whose sources lie in review/ itself; build.sh builds below the root's target folder.

--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of all cases. Needs no network: the package has no dependencies.
+# Builds the stand-ins of all cases, below the project's own build output. Needs no network: there are no dependencies.
 set -e
-cd "$(dirname "$0")/rig"
-exec cargo build --release --locked --offline
+cd "$(dirname "$0")"
+exec cargo build --release --locked --offline --target-dir ../target/review
