Review case 2: slow long bodies take all buffers for good

Cause: requests wait for a buffer without a time limit while they hold four each. Change: a script with 290 uploads on a sidecar of 32 MB.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")" || exit 2
 rig=../../target/review/release/review-rig
 [ -x "$rig" ] || { echo "review/build.sh has not been run" >&2; exit 2; }
-exec "$rig" second-copies
+exec "$rig" uploads
