--- a/review/cut_bodies.rs
+++ b/review/cut_bodies.rs
@@ -23,8 +23,8 @@
 const SHORTEST: usize = 6_000_000;
 const LONGEST: usize = 9_000_000;
 /// How much of a long body a box reads in a second.
-const READING_RATE: usize = 3_000_000;
-const UPLOADERS: usize = 20;
+const READING_RATE: usize = 2_500_000;
+const UPLOADERS: usize = 10;
 /// The case ends after this time, or sooner once this many bodies were altered.
 const LENGTH: Duration = Duration::from_secs(85);
 const ENOUGH: usize = 1;
@@ -104,9 +104,10 @@
     sidecar.wait_ready(listen)?;
 
     let ended = Arc::new(AtomicBool::new(false));
-    // Usual clients, about fifty requests a second in all.
-    let usual: Vec<_> = [REPORT_VIEW, SUBMIT_CHECK, SUBMIT_CHECK, SUBMIT_CHECK]
+    // Usual clients, about a hundred requests a second in all.
+    let usual: Vec<_> = [REPORT_VIEW]
         .into_iter()
+        .chain([SUBMIT_CHECK; 8])
         .map(|class| {
             let (record, ended) = (record.clone(), ended.clone());
             thread::spawn(move || {
