Never hedge a request whose body is streamed: two attempts shared its parts

Cause: the parts of a body past 64 KiB reach attempts through one channel, and each part can be sent once. With hedging allowed, an attempt that was overdue after the last byte had arrived got a second one beside it: `may_attempt` looked at `not_replayable`, which is set only when an attempt ends, and the guard before the first byte looked at neither. The second attempt wrote the buffered beginning, then took what was left in the channel and the end mark. Where the first had taken all, the second waited for parts that never came, and the request outlived its deadline.

Evidence: the new test measures what a stalled server's connection takes and sends bodies that end there, so that the last part waits in the channel.

Change: the decisions know whether a body is streamed and let no second attempt overlap then. The guard of such a request denies it as well, and denies any attempt after a part was taken. Why this works: parts have one taker at any time, and a later attempt begins only if none was taken.

--- a/crates/decisions/src/policy/admission.rs
+++ b/crates/decisions/src/policy/admission.rs
@@ -42,6 +42,7 @@
             class: arrival.class,
             useful_until,
             body_pending: arrival.body_incomplete,
+            body_streamed: arrival.body_incomplete,
             over_quota: self.is_over_quota(arrival.tenant),
             relative_cost: self.classes[arrival.class].relative_cost(arrival.declared_work),
             ..Request::default()
--- a/crates/decisions/src/policy/retry.rs
+++ b/crates/decisions/src/policy/retry.rs
@@ -44,8 +44,8 @@
             return false;
         }
         let max_attempts = self.settings.capabilities.max_attempts as usize;
-        let may_hedge = self.settings.capabilities.hedging;
-        if request.attempts.len() >= max_attempts || (!may_hedge && request.in_flight() > 0) {
+        let overlaps = request.in_flight() > 0;
+        if request.attempts.len() >= max_attempts || (overlaps && !self.may_hedge(request)) {
             return false;
         }
         match self.retry_safety(request) {
@@ -67,6 +67,12 @@
         }
     }
 
+    /// Whether a second attempt may start while one is in flight. Two attempts would share the parts of a streamed body,
+    /// so that neither server would get all of it.
+    fn may_hedge(&self, request: &Request) -> bool {
+        self.settings.capabilities.hedging && !request.body_streamed
+    }
+
     /// Continues a request after an attempt: closes it, waits for another attempt in flight, retries it, or rejects it.
     pub(super) fn continue_request(&mut self, id: &Id) {
         let Some(request) = self.requests.get(id) else { return };
@@ -153,7 +159,7 @@
             return;
         }
         if self.settings.capabilities.hedging {
-            if request.in_flight() == 1 && self.try_dispatch(id) {
+            if request.in_flight() == 1 && self.may_hedge(request) && self.try_dispatch(id) {
                 self.retry_budget.spend(RETRY_PRICE);
             }
             return;
--- a/crates/decisions/src/state/request.rs
+++ b/crates/decisions/src/state/request.rs
@@ -97,6 +97,9 @@
     pub streaming: bool,
     /// Whether a part of the body is still to arrive.
     pub body_pending: bool,
+    /// Whether the body was incomplete on arrival. Its parts are passed on as they arrive, and each can be sent once, so
+    /// no two attempts may be in flight.
+    pub body_streamed: bool,
     /// Whether the part of the body that was sent cannot be sent again.
     pub not_replayable: bool,
     /// Whether the request is beyond its tenant's quota.
--- a/crates/decisions/tests/decisions/requests.rs
+++ b/crates/decisions/tests/decisions/requests.rs
@@ -487,6 +487,26 @@
     }
 }
 
+/// Two attempts would share the parts of the body, so that neither server gets all of it.
+#[test]
+fn overdue_attempt_with_a_streamed_body_is_not_hedged() {
+    for (streamed, attempts) in [(false, 2), (true, 1)] {
+        let settings = test_settings("all", "PolicyLimits.ParallelTries=true");
+        let mut harness = Harness::new(settings, "all", 3, 4);
+        for _ in 0..80 {
+            harness.run_request(1, |_| Outcome::Ok);
+        }
+        let id = if streamed { harness.submit_incomplete(1) } else { harness.submit(1, ms(3000)) };
+        if streamed {
+            harness.advance(ms(500));
+            harness.complete_body(&id, ms(3000));
+        }
+        harness.advance(ms(600));
+        assert_eq!(harness.open_attempts().len(), attempts, "streamed: {streamed}");
+        assert_eq!(harness.final_response(&id), None);
+    }
+}
+
 #[test]
 fn overdue_attempt_is_not_cancelled_without_another_server() {
     for (servers, cancelled) in [(1, false), (2, true)] {
--- a/crates/decisions/tests/decisions/scripted_host.rs
+++ b/crates/decisions/tests/decisions/scripted_host.rs
@@ -74,6 +74,8 @@
     pub final_response: Option<FinalResponse>,
     /// The last byte of the request's body has not arrived.
     pub body_incomplete: bool,
+    /// The body was incomplete on arrival, so that it is passed on in parts, each of which can be sent once.
+    pub body_streamed: bool,
     /// The part of the body that was sent can't be sent again.
     pub body_consumed: bool,
 }
@@ -160,6 +162,10 @@
         );
         for earlier in &request.attempts {
             assert!(earlier.outcome.is_some() || state.hedging, "rule 2: two attempts of {id} at once");
+            assert!(
+                earlier.outcome.is_some() || !request.body_streamed,
+                "two attempts of {id} would share one streamed body"
+            );
             if earlier.outcome.is_none_or(|outcome| !outcome.never_ran()) {
                 assert!(
                     state.deduplicates_retry(request.class, &earlier.server, server),
@@ -324,6 +330,7 @@
             attempts: Vec::new(),
             final_response: None,
             body_incomplete: incomplete,
+            body_streamed: incomplete,
             body_consumed: false,
         };
         self.host.0.borrow_mut().requests.insert(id.clone(), tracked);
--- a/crates/decisions/tests/decisions/settings_changes.rs
+++ b/crates/decisions/tests/decisions/settings_changes.rs
@@ -81,6 +81,7 @@
         attempts: Vec::new(),
         final_response: None,
         body_incomplete: false,
+        body_streamed: false,
         body_consumed: false,
     };
     harness.host.0.borrow_mut().requests.insert(id.clone(), tracked);
--- a/crates/sidecar/src/net/clients/exchange.rs
+++ b/crates/sidecar/src/net/clients/exchange.rs
@@ -4,7 +4,7 @@
 use super::read::STALL_TIMEOUT;
 use super::state::ClientSide;
 use crate::counters::{self, CloseReason, RefusalReason};
-use crate::net::attempts::AttemptGuard;
+use crate::net::attempts::{AttemptGuard, RetryRule};
 use crate::net::http::{BodyEncoding, HttpError, IncomingMessage};
 use crate::net::leaving::{self, ClientPresence};
 use crate::net::owner::{Event, FinalResponse, IncomingRequest};
@@ -117,7 +117,8 @@
             time_limit,
             consumed: Cell::new(false),
         });
-        let guard = AttemptGuard::new(self.retry_rules[class]);
+        let rule = self.retry_rules[class];
+        let guard = AttemptGuard::new(RetryRule { hedging: rule.hedging && complete, ..rule });
         OutgoingRequest { id, head, body, rest, run_once, client: ClientPresence::of(stream), guard }
     }
 
--- a/crates/sidecar/src/net/upstream/mod.rs
+++ b/crates/sidecar/src/net/upstream/mod.rs
@@ -77,10 +77,7 @@
         response_due: &Cell<Instant>,
         stage: &Cell<AttemptStage>,
     ) -> AttemptResult {
-        // While the connection was being established the client may have left, and the window for deduplicating retries
-        // may have elapsed.
-        let may_start =
-            || !request.client.has_left() && request.guard.begin(&request.id, number, to.location).is_ok();
+        let may_start = || request.begin_attempt(number, to.location);
         let write = async |connection: &UpstreamConnection, last_byte_written: &Cell<bool>| {
             stage.set(AttemptStage::Started);
             let on_last_byte = || {
--- a/crates/sidecar/src/net/upstream/outgoing.rs
+++ b/crates/sidecar/src/net/upstream/outgoing.rs
@@ -1,6 +1,7 @@
 //! A request as it is sent to servers: its bytes, and the part of a long body that has not arrived yet.
 
-use crate::net::attempts::AttemptGuard;
+use crate::invariants::must_hold;
+use crate::net::attempts::{AttemptGuard, Location};
 use crate::net::http::{BodyEncoding, BodyPart};
 use crate::net::leaving::ClientPresence;
 use async_channel::Receiver;
@@ -33,7 +34,8 @@
     pub guard: AttemptGuard,
 }
 
-/// The rest of a body, as the client side reads it. Parts that one attempt takes are not available to any other.
+/// The rest of a body, as the client side reads it. Parts that one attempt takes are not available to any other, so the
+/// request's guard lets no two attempts overlap.
 pub struct StreamedBody {
     pub events: Receiver<BodyEvent>,
     pub encoding: BodyEncoding,
@@ -57,4 +59,16 @@
     pub fn can_be_sent_again(&self) -> bool {
         self.rest.as_ref().is_none_or(|rest| !rest.consumed.get())
     }
+
+    /// Checks right before an attempt's first byte whether the attempt may start, and if so records it as in flight.
+    /// While the connection was established the client may have left, and the window for deduplicating retries may have
+    /// elapsed.
+    pub(super) fn begin_attempt(&self, attempt: u32, location: Location) -> bool {
+        if self.client.has_left() || self.guard.begin(&self.id, attempt, location).is_err() {
+            return false;
+        }
+        let is_whole = self.can_be_sent_again();
+        must_hold!(Retrying, is_whole, "attempt {attempt} of {} after a part of its body was sent", self.id);
+        is_whole
+    }
 }
--- a/crates/sidecar/tests/helpers/mod.rs
+++ b/crates/sidecar/tests/helpers/mod.rs
@@ -1,6 +1,7 @@
 //! Helpers shared by the process tests: the sidecar as a child process, its configuration, and the lab's test servers.
 #![allow(dead_code)] // each test program uses only some of the helpers
 
+pub mod bodies;
 pub mod gate;
 
 use landingspread_lab::sockets::{self, Discovery, HttpMessage, Peer, ScriptedBehavior, ScriptedServer};
--- /dev/null
+++ b/crates/sidecar/tests/long_bodies.rs
@@ -0,0 +1,190 @@
+//! Bodies that are too long to be buffered, while servers stall, in all forms of framing.
+
+mod helpers;
+
+use helpers::bodies::*;
+use helpers::*;
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+/// A response later than this after its deadline counts as none.
+const RESPONSE_SLACK: Duration = Duration::from_millis(500);
+/// Short requests that show the sidecar the usual latency, so that a stalled attempt is overdue soon.
+const WARM_UP_REQUESTS: usize = 150;
+
+/// Starts a sidecar for four servers at one address, at which two attempts of a request may overlap, and sends short
+/// requests.
+fn start_hedging_sidecar(server: SocketAddr) -> Sidecar {
+    let servers = ["s1", "s2", "s3", "s4"].map(|id| (id, server, "ready"));
+    let sidecar = Sidecar::start_as(&endpoint_list(1, &servers), start_discovery().address, |config| {
+        config["limits"]["sockets"] = json!(250);
+        config["settings"]["PolicyLimits"]["ParallelTries"] = json!(true);
+    });
+    for number in 0..WARM_UP_REQUESTS {
+        assert_eq!(sidecar.send_request("hold", &format!("w{number}"), 1500), 200);
+    }
+    sidecar
+}
+
+/// The head of a request with an idempotency key, whose path names the length of its body.
+fn long_request_head(id: &str, length: usize, framing: &str) -> String {
+    format!(
+        "POST /hold/{length} HTTP/1.1\r\nX-Trace-Id: {id}\r\nX-Customer: acme\r\nIdempotency-Key: k{id}\r\n\
+         X-Expires-In-Ms: 1500\r\n{framing}\r\n\r\n"
+    )
+}
+
+/// Writes the test body in chunks. Returns whether all could be written.
+fn write_chunked_body(stream: &mut impl Write, length: usize) -> bool {
+    const CHUNK: usize = 65_536;
+    let chunk = |from: usize| {
+        let bytes = pattern(from, CHUNK.min(length - from));
+        [format!("{:x}\r\n", bytes.len()).as_bytes(), &bytes, b"\r\n"].concat()
+    };
+    let written = (0..length).step_by(CHUNK).all(|from| stream.write_all(&chunk(from)).is_ok());
+    written && stream.write_all(b"0\r\n\r\n").is_ok()
+}
+
+/// Reads a chunked body. None if the connection ends before the body does.
+fn read_chunked_body(stream: &mut impl Read) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = Vec::new();
+        while !line.ends_with(b"\r\n") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).ok()?;
+            line.push(byte[0]);
+        }
+        let size = usize::from_str_radix(std::str::from_utf8(&line).ok()?.trim(), 16).ok()?;
+        let begin = body.len();
+        body.resize(begin + size + 2, 0);
+        stream.read_exact(&mut body[begin..]).ok()?;
+        body.truncate(begin + size);
+        if size == 0 {
+            return Some(body);
+        }
+    }
+}
+
+/// The bytes on connections to this server that the server has not read.
+fn unread_bytes(server: SocketAddr) -> usize {
+    let SocketAddr::V4(server) = server else { return 0 };
+    let address = format!("{:08X}:{:04X}", u32::from_le_bytes(server.ip().octets()), server.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("failed to read /proc/net/tcp");
+    let queued = |line: &str| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let (sent, received) = fields.get(4)?.split_once(':')?;
+        let sent = if fields[2] == address { sent } else { "0" };
+        let received = if fields[1] == address { received } else { "0" };
+        Some(usize::from_str_radix(sent, 16).ok()? + usize::from_str_radix(received, 16).ok()?)
+    };
+    table.lines().skip(1).filter_map(queued).sum()
+}
+
+/// How much of a body the sidecar and the system take while the server reads nothing.
+fn capacity_of_stalled_server(sidecar: &Sidecar, server: SocketAddr) -> usize {
+    const LENGTH: usize = 32 << 20;
+    let mut stream = sidecar.connect().expect("failed to connect to the sidecar");
+    let mut writer = stream.try_clone().expect("failed to clone the connection");
+    stream
+        .write_all(long_request_head("capacity", LENGTH, "Transfer-Encoding: chunked").as_bytes())
+        .expect("failed to write the request head");
+    let writing = thread::spawn(move || write_chunked_body(&mut writer, LENGTH));
+    let (mut unread, mut since) = (0, Instant::now());
+    while unread == 0 || since.elapsed() < ms(100) {
+        let now = unread_bytes(server);
+        if now != unread {
+            (unread, since) = (now, Instant::now());
+        }
+        thread::sleep(ms(5));
+    }
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+    let _ = writing.join();
+    unread
+}
+
+/// The last parts of a body wait for the first attempt when a second one becomes due, and must not go there: that server
+/// would get the beginning and the end of the body as a complete request.
+#[test]
+fn body_of_a_stalled_attempt_reaches_no_server_in_parts() {
+    const STALL: Duration = Duration::from_millis(800);
+    const STEP: usize = 4096;
+    let altered = Arc::<Mutex<Vec<String>>>::default();
+    let seen = altered.clone();
+    let server = scripted_server(move |_, stream| {
+        while let Some(head) = read_head(stream) {
+            if header(&head, "transfer-encoding").is_some() {
+                thread::sleep(STALL);
+                let Some(body) = read_chunked_body(stream) else { return };
+                let length = head.split(['/', ' ']).nth(3).and_then(|text| text.parse().ok()).unwrap_or(0);
+                if body != pattern(0, length) {
+                    let text = format!("{} of {length} bytes", body.len());
+                    seen.lock().expect("lock is not poisoned").push(text);
+                }
+            } else {
+                let _ = stream.read_exact(&mut vec![0; content_length(&head)]);
+            }
+            let _ = stream.write_all(OK);
+        }
+    });
+    let sidecar = start_hedging_sidecar(server);
+    let capacity = capacity_of_stalled_server(&sidecar, server);
+    let upload = |number: usize| {
+        let length = capacity - 8 * STEP + number * STEP;
+        let mut stream = sidecar.connect().expect("failed to connect to the sidecar");
+        thread::spawn(move || {
+            let head = long_request_head(&format!("l{number}"), length, "Transfer-Encoding: chunked");
+            stream.write_all(head.as_bytes()).expect("failed to write the request head");
+            write_chunked_body(&mut stream, length);
+            read_response(&mut stream).map(|(status, ..)| status)
+        })
+    };
+    let uploads: Vec<_> = (0..32).map(upload).collect();
+    let statuses: Vec<_> =
+        uploads.into_iter().map(|upload| upload.join().expect("client thread panicked")).collect();
+    let altered = altered.lock().expect("lock is not poisoned");
+    assert!(altered.is_empty(), "bodies that reached a server otherwise than sent: {altered:?}");
+    assert!(statuses.iter().all(|status| *status == Some(200)), "{statuses:?}");
+}
+
+/// A second attempt would wait for parts of the body that the first one has taken, and the request would get no final
+/// response.
+#[test]
+fn long_body_gets_a_final_response_while_its_server_hangs() {
+    const LENGTH: usize = 100_000;
+    let attempts = Arc::new(AtomicUsize::new(0));
+    let counted = attempts.clone();
+    let server = scripted_server(move |_, stream: &mut TcpStream| {
+        while let Some(head) = read_head(stream) {
+            let length = content_length(&head);
+            if length == LENGTH || header(&head, "transfer-encoding").is_some() {
+                counted.fetch_add(1, Ordering::Relaxed);
+                thread::sleep(ms(4000));
+                return;
+            }
+            let _ = stream.read_exact(&mut vec![0; length]);
+            let _ = stream.write_all(OK);
+        }
+    });
+    for chunked in [false, true] {
+        let sidecar = start_hedging_sidecar(server);
+        attempts.store(0, Ordering::Relaxed);
+        let mut stream = sidecar.connect().expect("failed to connect to the sidecar");
+        let framing = if chunked { "Transfer-Encoding: chunked" } else { "Content-Length: 100000" };
+        let head = long_request_head(&format!("h{chunked}"), LENGTH, framing);
+        stream.write_all(head.as_bytes()).expect("failed to write the request head");
+        let write = if chunked { write_chunked_body } else { write_body };
+        assert!(write(&mut stream, LENGTH), "failed to write the whole body");
+        let sent = Instant::now();
+        let status = read_response(&mut stream).map(|(status, ..)| status);
+        assert!(status.is_some(), "chunked: {chunked}: no final response");
+        assert!(sent.elapsed() < ms(1500) + RESPONSE_SLACK, "{status:?} after {:?}", sent.elapsed());
+        assert_eq!(attempts.load(Ordering::Relaxed), 1, "chunked: {chunked}: attempts of the long request");
+    }
+}
