Pass a long body on in the buffer it came in, and never wait for another one

Cause: a request with up to four buffers of its body waited in `take_parts` for one more to read on, without a time limit, before it reached the owner. Once all buffers were held by such requests, each waited for the others. The same wait stood in the passing on of the rest, where the buffer that an attempt had written went to whichever request came first.

Change: a task that holds a buffer never waits for another. Without a free one the last part is lent to the attempt, which returns its buffer to that request, and reading goes on in it. A message gets a second and further buffers only while half of all are free, so that new requests and the responses to long ones find their first. Reading ahead counts as such. Why this works: a request that streams goes on with what it holds, so the wait for other requests is gone; what is left to wait for is its own attempt.

--- a/crates/sidecar/src/net/buffers.rs
+++ b/crates/sidecar/src/net/buffers.rs
@@ -1,6 +1,6 @@
 //! The limited resources of a sidecar: buffers of one size, which are reused, and permits for sockets. This module owns
-//! the limits of both. Where no buffer is free, a task rejects its message at once, or waits if a part of the message
-//! has already arrived.
+//! the limits of both. Where no buffer is free, a task rejects its message at once, or continues with the buffers that
+//! it holds. A task that holds a buffer never waits for another one: such tasks could wait for each other.
 
 use crate::configuration::Configuration;
 use async_io::Timer;
@@ -14,6 +14,9 @@
 /// The longest body in bytes that is buffered as a whole, so that its request can be retried. Longer bodies are passed
 /// on in parts as they arrive.
 pub const MAX_BUFFERED_BODY: usize = 64 * 1024;
+/// A message gets more than one buffer only while at least 1 / `RESERVE_DIVISOR` of all buffers are free, so that other
+/// messages and the responses to long requests find their first one.
+const RESERVE_DIVISOR: usize = 2;
 /// The interval at which a task that waits for a buffer checks for a free one.
 const BUFFER_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Descriptors that are used neither for clients nor for servers: standard streams, the reactor, the signal pipe, the
@@ -36,6 +39,8 @@
     free_buffers: RefCell<Vec<Box<[u8]>>>,
     buffers_in_use: Cell<usize>,
     max_buffers: Cell<usize>,
+    /// The number of buffers that additional buffers of messages must leave free.
+    reserved_buffers: Cell<usize>,
     total: TotalResources,
     pub client_sockets: Rc<SocketBudget>,
     pub endpoint_sockets: Rc<SocketBudget>,
@@ -45,6 +50,7 @@
 struct TotalResources {
     sockets: usize,
     buffers: usize,
+    keeps_reserve: bool,
     process_sockets: Rc<ProcessSockets>,
 }
 
@@ -63,23 +69,25 @@
     pub fn with_limits(descriptors: usize, memory_mb: usize) -> Rc<ResourcePool> {
         let sockets = descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(MIN_SOCKETS);
         // Buffers may use half of the memory; the other half is for everything else.
-        ResourcePool::with_counts(sockets, memory_mb * BYTES_PER_MB / 2 / BUFFER_SIZE)
+        ResourcePool::with_counts(sockets, memory_mb * BYTES_PER_MB / 2 / BUFFER_SIZE, true)
     }
 
-    /// Creates a pool of buffers without socket permits, for a component that limits its sockets itself.
+    /// Creates a pool of buffers without socket permits and without a reserve, for a component that limits its sockets
+    /// itself.
     pub fn buffers_only(buffers: usize) -> Rc<ResourcePool> {
-        ResourcePool::with_counts(0, buffers)
+        ResourcePool::with_counts(0, buffers, false)
     }
 
-    fn with_counts(sockets: usize, buffers: usize) -> Rc<ResourcePool> {
+    fn with_counts(sockets: usize, buffers: usize, keeps_reserve: bool) -> Rc<ResourcePool> {
         let process_sockets = Rc::new(ProcessSockets::default());
         let pool = ResourcePool {
             free_buffers: RefCell::default(),
             buffers_in_use: Cell::new(0),
             max_buffers: Cell::new(buffers),
+            reserved_buffers: Cell::new(0),
             client_sockets: SocketBudget::new(&process_sockets),
             endpoint_sockets: SocketBudget::new(&process_sockets),
-            total: TotalResources { sockets, buffers, process_sockets },
+            total: TotalResources { sockets, buffers, keeps_reserve, process_sockets },
         };
         pool.share_among(1);
         Rc::new(pool)
@@ -90,6 +98,8 @@
     pub fn share_among(&self, processes: usize) {
         let sockets = self.total.sockets / processes;
         self.max_buffers.set((self.total.buffers / processes).max(1));
+        let reserve = self.max_buffers.get() / RESERVE_DIVISOR;
+        self.reserved_buffers.set(if self.total.keeps_reserve { reserve } else { 0 });
         // Frees unused buffers beyond the share, since the other process may need the memory now.
         let max_free = self.max_buffers.get().saturating_sub(self.buffers_in_use.get());
         self.free_buffers.borrow_mut().truncate(max_free);
@@ -111,7 +121,7 @@
         (self.max_buffers.get() / 16).max(1)
     }
 
-    /// Waits until a buffer is free; for messages of which a part has already arrived.
+    /// Waits until a buffer is free. The caller must not hold any other buffer of this pool.
     pub async fn wait_for_buffer(self: &Rc<Self>) -> Buffer {
         loop {
             match self.buffer() {
@@ -121,6 +131,12 @@
         }
     }
 
+    /// Takes a buffer for a message that holds one already, if enough buffers are free.
+    pub fn additional_buffer(self: &Rc<Self>) -> Option<Buffer> {
+        let free = self.max_buffers.get().saturating_sub(self.buffers_in_use.get());
+        if free > self.reserved_buffers.get() { self.buffer() } else { None }
+    }
+
     /// Takes a buffer, if one is free.
     pub fn buffer(self: &Rc<Self>) -> Option<Buffer> {
         if self.buffers_in_use.get() >= self.max_buffers.get() {
--- a/crates/sidecar/src/net/clients/exchange.rs
+++ b/crates/sidecar/src/net/clients/exchange.rs
@@ -64,7 +64,7 @@
             declared_work: request.declared_work,
         };
         let (events, body_events) = async_channel::bounded(1);
-        let outgoing = self.outgoing_request(stream, request, &mut message, body_events).await;
+        let outgoing = self.outgoing_request(stream, request, &mut message, body_events);
         let (responder, response) = async_channel::bounded(1);
         let incoming = IncomingRequest { number, arrival, outgoing, responder };
         self.queue.push(Event::RequestArrived(Box::new(incoming)));
@@ -93,7 +93,7 @@
 
     /// Builds the request as its attempts send it, with the part of the body that has arrived, which is taken out of
     /// `message`.
-    async fn outgoing_request(
+    fn outgoing_request(
         &self,
         stream: &Rc<Async<TcpStream>>,
         request: Request,
@@ -109,7 +109,7 @@
             None => (BodyEncoding::Chunked, "Transfer-Encoding: chunked\r\n".to_string()),
         };
         head.extend_from_slice(framing.as_bytes());
-        let body = message.take_parts(&self.resources).await;
+        let body = message.take_parts(&self.resources);
         let rest = (!complete).then(|| StreamedBody {
             events,
             encoding,
@@ -178,7 +178,12 @@
         read_ahead: &ReadAhead,
     ) -> Result<Duration, HttpError> {
         let mut arrived_at = self.clock.now();
-        while !message.is_complete() {
+        loop {
+            // While no part is accepted nothing is read, so reading would not detect that the client has left.
+            or(self.pass_on_parts(message, events), client_disconnected(stream)).await?;
+            if message.is_complete() {
+                return Ok(arrived_at);
+            }
             let read = timeout(STALL_TIMEOUT, message.read_more(stream)).await;
             read.unwrap_or(Err(HttpError::TimedOut))?;
             let surplus = if message.is_complete() { message.surplus().len() } else { 0 };
@@ -187,19 +192,37 @@
                 read_ahead.store(message.surplus());
                 message.drop_surplus();
             }
-            let pass_on = async {
-                for part in message.take_parts(&self.resources).await {
-                    if events.send(BodyEvent::Part(part)).await.is_err() {
-                        // The request has finished, and its final response is on its way.
-                        pending::<()>().await;
-                    }
-                }
-                Ok(())
-            };
-            // While no part is accepted nothing is read, so reading would not detect that the client has left.
-            or(pass_on, client_disconnected(stream)).await?;
         }
-        Ok(arrived_at)
+    }
+
+    /// Passes on the parts that have arrived. Returns once `message` can be read on: if there is no other buffer for
+    /// that, when an attempt has written the last part and returns its buffer.
+    async fn pass_on_parts(
+        &self,
+        message: &mut IncomingMessage,
+        events: &Sender<BodyEvent>,
+    ) -> Result<(), HttpError> {
+        for part in message.take_parts(&self.resources) {
+            send_event(events, BodyEvent::Part { part, return_buffer: None }).await;
+        }
+        if let Some(part) = message.take_buffer(&self.resources) {
+            let (return_buffer, returned) = async_channel::bounded(1);
+            send_event(events, BodyEvent::Part { part, return_buffer: Some(return_buffer) }).await;
+            match returned.recv().await {
+                Ok(buffer) => message.continue_in(buffer),
+                // The attempt has failed within the body, so the request's final response is on its way.
+                Err(_) => pending().await,
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Passes an event on to the attempt that sends the body. Never returns if the request has finished, as its final
+/// response is on its way.
+async fn send_event(events: &Sender<BodyEvent>, event: BodyEvent) {
+    if events.send(event).await.is_err() {
+        pending::<()>().await;
     }
 }
 
--- a/crates/sidecar/src/net/http/body.rs
+++ b/crates/sidecar/src/net/http/body.rs
@@ -46,6 +46,12 @@
     pub fn bytes(&self) -> &[u8] {
         &self.buffer.filled()[self.range.clone()]
     }
+
+    /// Discards the bytes and returns the empty buffer.
+    pub fn into_buffer(mut self) -> Buffer {
+        self.buffer.truncate(0);
+        self.buffer
+    }
 }
 
 /// Reads available bytes into the buffer, waiting for them if there are none. Returns their number.
--- a/crates/sidecar/src/net/http/http_tests.rs
+++ b/crates/sidecar/src/net/http/http_tests.rs
@@ -114,19 +114,24 @@
     let with_length = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
     let with_length = [with_length.as_bytes(), &body].concat();
     let to_end = [b"HTTP/1.1 200 OK\r\n\r\n", &body[..]].concat();
-    for (bytes, keep) in [(with_length, true), (chunked(11), true), (chunked(70_001), true), (to_end, false)]
-    {
+    let forms = [(with_length, true), (chunked(11), true), (chunked(70_001), true), (to_end, false)];
+    for ((bytes, keep), buffers) in forms.into_iter().flat_map(|form| [(form.clone(), 1), (form, 2)]) {
         let (sender, receiver) = connected_pair();
         let writer = std::thread::spawn(move || (&sender).write_all(&bytes).is_ok());
-        let resources = ResourcePool::buffers_only(2);
+        let resources = ResourcePool::buffers_only(buffers);
         let buffer = resources.buffer().expect("a buffer");
         let (received, kept_alive) = block_on(async {
             let mut message = IncomingMessage::read_response(&receiver, buffer).await.expect("a head");
             let mut received = Vec::new();
             while !message.is_complete() {
-                for piece in message.take_parts(&resources).await {
+                for piece in message.take_parts(&resources) {
                     received.extend_from_slice(piece.bytes());
                 }
+                // Without a second buffer, reading continues in the one whose bytes were taken.
+                if let Some(piece) = message.take_buffer(&resources) {
+                    received.extend_from_slice(piece.bytes());
+                    message.continue_in(piece.into_buffer());
+                }
                 message.read_more(&receiver).await.expect("the rest");
             }
             received.extend(message.body_bytes());
--- a/crates/sidecar/src/net/http/message.rs
+++ b/crates/sidecar/src/net/http/message.rs
@@ -51,6 +51,8 @@
     full_parts: Vec<BodyPart>,
     /// Decoded bytes up to the decoder's `end`, followed by bytes that are not decoded yet.
     buffer: Buffer,
+    /// The bytes that are not decoded yet, while the buffer is taken: at most a chunk size or a trailer.
+    undecoded: Vec<u8>,
 }
 
 impl IncomingMessage {
@@ -93,6 +95,7 @@
             bytes_read,
             full_parts: Vec::new(),
             buffer,
+            undecoded: Vec::new(),
         };
         message.decode()?;
         Ok(message)
@@ -141,8 +144,8 @@
         self.full_parts.iter().map(BodyPart::bytes).chain((!last.is_empty()).then_some(last))
     }
 
-    /// Makes space for reading more, with another buffer if necessary. Returns false if no buffer is free, or `max`
-    /// bytes are buffered already.
+    /// Makes space for reading more, with another buffer if necessary. Returns false if there is no additional buffer, or
+    /// `max` bytes are buffered already.
     pub fn ensure_space(&mut self, pool: &Rc<ResourcePool>, max: usize) -> bool {
         if !self.buffer.spare().is_empty() {
             return true;
@@ -150,7 +153,7 @@
         if (self.full_parts.len() + 1) * BUFFER_SIZE >= max {
             return false;
         }
-        let Some(replacement) = pool.buffer() else { return false };
+        let Some(replacement) = pool.additional_buffer() else { return false };
         let part = self.replace_buffer(replacement);
         self.full_parts.push(part);
         true
@@ -172,8 +175,9 @@
         self.decode()
     }
 
-    /// Takes all decoded bytes, whether the body is complete or not. If more is to be read, waits for a free buffer.
-    pub async fn take_parts(&mut self, pool: &Rc<ResourcePool>) -> Vec<BodyPart> {
+    /// Takes the decoded bytes, whether the body is complete or not. If more is to be read and there is no additional
+    /// buffer, the bytes of the current buffer stay; `take_buffer` takes them.
+    pub fn take_parts(&mut self, pool: &Rc<ResourcePool>) -> Vec<BodyPart> {
         let mut taken = std::mem::take(&mut self.full_parts);
         if self.decoder.end > 0 && self.complete {
             // No more bytes are read into this message, so it needs no other buffer.
@@ -182,13 +186,33 @@
                 buffer: std::mem::replace(&mut self.buffer, Buffer::placeholder(pool)),
                 range,
             });
-        } else if self.decoder.end > 0 {
-            let replacement = pool.wait_for_buffer().await;
+        } else if self.decoder.end > 0
+            && let Some(replacement) = pool.additional_buffer()
+        {
             taken.push(self.replace_buffer(replacement));
         }
         taken
     }
 
+    /// Takes the decoded bytes of the current buffer, if there are any, together with the buffer. More can be read only
+    /// after `continue_in`.
+    pub fn take_buffer(&mut self, pool: &Rc<ResourcePool>) -> Option<BodyPart> {
+        if self.decoder.end == 0 {
+            return None;
+        }
+        self.undecoded = self.buffer.filled()[self.decoder.end..].to_vec();
+        let range = 0..std::mem::take(&mut self.decoder.end);
+        Some(BodyPart { buffer: std::mem::replace(&mut self.buffer, Buffer::placeholder(pool)), range })
+    }
+
+    /// Continues to read into an empty buffer, after `take_buffer`.
+    pub fn continue_in(&mut self, mut buffer: Buffer) {
+        let undecoded = std::mem::take(&mut self.undecoded);
+        buffer.spare()[..undecoded.len()].copy_from_slice(&undecoded);
+        buffer.fill(undecoded.len());
+        self.buffer = buffer;
+    }
+
     /// Discards the decoded bytes that were not taken yet.
     pub fn discard_buffered(&mut self) {
         self.full_parts.clear();
@@ -200,7 +224,7 @@
         self.buffered().collect::<Vec<_>>().concat()
     }
 
-    /// Reads until the body is complete. Fails with `TooLarge` if it needs another buffer and none is free or `max`
+    /// Reads until the body is complete. Fails with `TooLarge` if it needs another buffer and there is none, or `max`
     /// bytes are buffered already.
     pub async fn read_to_end(
         &mut self,
--- a/crates/sidecar/src/net/read_ahead.rs
+++ b/crates/sidecar/src/net/read_ahead.rs
@@ -152,7 +152,7 @@
     fn free_space(&self) -> usize {
         let mut stored = self.bytes.borrow_mut();
         if stored.is_none() {
-            *stored = self.resources.buffer();
+            *stored = self.resources.additional_buffer();
         }
         stored.as_mut().filter(|_| !self.overflowed.get()).map_or(0, |stored| stored.spare().len())
     }
--- a/crates/sidecar/src/net/upstream/exchange.rs
+++ b/crates/sidecar/src/net/upstream/exchange.rs
@@ -108,12 +108,16 @@
     let mut missing = rest.length.map(|length| length.saturating_sub(buffered_len as u64));
     loop {
         match rest.events.recv().await {
-            Ok(BodyEvent::Part(part)) => {
+            Ok(BodyEvent::Part { part, return_buffer }) => {
                 rest.consumed.set(true);
                 let bytes = std::iter::once(part.bytes());
                 let write = http::write_body_part(&connection.stream, b"", bytes, rest.encoding);
                 written_in_time(timeout(STALL_TIMEOUT, write).await)?;
                 missing = missing.map(|missing| missing.saturating_sub(part.bytes().len() as u64));
+                if let Some(return_buffer) = return_buffer {
+                    // The client side may have left in the meantime, and the buffer returns to its pool.
+                    let _ = return_buffer.try_send(part.into_buffer());
+                }
                 // The server may respond before the client side reports that this was the last part.
                 if missing == Some(0) {
                     on_last_byte();
--- a/crates/sidecar/src/net/upstream/outgoing.rs
+++ b/crates/sidecar/src/net/upstream/outgoing.rs
@@ -2,9 +2,10 @@
 
 use crate::invariants::must_hold;
 use crate::net::attempts::{AttemptGuard, Location};
+use crate::net::buffers::Buffer;
 use crate::net::http::{BodyEncoding, BodyPart};
 use crate::net::leaving::ClientPresence;
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use landingspread_decisions::host::Id;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
@@ -49,7 +50,8 @@
 
 /// The next event of a streamed body.
 pub enum BodyEvent {
-    Part(BodyPart),
+    /// A part of the body. A client side that has no other buffer waits for the buffer of this part to read on.
+    Part { part: BodyPart, return_buffer: Option<Sender<Buffer>> },
     /// The body is complete, and the response is due by this time.
     Complete(Instant),
 }
--- a/crates/sidecar/src/net/upstream/upstream_tests.rs
+++ b/crates/sidecar/src/net/upstream/upstream_tests.rs
@@ -34,7 +34,10 @@
     let server = std::thread::spawn(move || respond_to_request(&listener, size));
     let (event_sender, events) = async_channel::unbounded();
     for part in BodyPart::zeroed(&resources, BODY_LENGTH) {
-        assert!(event_sender.try_send(BodyEvent::Part(part)).is_ok(), "the channel is unbounded");
+        assert!(
+            event_sender.try_send(BodyEvent::Part { part, return_buffer: None }).is_ok(),
+            "the channel is unbounded"
+        );
     }
     let rest = StreamedBody {
         events,
--- a/crates/sidecar/tests/long_bodies.rs
+++ b/crates/sidecar/tests/long_bodies.rs
@@ -188,3 +188,70 @@
         assert_eq!(attempts.load(Ordering::Relaxed), 1, "chunked: {chunked}: attempts of the long request");
     }
 }
+
+/// Sends a long body in two halves, the second one slowly. Returns the status, or None if no final response came in time.
+fn upload_slowly(sidecar: SocketAddr, id: &str, length: usize, chunked: bool) -> Option<u16> {
+    const PIECE: usize = 8192;
+    let framing = if chunked { "Transfer-Encoding: chunked" } else { &format!("Content-Length: {length}") };
+    let mut stream = TcpStream::connect(sidecar).expect("failed to connect to the sidecar");
+    stream.set_read_timeout(Some(ms(1500) + RESPONSE_SLACK)).expect("failed to set the read timeout");
+    let mut written = stream.write_all(long_request_head(id, length, framing).as_bytes());
+    for from in (0..length).step_by(PIECE) {
+        let piece = pattern(from, PIECE.min(length - from));
+        let size = format!("{:x}\r\n", piece.len());
+        let framed = if chunked { [size.as_bytes(), &piece, b"\r\n"].concat() } else { piece };
+        written = written.and_then(|()| stream.write_all(&framed));
+        thread::sleep(ms(if from < length / 2 { 2 } else { 40 }));
+    }
+    // The sidecar may reject the request and close the connection before all of it is written.
+    let _ = written.and_then(|()| stream.write_all(if chunked { b"0\r\n\r\n" } else { b"" }));
+    read_response(&mut stream).map(|(status, ..)| status)
+}
+
+/// Requests that hold buffers must not wait for more of them: all would wait for each other, without a time limit.
+#[test]
+fn slow_long_bodies_beyond_the_memory_limit_are_answered() {
+    const MEMORY_MB: usize = 16;
+    const BUFFERED_BODY: usize = 65_536;
+    let server = scripted_server(|_, stream| {
+        while let Some(head) = read_head(stream) {
+            let length = content_length(&head);
+            let is_long = header(&head, "transfer-encoding").is_some() || length > 1000;
+            let expected = head.split(['/', ' ']).nth(3).and_then(|text| text.parse().ok()).unwrap_or(0);
+            let is_whole = match is_long {
+                true if length > 0 => read_body(stream, length),
+                true => read_chunked_body(stream) == Some(pattern(0, expected)),
+                false => stream.read_exact(&mut vec![0; length]).is_ok(),
+            };
+            let status = if is_whole { "200 OK" } else { "400 Bad Request" };
+            let _ = write!(stream, "HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    // The sidecar has 512 buffers of 16 KiB, and buffers up to four of a body.
+    for (clients, length, chunked) in [
+        (160, 120_000, true),
+        (160, BUFFERED_BODY + 1, true),
+        (160, 120_000, false),
+        (160, 400_000, true),
+        // With one buffer for each request and one for its response, more than there are.
+        (300, 120_000, true),
+    ] {
+        let servers = ["s1", "s2", "s3", "s4"].map(|id| (id, server, "ready"));
+        let sidecar = Sidecar::start_as(&endpoint_list(1, &servers), start_discovery().address, |config| {
+            config["limits"]["sockets"] = json!(700);
+            config["limits"]["memory_mb"] = json!(MEMORY_MB);
+        });
+        let case = format!("{clients} clients, {length} bytes, chunked: {chunked}");
+        let address = sidecar.address;
+        let upload = |number: usize| {
+            thread::spawn(move || upload_slowly(address, &format!("u{number}"), length, chunked))
+        };
+        let uploads: Vec<_> = (0..clients).map(upload).collect();
+        let statuses: Vec<_> =
+            uploads.into_iter().map(|upload| upload.join().expect("client thread panicked")).collect();
+        let answered = statuses.iter().filter(|status| **status == Some(200)).count();
+        println!("{case}: {answered} of {clients} answered with 200");
+        assert!(statuses.iter().all(|status| matches!(status, Some(200 | 503))), "{case}: {statuses:?}");
+        assert_eq!(sidecar.send_request("view", "after", 1500), 200, "{case}: a request afterwards");
+    }
+}
