Apply the other process's maintenance orders also right before an own one

Cause: `MaintenanceRecord::set` reads the file under its lock, adds its entry, and took the result over as the state that was read last. An order of the other process that it found there was never applied: the next look saw an unchanged file. It goes in both directions, for returns as for entries.

Change: a write marks the record as to be read again, so the next look finds every entry that is not in force here. On related paths: a state of the file that could not be read no longer counts as read (one failed read hid the orders in it until the next change), and is logged once; a replaced file is told by its inode too; a lock orders the console's own orders among those of the other process, as an older order could reach the owner after a newer one for the same endpoint. The lock is that of async-lock, which the lock file had already. Why this works: what is in force is compared with the record after each change, whoever wrote it.

--- a/crates/sidecar/src/console/handlers.rs
+++ b/crates/sidecar/src/console/handlers.rs
@@ -86,12 +86,17 @@
         if in_maintenance && self.entries_in_force.borrow().len() >= MAX_ENTRIES {
             return Reply::error(507, "too many endpoints are out");
         }
-        match self.send_order(&server, in_maintenance, None).await {
-            None => return Reply::error(503, "the sidecar does not answer"),
-            Some(false) => return Reply::error(404, "no list ever named this endpoint"),
-            Some(true) => {}
+        let ordered = async {
+            let record = self.record.lock().await;
+            Some((record, self.send_order(&server, in_maintenance, None).await?))
+        };
+        let Some((mut record, known)) = timeout(OWNER_TIMEOUT, ordered).await.flatten() else {
+            return Reply::error(503, "the sidecar does not answer");
+        };
+        if !known {
+            return Reply::error(404, "no list ever named this endpoint");
         }
-        if let Some(record) = &mut *self.record.borrow_mut()
+        if let Some(record) = &mut *record
             && let Err(error) = record.set(&server, in_maintenance)
         {
             tracing::error!("console: maintenance of {server} is not recorded: {error}");
@@ -124,14 +129,12 @@
     pub(super) async fn follow_record(self: Rc<Self>) {
         loop {
             Timer::after(CHECK_INTERVAL).await;
-            let recorded = {
-                let mut record = self.record.borrow_mut();
-                let Some(record) = &mut *record else { return };
-                if !record.refresh() {
-                    continue;
-                }
-                record.entries.clone()
-            };
+            let mut record = self.record.lock().await;
+            let Some(record) = &mut *record else { return };
+            if !record.refresh() {
+                continue;
+            }
+            let recorded = record.entries.clone();
             let previous = std::mem::replace(&mut *self.entries_in_force.borrow_mut(), recorded.clone());
             for (server, entry) in recorded {
                 if previous
--- a/crates/sidecar/src/console/mod.rs
+++ b/crates/sidecar/src/console/mod.rs
@@ -15,6 +15,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
+use async_lock::Mutex;
 use futures_lite::AsyncReadExt;
 use futures_lite::future::or;
 use reply::Reply;
@@ -75,7 +76,9 @@
 struct ConsoleServer {
     serving: Arc<AtomicBool>,
     orders: Sender<MaintenanceOrder>,
-    record: RefCell<Option<MaintenanceRecord>>,
+    /// Locked while an order is applied and recorded, so that orders of this console and of the other process's reach the
+    /// owner in the order in which they were recorded.
+    record: Mutex<Option<MaintenanceRecord>>,
     fleet: Option<fleet::FleetHandle>,
     control: Option<ControlStatus>,
     /// The maintenance entries that this process applies.
@@ -110,7 +113,7 @@
         ConsoleServer {
             serving,
             orders,
-            record: RefCell::new(record),
+            record: Mutex::new(record),
             fleet,
             control,
             entries_in_force: RefCell::new(recorded),
--- a/crates/sidecar/src/handover/maintenance_record.rs
+++ b/crates/sidecar/src/handover/maintenance_record.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::io;
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 
@@ -91,8 +92,10 @@
 }
 
 /// Identifies a state of the file, to detect changes without reading it.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 struct FileStamp {
+    /// Each write replaces the file by another one.
+    inode: u64,
     modified: SystemTime,
     length: u64,
 }
@@ -100,9 +103,11 @@
 /// One process's view of the record.
 pub struct MaintenanceRecord {
     path: PathBuf,
-    /// The file's state when it was last read or written; None if the file did not exist.
+    /// The file's state when `refresh` last read it; None if the file did not exist, or was written here since.
     last_stamp: Option<FileStamp>,
-    /// The entries last read or written.
+    /// The last state of the file that could not be read, for which an error was logged.
+    unreadable_stamp: Option<FileStamp>,
+    /// The entries that `refresh` has read last.
     pub entries: MaintenanceEntries,
 }
 
@@ -110,31 +115,39 @@
     /// Opens the record of the sidecar with this name, which is empty if the file does not exist.
     pub fn open(folder: &Path, name: &str) -> MaintenanceRecord {
         let path = folder.join(format!("{}.maintenance", storage::file_name_of(name)));
-        let mut record = MaintenanceRecord { path, last_stamp: None, entries: MaintenanceEntries::new() };
+        let entries = MaintenanceEntries::new();
+        let mut record = MaintenanceRecord { path, last_stamp: None, unreadable_stamp: None, entries };
         record.refresh();
         record
     }
 
     fn stamp(&self) -> Option<FileStamp> {
         let metadata = std::fs::metadata(&self.path).ok()?;
-        Some(FileStamp { modified: metadata.modified().ok()?, length: metadata.len() })
+        let modified = metadata.modified().ok()?;
+        Some(FileStamp { inode: metadata.ino(), modified, length: metadata.len() })
     }
 
-    /// Reads the file if it has changed. Returns whether it had changed.
+    /// Reads the file if it has changed since the last call. Returns whether its entries were read.
     pub fn refresh(&mut self) -> bool {
         let stamp = self.stamp();
         if stamp == self.last_stamp {
             return false;
         }
-        self.last_stamp = stamp;
         match self.read() {
-            Ok(entries) => self.entries = entries,
-            // The entries read last stay in force: a truncated file must not end the maintenance of servers.
+            Ok(entries) => {
+                self.entries = entries;
+                self.last_stamp = stamp;
+                true
+            }
+            // The entries read last stay in force: a truncated file must not end the maintenance of servers. The next
+            // call tries again, as the failure may be temporary.
             Err(error) => {
-                tracing::error!("{}: {error}; the entries read last stay in force", self.path.display());
+                if std::mem::replace(&mut self.unreadable_stamp, stamp) != stamp {
+                    tracing::error!("{}: {error}; the entries read last stay in force", self.path.display());
+                }
+                false
             }
         }
-        true
     }
 
     fn read(&self) -> Result<MaintenanceEntries, RecordError> {
@@ -148,7 +161,8 @@
         Ok(file.entries)
     }
 
-    /// Sets the entry of a server, keeping the current entries of the file for other servers.
+    /// Sets the entry of a server, keeping the current entries of the file for other servers. These may be new to this
+    /// process, so the next call of `refresh` reads the file.
     ///
     /// # Errors
     /// The file cannot be locked, read or written, or would exceed [`MAX_ENTRIES`]; it stays unchanged.
@@ -164,8 +178,7 @@
         }
         let file = RecordFile { version: FORMAT_VERSION, entries };
         storage::replace(&self.path, TemporaryName::Suffix, &serde_json::to_vec(&file)?)?;
-        self.entries = file.entries;
-        self.last_stamp = self.stamp();
+        self.last_stamp = None;
         Ok(())
     }
 }
--- a/crates/sidecar/src/handover/maintenance_record_tests.rs
+++ b/crates/sidecar/src/handover/maintenance_record_tests.rs
@@ -22,6 +22,42 @@
     let _ = std::fs::remove_dir_all(folder);
 }
 
+/// A process that records an order right after the other one did must still see the other's order as new, or it would
+/// never apply it.
+#[test]
+fn own_order_does_not_hide_one_that_the_other_process_recorded_before() {
+    let folder = std::env::temp_dir().join(format!("landingspread-record-both-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("the test folder is created");
+    let (mut first, mut second) =
+        (MaintenanceRecord::open(&folder, "n"), MaintenanceRecord::open(&folder, "n"));
+    for in_maintenance in [true, false, true] {
+        first.set("s1", in_maintenance).expect("the entry is written");
+        second.set("s2", in_maintenance).expect("the entry is written");
+        for record in [&mut first, &mut second] {
+            assert!(record.refresh(), "the record has changed");
+            assert!(["s1", "s2"].iter().all(|id| record.entries[*id].in_maintenance == in_maintenance));
+            assert!(!record.refresh());
+        }
+    }
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+/// A state of the file that could not be read must not count as read, or its entries would wait for the next change.
+#[test]
+fn record_that_cannot_be_read_is_read_at_the_next_look() {
+    let folder = std::env::temp_dir().join(format!("landingspread-record-again-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("the test folder is created");
+    let mut record = MaintenanceRecord::open(&folder, "n");
+    record.set("s1", true).expect("the entry is written");
+    record.refresh();
+    // A folder in the place of the file cannot be read.
+    std::fs::remove_file(&record.path).expect("the record is removed");
+    std::fs::create_dir(&record.path).expect("the folder is created");
+    assert!(!record.refresh() && record.last_stamp != record.stamp());
+    assert!(record.entries["s1"].in_maintenance, "the entries read last stay");
+    let _ = std::fs::remove_dir_all(folder);
+}
+
 /// A record written by an earlier release.
 const EARLIER_RECORD: &str = include_str!("../../tests/fixtures/state/node_1__.maintenance");
 
--- a/crates/sidecar/tests/operators.rs
+++ b/crates/sidecar/tests/operators.rs
@@ -336,3 +336,73 @@
     assert_eq!(maintenance(second, "exit", "s1"), Some(200));
     wait_until("s1 receives requests again", || next() == Some(200) && endpoints[0].request_count() > 0);
 }
+
+/// Orders for two endpoints that reach both processes of an upgrade within a millisecond hold at both: the process that
+/// records its own order second must apply the first one too.
+#[test]
+fn orders_at_both_processes_at_once_hold_at_both() {
+    for (order_at_new_first, new_stays) in [(false, true), (true, false), (true, true), (false, false)] {
+        let case = format!("order at the new process first: {order_at_new_first}, it stays: {new_stays}");
+        let endpoints = [(); 4].map(|()| start_endpoint(ScriptedBehavior::Respond));
+        let listener = InheritedListener::with_endpoints(
+            &format!("at-once-{order_at_new_first}-{new_stays}"),
+            &endpoints,
+        );
+        let (old, old_console) = listener.start_serving();
+        let (new, new_console) = listener.start_serving();
+        let consoles =
+            if order_at_new_first { [new_console, old_console] } else { [old_console, new_console] };
+        let order_at_both = |action: &str| {
+            for (console, server) in consoles.into_iter().zip(["s1", "s2"]) {
+                assert_eq!(maintenance(console, action, server), Some(200), "{case}: {action} {server}");
+            }
+        };
+        let load = BackgroundLoad::start(old.address);
+        wait_until("all endpoints receive requests", || {
+            endpoints.iter().all(|endpoint| endpoint.request_count() > 0)
+        });
+        order_at_both("enter");
+        // The other process's orders are looked for ten times a second.
+        thread::sleep(ms(500));
+        let before = [0, 1].map(|index| endpoints[index].request_count());
+        let sent = load.sent();
+        wait_until("both processes serve on", || load.sent() > sent + 200);
+        let leaving = if new_stays { &old } else { &new };
+        leaving.signal("-TERM");
+        let sent = load.sent();
+        wait_until("one process serves on", || load.sent() > sent + 400);
+        let after = [0, 1].map(|index| endpoints[index].request_count());
+        assert_eq!(after, before, "{case}: endpoints in maintenance got requests");
+        let console = if new_stays { new_console } else { old_console };
+        let text = "GET /maintenance HTTP/1.1\r\nHost: x\r\n\r\n";
+        let mut stream = TcpStream::connect(console).expect("failed to connect to the console");
+        stream.write_all(text.as_bytes()).expect("failed to write to the console");
+        let listed = read_response(&mut stream).map(|(_, _, body)| body);
+        assert_eq!(listed.as_deref(), Some(&b"s1\ns2\n"[..]), "{case}");
+        assert_none_lost_or_repeated(&load.end(), &endpoints);
+    }
+}
+
+/// Orders to end maintenance that reach both processes at once hold at both as well.
+#[test]
+fn returns_at_both_processes_at_once_hold_at_both() {
+    // The other endpoints have room for all requests while the two are in slow start.
+    let endpoints = [(); 6].map(|()| start_endpoint(ScriptedBehavior::Respond));
+    let listener = InheritedListener::with_endpoints("return-at-once", &endpoints);
+    let (old, old_console) = listener.start_serving();
+    let (_new, new_console) = listener.start_serving();
+    for server in ["s1", "s2"] {
+        assert_eq!(maintenance(old_console, "enter", server), Some(200));
+    }
+    thread::sleep(ms(500));
+    assert_eq!(maintenance(old_console, "exit", "s1"), Some(200));
+    assert_eq!(maintenance(new_console, "exit", "s2"), Some(200));
+    thread::sleep(ms(500));
+    old.signal("-TERM");
+    let before = [0, 1].map(|index| endpoints[index].request_count());
+    let load = BackgroundLoad::start(old.address);
+    wait_until("the endpoints that returned receive requests", || {
+        [0, 1].iter().all(|index| endpoints[*index].request_count() > before[*index] + 5)
+    });
+    assert_none_lost_or_repeated(&load.end(), &endpoints);
+}
