End a request in its time while its long body waits for a server

Cause: the deadline of a streamed request was known to its attempt only with the end of the body, which the attempt takes from the channel after all parts. An attempt that waits in a write never saw it, and a write could wait for 20 s. With the body not read to its end there was no limit: reading stops while no part is taken, so that the last byte is not seen, and nothing ended the request's wait for a server.

The system reports a socket as writable only once a third of its buffer is free.

Change: the owner ends a streamed request's attempts when its response is due. If no part is taken for the time limit, the client side reports this and the time counts as over, as the client may have sent its last byte long ago. A write to a server fails after the time limit, 20 s at most, and is tried every 0.1 s.

--- a/crates/sidecar/src/net/clients/exchange.rs
+++ b/crates/sidecar/src/net/clients/exchange.rs
@@ -137,7 +137,10 @@
                 self.reading.closed().await;
                 Err(HttpError::TimedOut)
             };
-            let rest = self.pass_on_body(stream, message, &upload.events, read_ahead);
+            let rest = async {
+                let rest = timeout(BODY_TIMEOUT, self.pass_on_body(stream, message, upload, read_ahead));
+                rest.await.unwrap_or(Err(HttpError::TimedOut))
+            };
             let arrived_at = or(rest, reading_closed).await?;
             let deadline = self.deadline(arrived_at, upload.time_limit);
             self.queue.push(Event::BodyComplete(upload.id.clone(), upload.number, deadline));
@@ -169,18 +172,27 @@
     }
 
     /// Passes on the rest of a body part by part, as fast as an attempt accepts it. Returns the arrival time of the
-    /// last byte.
+    /// last byte. If no part is accepted for the request's time limit, reports this to the owner, and returns only once the
+    /// client has left.
     async fn pass_on_body(
         &self,
         stream: &Async<TcpStream>,
         message: &mut IncomingMessage,
-        events: &Sender<BodyEvent>,
+        upload: &BodyUpload,
         read_ahead: &ReadAhead,
     ) -> Result<Duration, HttpError> {
         let mut arrived_at = self.clock.now();
         loop {
             // While no part is accepted nothing is read, so reading would not detect that the client has left.
-            or(self.pass_on_parts(message, events), client_disconnected(stream)).await?;
+            let pass_on = async {
+                let pass_on = self.pass_on_parts(message, &upload.events);
+                Ok(timeout(upload.time_limit, pass_on).await.is_some())
+            };
+            let left = async { client_disconnected(stream).await.map(|()| false) };
+            if !or(pass_on, left).await? {
+                self.queue.push(Event::BodyStalled(upload.id.clone(), upload.number));
+                client_disconnected(stream).await?;
+            }
             if message.is_complete() {
                 return Ok(arrived_at);
             }
@@ -197,11 +209,7 @@
 
     /// Passes on the parts that have arrived. Returns once `message` can be read on: if there is no other buffer for
     /// that, when an attempt has written the last part and returns its buffer.
-    async fn pass_on_parts(
-        &self,
-        message: &mut IncomingMessage,
-        events: &Sender<BodyEvent>,
-    ) -> Result<(), HttpError> {
+    async fn pass_on_parts(&self, message: &mut IncomingMessage, events: &Sender<BodyEvent>) {
         for part in message.take_parts(&self.resources) {
             send_event(events, BodyEvent::Part { part, return_buffer: None }).await;
         }
@@ -214,7 +222,6 @@
                 Err(_) => pending().await,
             }
         }
-        Ok(())
     }
 }
 
--- a/crates/sidecar/src/net/owner/event.rs
+++ b/crates/sidecar/src/net/owner/event.rs
@@ -46,6 +46,11 @@
     /// The last byte of a request's body has arrived. Fields: the request's id and number, and when the response is
     /// due.
     BodyComplete(Id, u64, Duration),
+    /// No attempt has accepted a part of the request's body for the request's time limit. The client may have sent the
+    /// last byte long ago, so the time of the request is over. Fields: the request's id and number.
+    BodyStalled(Id, u64),
+    /// The response to a request with a streamed body is due. Fields: the request's id and number.
+    ResponseDue(Id, u64),
     ClientLeft(Id, u64),
     /// A response of this server to a request of this class broke off while it was passed on.
     ResponseInterrupted(Id, usize),
--- a/crates/sidecar/src/net/owner/event_loop.rs
+++ b/crates/sidecar/src/net/owner/event_loop.rs
@@ -245,6 +245,8 @@
         match event {
             Event::RequestArrived(request) => self.request_arrived(now, *request),
             Event::BodyComplete(id, number, deadline) => self.body_complete(now, &id, number, deadline),
+            Event::BodyStalled(id, number) => self.body_complete(now, &id, number, now),
+            Event::ResponseDue(id, number) => self.table.borrow_mut().time_out(&id, number),
             Event::ClientLeft(id, number) => self.client_left(now, &id, number),
             Event::ResponseInterrupted(server, class) => {
                 self.policy.response_interrupted(now, &server, class);
@@ -293,12 +295,7 @@
         self.policy.shut_down_by(now, at);
         let mut table = self.table.borrow_mut();
         table.shutdown_by = at;
-        let (queue, deadline) = (table.queue.clone(), self.clock.instant(at));
-        let notify = async move {
-            Timer::at(deadline).await;
-            queue.push(Event::ShutdownDeadline);
-        };
-        table.executor.spawn(notify).detach();
+        table.push_at(at, Event::ShutdownDeadline).detach();
     }
 
     fn request_arrived(&mut self, now: Duration, request: IncomingRequest) {
@@ -317,6 +314,7 @@
             responder,
             finished: false,
             attempts: Vec::new(),
+            due_timer: None,
         };
         table.requests.insert(arrival.id.clone(), open);
         drop(table);
@@ -325,8 +323,10 @@
 
     fn body_complete(&mut self, now: Duration, id: &Id, number: u64, deadline: Duration) {
         let mut table = self.table.borrow_mut();
+        let due_timer = table.push_at(deadline, Event::ResponseDue(id.clone(), number));
         let Some(open) = table.requests.get_mut(id).filter(|open| open.number == number) else { return };
         open.deadline = deadline;
+        open.due_timer = Some(due_timer);
         // Latency is measured from here: a server begins only when the last byte has arrived.
         let in_flight = open.attempts.iter_mut().filter(|attempt| !attempt.has_ended());
         in_flight.for_each(|attempt| attempt.sent_at = now);
--- a/crates/sidecar/src/net/owner/request_table.rs
+++ b/crates/sidecar/src/net/owner/request_table.rs
@@ -15,6 +15,7 @@
 use crate::start::StartupTimes;
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
+use async_io::Timer;
 use landingspread_decisions::host::{Id, Lifecycle, ListedServer, Outcome};
 use std::cell::Cell;
 use std::cmp::Reverse;
@@ -63,6 +64,9 @@
     /// Whether the final response was sent, or the client has left.
     pub(super) finished: bool,
     pub(super) attempts: Vec<Attempt>,
+    /// Reports that the response is due, once the body of a streamed request has arrived. An attempt that waits in a
+    /// write to its server does not know the deadline yet.
+    pub(super) due_timer: Option<Task<()>>,
 }
 
 impl OpenRequest {
@@ -235,6 +239,22 @@
         open.attempts.push(attempt);
     }
 
+    /// Pushes an event at this time, unless the returned task is dropped before.
+    pub(super) fn push_at(&self, at: Duration, event: Event) -> Task<()> {
+        let (queue, at) = (self.queue.clone(), self.clock.instant(at));
+        self.executor.spawn(async move {
+            Timer::at(at).await;
+            queue.push(event);
+        })
+    }
+
+    /// Times out the attempts in flight of a request without a final response, as the response is due.
+    pub(super) fn time_out(&mut self, request: &Id, number: u64) {
+        let open = self.requests.get(request).filter(|open| open.number == number && !open.finished);
+        let attempts = open.map_or(0, |open| open.attempts.len() as u32);
+        (0..attempts).for_each(|attempt| self.stop(request, attempt, Outcome::Timeout));
+    }
+
     /// Times out all attempts in flight of requests without a final response, as the shutdown deadline has come.
     /// Responses that are being passed on continue.
     pub(super) fn time_out_all(&mut self) {
--- a/crates/sidecar/src/net/upstream/exchange.rs
+++ b/crates/sidecar/src/net/upstream/exchange.rs
@@ -2,7 +2,6 @@
 
 use super::outgoing::{BodyEvent, OutgoingRequest, StreamedBody};
 use super::pool::{ConnectionPool, Target, UpstreamConnection};
-use super::response::STALL_TIMEOUT;
 use crate::net::buffers::ResourcePool;
 use crate::net::http::{self, BodyEncoding, BodyPart, HttpError, IncomingMessage};
 use crate::net::timeout::timeout;
@@ -11,12 +10,17 @@
 use landingspread_decisions::host::Outcome;
 use std::cell::Cell;
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// How long a response is awaited after a write failed, as the server may have sent it before the connection broke.
 const LAST_RESPONSE_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// How often a write that waits is tried again. The system reports a socket as writable only once a third of its buffer
+/// is free, for which a slow server may need seconds.
+const WRITE_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Writes one message to a server and reads the head of the response. `write` builds the message once there is a
 /// connection, as the remaining time shrinks while the connection is established, and sets the cell when the last byte
 /// is written. If the server responds before the message is complete, nothing has run and the connection is not used
@@ -93,7 +97,7 @@
     };
     let buffered_len: usize = request.body.iter().map(|part| part.bytes().len()).sum();
     let write = http::write_body_part(&connection.stream, head, buffered, rest.encoding);
-    written_in_time(timeout(STALL_TIMEOUT, write).await)?;
+    write_in_time(rest.stall_timeout(), write).await?;
     write_rest(connection, rest, buffered_len, response_due, on_last_byte).await
 }
 
@@ -112,7 +116,7 @@
                 rest.consumed.set(true);
                 let bytes = std::iter::once(part.bytes());
                 let write = http::write_body_part(&connection.stream, b"", bytes, rest.encoding);
-                written_in_time(timeout(STALL_TIMEOUT, write).await)?;
+                write_in_time(rest.stall_timeout(), write).await?;
                 missing = missing.map(|missing| missing.saturating_sub(part.bytes().len() as u64));
                 if let Some(return_buffer) = return_buffer {
                     // The client side may have left in the meantime, and the buffer returns to its pool.
@@ -126,7 +130,7 @@
             Ok(BodyEvent::Complete(due)) => {
                 rest.consumed.set(true);
                 let write = http::write_body_end(&connection.stream, rest.encoding);
-                written_in_time(timeout(STALL_TIMEOUT, write).await)?;
+                write_in_time(rest.stall_timeout(), write).await?;
                 on_last_byte();
                 response_due.set(due);
                 return Ok(());
@@ -137,9 +141,19 @@
     }
 }
 
-fn written_in_time(written: Option<io::Result<()>>) -> Result<(), Outcome> {
-    match written {
-        Some(Ok(())) => Ok(()),
-        _ => Err(Outcome::ConnectFailed),
+/// Completes a write of a part of a body, which fails if it takes longer than `limit`.
+async fn write_in_time(limit: Duration, write: impl Future<Output = io::Result<()>>) -> Result<(), Outcome> {
+    let deadline = Instant::now() + limit;
+    let mut write = pin!(write);
+    loop {
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        if remaining.is_zero() {
+            return Err(Outcome::ConnectFailed);
+        }
+        // The end of the timeout polls the write again.
+        let written = timeout(remaining.min(WRITE_RETRY_INTERVAL), &mut write).await;
+        if let Some(written) = written {
+            return written.map_err(|_| Outcome::ConnectFailed);
+        }
     }
 }
--- a/crates/sidecar/src/net/upstream/outgoing.rs
+++ b/crates/sidecar/src/net/upstream/outgoing.rs
@@ -1,5 +1,6 @@
 //! A request as it is sent to servers: its bytes, and the part of a long body that has not arrived yet.
 
+use super::response::STALL_TIMEOUT;
 use crate::invariants::must_hold;
 use crate::net::attempts::{AttemptGuard, Location};
 use crate::net::buffers::Buffer;
@@ -48,6 +49,14 @@
     pub consumed: Cell<bool>,
 }
 
+impl StreamedBody {
+    /// How long a write to a server may make no progress. The client may have sent the last byte already, so a longer
+    /// wait than the time limit could be too long for the final response.
+    pub(super) fn stall_timeout(&self) -> Duration {
+        STALL_TIMEOUT.min(self.time_limit)
+    }
+}
+
 /// The next event of a streamed body.
 pub enum BodyEvent {
     /// A part of the body. A client side that has no other buffer waits for the buffer of this part to read on.
--- a/crates/sidecar/src/net/upstream/response.rs
+++ b/crates/sidecar/src/net/upstream/response.rs
@@ -8,7 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// An exchange is given up if a read of the response or a write of a streamed body makes no progress for this long.
+/// An exchange is given up if a read of the response or a write of a streamed body makes no progress for this long; a
+/// write also if it makes none for the request's time limit.
 pub(super) const STALL_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// A 200 response: complete, or the part that has arrived and the connection on which the rest arrives.
--- a/crates/sidecar/tests/long_bodies.rs
+++ b/crates/sidecar/tests/long_bodies.rs
@@ -96,8 +96,10 @@
         .write_all(long_request_head("capacity", LENGTH, "Transfer-Encoding: chunked").as_bytes())
         .expect("failed to write the request head");
     let writing = thread::spawn(move || write_chunked_body(&mut writer, LENGTH));
-    let (mut unread, mut since) = (0, Instant::now());
+    let begun = Instant::now();
+    let (mut unread, mut since) = (0, begun);
     while unread == 0 || since.elapsed() < ms(100) {
+        assert!(begun.elapsed() < WAIT_BOUND, "the server reads on: {unread} bytes unread");
         let now = unread_bytes(server);
         if now != unread {
             (unread, since) = (now, Instant::now());
@@ -255,3 +257,82 @@
         assert_eq!(sidecar.send_request("view", "after", 1500), 200, "{case}: a request afterwards");
     }
 }
+
+/// Writes a long body on a new connection, in another thread, and measures when its response comes: the time from the
+/// moment at which all of it was written, or zero if the response came before, and the status. The time limit is 1.5 s.
+fn time_to_response(sidecar: &Sidecar, id: &str, length: usize, chunked: bool) -> (Duration, Option<u16>) {
+    let mut stream = sidecar.connect().expect("failed to connect to the sidecar");
+    let mut writer = stream.try_clone().expect("failed to clone the connection");
+    let framing = if chunked { "Transfer-Encoding: chunked" } else { &format!("Content-Length: {length}") };
+    stream.write_all(long_request_head(id, length, framing).as_bytes()).expect("failed to write the head");
+    let write = if chunked { write_chunked_body } else { write_body };
+    let writing = thread::spawn(move || write(&mut writer, length).then(Instant::now));
+    let status = read_response(&mut stream).map(|(status, ..)| status);
+    let responded = Instant::now();
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+    let written = writing.join().expect("writer thread panicked");
+    (written.map_or(Duration::ZERO, |written| responded.saturating_duration_since(written)), status)
+}
+
+/// A server that answers short requests at once, and reads `rate` bytes of a long body in a second.
+fn slowly_reading_server(rate: usize) -> SocketAddr {
+    const PAUSE: Duration = Duration::from_millis(20);
+    scripted_server(move |_, stream| {
+        while let Some(head) = read_head(stream) {
+            let length = content_length(&head);
+            if length > 1000 || header(&head, "transfer-encoding").is_some() {
+                let mut bytes = vec![0; rate / 50];
+                while rate == 0 || matches!(stream.read(&mut bytes), Ok(1..)) {
+                    thread::sleep(PAUSE);
+                }
+                return;
+            }
+            let _ = stream.read_exact(&mut vec![0; length]);
+            let _ = stream.write_all(OK);
+        }
+    })
+}
+
+/// A request whose last byte was written has a final response in time, also while its server reads nothing or little of
+/// it: a write that waits for the server has no other time limit than the request.
+#[test]
+fn long_body_that_its_server_hardly_reads_has_a_response_in_time() {
+    let stalled = slowly_reading_server(0);
+    let capacity = capacity_of_stalled_server(&start_hedging_sidecar(stalled), stalled);
+    for (rate, chunked, beyond_capacity) in [
+        // The sidecar has not read the end of the body.
+        (0, true, 1_000_000),
+        (0, false, 1_000_000),
+        // It has, and the last parts wait in a write.
+        (0, true, 10_000),
+        (300_000, true, 0),
+        (300_000, false, 0),
+    ] {
+        let server = slowly_reading_server(rate);
+        let sidecar = start_hedging_sidecar(server);
+        let length = capacity + beyond_capacity;
+        let (time, status) = time_to_response(&sidecar, "r1", length, chunked);
+        let case = format!("{rate} bytes a second, chunked: {chunked}, {length} bytes");
+        println!("{case}: {status:?} after {time:?}");
+        assert!(matches!(status, Some(502 | 503)), "{case}: {status:?} after {time:?}");
+        assert!(time < ms(1500) + RESPONSE_SLACK, "{case}: {status:?} after {time:?}");
+        assert_eq!(sidecar.send_request("view", "after", 1500), 200, "{case}: a request afterwards");
+    }
+}
+
+/// The same for a request that waits for a server: the ones that discovery lists accept no connection, or drain.
+#[test]
+fn long_body_that_waits_for_a_server_has_a_response_in_time() {
+    for (chunked, lifecycle) in [(true, "ready"), (false, "ready"), (true, "draining"), (false, "draining")] {
+        let gate = gate::Gate::start_closed();
+        let servers = ["s1", "s2"].map(|id| (id, gate.address, lifecycle));
+        let sidecar = Sidecar::start_as(&endpoint_list(1, &servers), start_discovery().address, |config| {
+            config["settings"]["PolicyLimits"]["DialTimeout"] = json!(30_000_000);
+        });
+        let (time, status) = time_to_response(&sidecar, "w1", 400_000, chunked);
+        let case = format!("{lifecycle}, chunked: {chunked}");
+        println!("{case}: {status:?} after {time:?}");
+        assert_eq!(status, Some(503), "{case}: after {time:?}");
+        assert!(time < ms(1500) + RESPONSE_SLACK, "{case}: after {time:?}");
+    }
+}
