Review case 8: one long configuration keeps a control machine stale for others

Cause: publish takes a version that is longer than a message between machines may be, and a machine's poll of a peer ends at the first scope that it cannot fetch, each second anew (control/src/version_store.rs, control/machine/peers.rs).

--- a/review/stands-2/src/main.rs
+++ b/review/stands-2/src/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins and drivers of the cases in review/. `review-stands-2 CASE FOLDER` plays one case, writes `record.txt`
 //! into the folder and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod control;
 mod never_ending;
 mod rig;
 mod zone_order;
@@ -19,6 +20,7 @@
     match case.as_str() {
         "answer" => never_ending::answer_case(),
         "request" => never_ending::request_case(),
+        "control" => control::case(),
         "order" => zone_order::case(),
         "zone" => zone_upgrade::case(),
         other => {
