--- a/review/stands-2/src/control.rs
+++ b/review/stands-2/src/control.rs
@@ -73,7 +73,8 @@
     let machines = [free_port(), free_port()];
     let _north = start_machine(0, &machines, "north.log");
     let south = start_machine(1, &machines, "south.log");
-    let status = |machine: SocketAddr| get(machine, "/control/v1/status").map(|page| page.text()).unwrap_or_default();
+    let status =
+        |machine: SocketAddr| get(machine, "/control/v1/status").map(|page| page.text()).unwrap_or_default();
     let meets = |machine: &SocketAddr| status(*machine).contains("s ago");
     if !wait_until(ms(10_000), || machines.iter().all(meets)) {
         say("the control machines do not meet");
@@ -118,7 +119,9 @@
     for machine in machines {
         note(&format!("status of {machine}:\n{}", status(machine)));
     }
-    ["north.log", "south.log", "south-again.log", "n0.log", "n1.log"].iter().for_each(|log| note_log(log, &["control"]));
+    ["north.log", "south.log", "south-again.log", "n0.log", "n1.log"]
+        .iter()
+        .for_each(|log| note_log(log, &["control"]));
     say(&format!(
         "long configuration of another service: {long:?}; first {first}, second {second}; {FETCHED_WITHIN_MS} ms after the \
          restart: {at_north} at north, {at_south} at south; in force at a sidecar of before {at_old}, at a new one {at_new}"
--- a/review/stands-2/src/never_ending.rs
+++ b/review/stands-2/src/never_ending.rs
@@ -22,7 +22,12 @@
 /// Of the requests for a view, one in so many gets an answer that never ends, from any endpoint alike.
 const ONE_IN: u64 = 60;
 
-fn endpoint(name: &'static str, spoils: Arc<AtomicBool>, views: Arc<AtomicU64>, spoilt: Arc<AtomicU64>) -> SocketAddr {
+fn endpoint(
+    name: &'static str,
+    spoils: Arc<AtomicBool>,
+    views: Arc<AtomicU64>,
+    spoilt: Arc<AtomicU64>,
+) -> SocketAddr {
     listen(move |stream| {
         let mut reader = Reader::new(stream);
         while let Ok(asked) = reader.message() {
@@ -95,7 +100,8 @@
     note_log("sidecar.log", &["WARN", "ERROR"]);
     let lost = sent.iter().filter(|request| request.status == 0 || request.took > LOST_AFTER).count();
     let longest = sent.iter().map(|request| request.took).max().unwrap_or_default();
-    let foreign = sent.iter().filter(|request| request.status == 200 && !request.body.starts_with(&request.id));
+    let foreign =
+        sent.iter().filter(|request| request.status == 200 && !request.body.starts_with(&request.id));
     let foreign = foreign.count();
     say(&format!(
         "{} requests, {lost} lost (no answer within {LOST_AFTER:?}), {foreign} foreign, longest {longest:?}, {} bytes without end, \
--- a/review/stands-2/src/rig.rs
+++ b/review/stands-2/src/rig.rs
@@ -277,7 +277,8 @@
 
 pub fn put(to: SocketAddr, path: &str, body: &str) -> Option<Message> {
     let length = body.len();
-    let head = format!("PUT {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n");
+    let head =
+        format!("PUT {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n");
     call(to, &(head + body), ms(3000))
 }
 
@@ -329,7 +330,11 @@
             let target = asked.target().to_string();
             let value = |name: &str| {
                 let query = target.split('?').nth(1)?;
-                query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))?.parse::<u64>().ok()
+                query
+                    .split('&')
+                    .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))?
+                    .parse::<u64>()
+                    .ok()
             };
             let body = match value("after") {
                 Some(after) if after >= 1 => {
@@ -414,7 +419,9 @@
     };
     let body = if verb == "view" { "" } else { "ok" };
     let limit = limit.as_millis();
-    format!("{own}Host: app.svc\r\nX-Trace-Id: {id}\r\nX-Customer: acme\r\nX-Expires-In-Ms: {limit}\r\n\r\n{body}")
+    format!(
+        "{own}Host: app.svc\r\nX-Trace-Id: {id}\r\nX-Customer: acme\r\nX-Expires-In-Ms: {limit}\r\n\r\n{body}"
+    )
 }
 
 impl Clients {
--- a/review/stands-2/src/second_copy.rs
+++ b/review/stands-2/src/second_copy.rs
@@ -94,9 +94,14 @@
         signal(sidecar, "KILL");
         requests += sent.len();
         served += sent.iter().filter(|request| request.status == 200).count();
-        for Sent { id, at, body, took, .. } in sent.iter().filter(|sent| sent.status == 200 && sent.body != sent.id) {
+        for Sent { id, at, body, took, .. } in
+            sent.iter().filter(|sent| sent.status == 200 && sent.body != sent.id)
+        {
             foreign += 1;
-            note(&format!("request {id} sent at {:.3} was answered with 200 and {body} after {took:?}", at.as_secs_f64()));
+            note(&format!(
+                "request {id} sent at {:.3} was answered with 200 and {body} after {took:?}",
+                at.as_secs_f64()
+            ));
         }
         note(&format!("play {plays}: {} requests", sent.len()));
         note_log(&log, &["WARN", "ERROR"]);
--- a/review/stands-2/src/zone_words.rs
+++ b/review/stands-2/src/zone_words.rs
@@ -44,7 +44,8 @@
     };
     let ids: Vec<u32> = (0..3).map(|number| serve(number, &format!("n{number}.log"))).collect();
     replicas.iter().for_each(|replica| wait_ready(replica.listen));
-    let live = |console: &SocketAddr| get(*console, "/fleet").is_some_and(|page| page.text().contains("3 live"));
+    let live =
+        |console: &SocketAddr| get(*console, "/fleet").is_some_and(|page| page.text().contains("3 live"));
     if !wait_until(ms(15_000), || consoles.iter().all(live)) {
         say("the fleet did not form");
         end(NOT_RUN);
@@ -79,12 +80,16 @@
         thread::sleep(ms(5000));
     }
     command(consoles[0], "n0", "leave", ZONES[0]);
-    let (came_before, judged_from) = (at_first.lock().unwrap().len(), since_start() + ms(EVACUATED_WITHIN_MS));
+    let (came_before, judged_from) =
+        (at_first.lock().unwrap().len(), since_start() + ms(EVACUATED_WITHIN_MS));
     thread::sleep(ms(EVACUATED_WITHIN_MS + WATCHED_MS));
     let stages: Vec<String> = consoles.iter().map(|console| view(*console, ZONES[0])).collect();
     let sent = clients.finish();
-    ["n0.log", "n0-again.log", "n1.log"].iter().for_each(|log| note_log(log, &["zones: verdict", "console:"]));
-    let late: Vec<_> = at_first.lock().unwrap().iter().filter(|(at, _)| *at >= judged_from).cloned().collect();
+    ["n0.log", "n0-again.log", "n1.log"]
+        .iter()
+        .for_each(|log| note_log(log, &["zones: verdict", "console:"]));
+    let late: Vec<_> =
+        at_first.lock().unwrap().iter().filter(|(at, _)| *at >= judged_from).cloned().collect();
     for (at, id) in &late {
         note(&format!("request {id} came to zone {} at {:.3}", ZONES[0], at.as_secs_f64()));
     }
