Keep the second review's stand-ins as files beside the cases

Cause: each folder of review/ counts as a case, and the stand-ins were a folder with their own build output. Result: review/ has the folders of cases alone; the sources are otherwise unchanged.

--- a/review/stands-2/src/main.rs
+++ b/review/stands_2.rs
@@ -1,11 +1,17 @@
 //! The stand-ins and drivers of the cases in review/. `review-stands-2 CASE FOLDER` plays one case, writes `record.txt`
 //! into the folder and exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+#[path = "stands_2_control.rs"]
 mod control;
+#[path = "stands_2_never_ending.rs"]
 mod never_ending;
+#[path = "stands_2_rig.rs"]
 mod rig;
+#[path = "stands_2_second_copy.rs"]
 mod second_copy;
+#[path = "stands_2_zone_words.rs"]
 mod zone_words;
+#[path = "stands_2_zones.rs"]
 mod zones;
 
 use std::path::Path;
--- a/review/stands-2/src/rig.rs
+++ b/review/stands_2_rig.rs
@@ -91,10 +91,10 @@
     listener.local_addr().expect("its address")
 }
 
-/// The repository's root: this program stands in review/stands-2/target/release.
+/// The repository's root: this program stands in target/review-2.
 pub fn root() -> PathBuf {
     let exe = std::env::current_exe().expect("the path of this program");
-    exe.ancestors().nth(5).expect("the root").to_path_buf()
+    exe.ancestors().nth(3).expect("the root").to_path_buf()
 }
 
 /// Starts the project's program as `run` of the deploy file does, with these arguments and variables. Its log goes to a
@@ -125,7 +125,7 @@
 /// Sends a signal to a process that this case started.
 pub fn signal(id: u32, name: &str) {
     note(&format!("signal {name} to {id}"));
-    let _ = Command::new("kill").args([&format!("-{name}"), &id.to_string()]).status();
+    let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {id}")]).status();
 }
 
 /// The exit code of a process that this case started, if it has ended.
