--- a/review/stands_2_second_copy.rs
+++ b/review/stands_2_second_copy.rs
@@ -3,6 +3,7 @@
 use crate::rig::*;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
@@ -16,6 +17,7 @@
 const WORK: Duration = Duration::from_millis(2);
 /// One answer in so many comes twice.
 const ONE_IN: u64 = 30;
+/// What the clients wait for: a try is given up after half of the time limit of 4 s.
 const LIMIT: Duration = Duration::from_millis(2000);
 /// The clients, each with one request open at a time.
 const CLIENTS: usize = 80;
@@ -70,6 +72,26 @@
     }
 }
 
+/// Changes the settings to the figures of dublin-docklands, where the two data centres are.
+fn as_at_dublin_docklands(file: &Path) {
+    let figures = [
+        ("\"TimeLimit\":2000000", "\"TimeLimit\":4000000"),
+        ("\"ResponseGoal\":800000", "\"ResponseGoal\":1500000"),
+        ("\"MemorySpan\":2500000", "\"MemorySpan\":6000000"),
+        ("\"Probes\":true", "\"Probes\":false"),
+        ("\"MostRelays\":6", "\"MostRelays\":5"),
+        ("\"ColdShare\":0.31,\"Cold\":8800000", "\"ColdShare\":0.12,\"Cold\":24000000"),
+        ("\"TipMultiple\":3.0,\"Fall\":2000000", "\"TipMultiple\":4.0,\"Fall\":1000000"),
+        ("\"DrainGrace\":2500000", "\"DrainGrace\":500000"),
+    ];
+    let mut text = std::fs::read_to_string(file).expect("the configuration");
+    for (from, to) in figures {
+        assert!(text.contains(from), "{from} is no setting");
+        text = text.replace(from, to);
+    }
+    std::fs::write(file, text).expect("the configuration is written");
+}
+
 pub fn case() -> ! {
     let endpoints = Endpoints { spoils: Arc::default(), answers: Arc::default(), copies: Arc::default() };
     let servers: Vec<(String, SocketAddr)> =
@@ -82,6 +104,7 @@
         plays += 1;
         let listen = free_port();
         let file = platform_file(listen, discovery, &listed);
+        as_at_dublin_docklands(&file);
         let log = format!("sidecar-{plays}.log");
         let sidecar = start(&log, &["serve"], &[("NODE_CONFIG", file.display().to_string())]);
         wait_ready(listen);
