Bound the sum of a response's interim heads by the buffer that its head fits into

Cause: read_head took each interim head out of the buffer and read on. Nothing bounded their number or sum. As the socket always had bytes, no read ever waited, so the task never returned to the executor, whose one thread runs all tasks and timers. Moving the whole buffer for each head made the reader slower than any writer.

Change: interim heads stay in the buffer until the final head is complete, so the buffer (16 KiB) bounds the sum of all heads, and the response fails as too large beyond that: a failed attempt that may have run. Health checks, discovery and the calls to control machines read heads with the same function.

--- a/crates/sidecar/src/net/http/http_tests.rs
+++ b/crates/sidecar/src/net/http/http_tests.rs
@@ -2,7 +2,7 @@
 
 use super::head::ParsedHead;
 use super::*;
-use crate::net::buffers::{MAX_BUFFERED_BODY, ResourcePool};
+use crate::net::buffers::{BUFFER_SIZE, MAX_BUFFERED_BODY, ResourcePool};
 use async_io::Async;
 use async_io::block_on;
 use proptest::prelude::*;
@@ -153,6 +153,21 @@
     }
 }
 
+/// Guards against interim responses without end, which were skipped one by one for as long as they came.
+#[test]
+fn interim_responses_are_limited_to_one_buffer_in_sum() {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    let last = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n";
+    let fitting = (BUFFER_SIZE - last.len()) / interim.len();
+    for (count, fits) in [(fitting, true), (fitting + 1, false), (100 * fitting, false)] {
+        let text = interim.repeat(count) + last + "abc";
+        match read_written(text.as_bytes(), 3, false) {
+            Ok(received) => assert!(fits && received == (b"abc".to_vec(), true), "{count}"),
+            Err(error) => assert!(!fits && matches!(error, HttpError::TooLarge), "{count}: {error}"),
+        }
+    }
+}
+
 #[test]
 fn ambiguous_framing_is_malformed() {
     let codings = ["chunked", "gzip", "identity", "xchunked", "gzip\r\nTransfer-Encoding: chunked", ""];
--- a/crates/sidecar/src/net/http/message.rs
+++ b/crates/sidecar/src/net/http/message.rs
@@ -13,18 +13,25 @@
 /// Parses a head; None while it is incomplete.
 type ParseHead = fn(&[u8]) -> Result<Option<ParsedHead>, HttpError>;
 
-/// Reads until the head is complete, and skips interim responses. Returns the head and the number of bytes read.
+/// Reads until the head is complete, and skips interim responses. Returns the head, with which the buffer then begins,
+/// and the number of bytes read.
+///
+/// Interim heads stay in the buffer until the final one is complete, so the size of the buffer bounds the sum of all
+/// heads. Fails with `TooLarge` beyond that.
 async fn read_head(
     stream: &Async<TcpStream>,
     buffer: &mut Buffer,
     parse: ParseHead,
     on_read: &dyn Fn(),
 ) -> Result<(ParsedHead, usize), HttpError> {
-    let mut read = 0;
+    let (mut read, mut interim_length) = (0, 0);
     loop {
-        match parse(buffer.filled())? {
-            Some(head) if head.interim => buffer.drop_front(head.length),
-            Some(head) => return Ok((head, read)),
+        match parse(&buffer.filled()[interim_length..])? {
+            Some(head) if head.interim => interim_length += head.length,
+            Some(head) => {
+                buffer.drop_front(interim_length);
+                return Ok((head, read));
+            }
             None => {
                 read += read_some(stream, buffer).await?;
                 on_read();
@@ -65,7 +72,7 @@
         Self::read_message(stream, buffer, ParsedHead::parse_request, on_read).await
     }
 
-    /// Reads a response's head; interim responses are skipped.
+    /// Reads a response's head; interim responses are skipped, and fit into the buffer together with it.
     pub async fn read_response(
         stream: &Async<TcpStream>,
         buffer: Buffer,
--- a/crates/sidecar/tests/floods.rs
+++ b/crates/sidecar/tests/floods.rs
@@ -13,6 +13,9 @@
 use std::thread;
 use std::time::Instant;
 
+/// The beginning of an answer that lasts until its connection ends, and a part of its body.
+const ENDLESS_BODY: (&str, &str) = ("HTTP/1.1 200 OK\r\n\r\n", "x");
+
 /// Reads and discards all bytes in a thread, and counts them.
 fn drain(mut stream: TcpStream, count: Arc<AtomicUsize>) {
     let mut bytes = vec![0; 256 * 1024];
@@ -63,8 +66,8 @@
     over.store(true, Ordering::Relaxed);
 }
 
-/// Starts a server that answers a POST with an endless body, until `over` is set.
-fn start_endless_server(over: &Arc<AtomicBool>) -> SocketAddr {
+/// Starts a server that answers a POST with `begin` and then `block` again and again, until `over` is set.
+fn start_endless_server(over: &Arc<AtomicBool>, begin: &'static str, block: &'static str) -> SocketAddr {
     let listener = bind_unused_port();
     let at = listener.local_addr().expect("listener has a local address");
     let over = over.clone();
@@ -78,9 +81,9 @@
                     let _ = peer.write(OK);
                     return;
                 }
-                let _ = peer.write(b"HTTP/1.1 200 OK\r\n\r\n");
-                let chunk = vec![b'x'; 1024 * 1024];
-                while !over.load(Ordering::Relaxed) && peer.write(&chunk).is_ok() {}
+                let _ = peer.write(begin.as_bytes());
+                let blocks = block.repeat(1024 * 1024 / block.len());
+                while !over.load(Ordering::Relaxed) && peer.write(blocks.as_bytes()).is_ok() {}
             });
         }
     });
@@ -91,7 +94,7 @@
 fn endless_response_delays_no_other_client() {
     let server = start_endpoint(ScriptedBehavior::Respond);
     let over = Arc::new(AtomicBool::new(false));
-    let at = start_endless_server(&over);
+    let at = start_endless_server(&over, ENDLESS_BODY.0, ENDLESS_BODY.1);
     let (sidecar, discovery) = Sidecar::start_with_servers(&[("s1", at)]);
     let mut stream = sidecar.connect().expect("failed to connect to the sidecar");
     stream
@@ -108,6 +111,36 @@
     over.store(true, Ordering::Relaxed);
 }
 
+/// Sends requests to a server whose answers never end, in `block`, while other requests go to another server. Each of
+/// them gets an error in time, and the others are served.
+fn assert_endless_answer_fails(name: &str, begin: &'static str, block: &'static str) {
+    let server = start_endpoint(ScriptedBehavior::Respond);
+    let over = Arc::new(AtomicBool::new(false));
+    let at = start_endless_server(&over, begin, block);
+    let (sidecar, discovery) = Sidecar::start_with_servers(&[("s1", at)]);
+    let mut clients = Vec::new();
+    for number in 0..4 {
+        let mut stream = sidecar.connect().expect("failed to connect to the sidecar");
+        let text = request_text("confirm", &format!("{name}-endless{number}"), 1500);
+        stream.write_all(text.as_bytes()).expect("failed to write to the connection");
+        clients.push((stream, Instant::now()));
+    }
+    discovery.set_raw_list(2, endpoint_list(2, &[("s2", server.address, "ready")]).to_string());
+    for (stream, sent) in clients {
+        let status = Peer::new(stream).read_response().ok().and_then(|response| response.status());
+        assert_eq!(status, Some(502), "{name} after {:?}", sent.elapsed());
+        assert!(sent.elapsed() < ms(2000), "{name}: {:?}", sent.elapsed());
+    }
+    assert_requests_are_served(&sidecar, name);
+    over.store(true, Ordering::Relaxed);
+}
+
+/// Guards against interim responses without end, behind which the process served nothing and noticed no deadline.
+#[test]
+fn endless_interim_responses_fail_and_delay_no_other_client() {
+    assert_endless_answer_fails("interim", "", "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
 #[test]
 fn pipelined_requests_are_answered_once_each_in_order() {
     const REQUESTS: usize = 3000;
@@ -251,7 +284,7 @@
 #[test]
 fn disconnections_during_an_endless_response_are_noticed() {
     let over = Arc::new(AtomicBool::new(false));
-    let (at, gate) = (start_endless_server(&over), Gate::start_closed());
+    let (at, gate) = (start_endless_server(&over, ENDLESS_BODY.0, ENDLESS_BODY.1), Gate::start_closed());
     let discovery = start_discovery();
     let known = endpoint_list(1, &[("s1", at, "ready")]);
     let sidecar = Sidecar::start_as(&known, discovery.address, |config| set_long_limits(config, false));
