Give each task a budget of socket operations, so that no ready socket starves the others

Cause: the loops over sockets wait only when the socket is not ready, and every thread of the sidecar and of the control machines runs its tasks cooperatively. Four loops had a yield of their own (pipelined requests, responses that are passed on, peers' datagrams, failed accepts); those that read heads and bodies, that discard bytes before a close, that receive the fleet's datagrams and that accept connections had none.

Change: net::executor gives a task a budget of 8 socket operations whenever it is polled, and net::socket has the operations, which yield before the first one beyond the budget. All loops use them, so the four yields and three repetitions after a signal are gone. Eight operations read a complete buffered request, so bytes that have arrived still precede an elapsed time limit within one poll; a yield that is due comes before the check of an attempt's first byte, and before an accept that competes with the end of accepting.

Related: a signal during a peek counted as the end of the client's connection; it is repeated now.

--- a/crates/sidecar/src/console/mod.rs
+++ b/crates/sidecar/src/console/mod.rs
@@ -10,13 +10,13 @@
 use crate::fleet;
 use crate::handover::maintenance_record::{MaintenanceEntries, MaintenanceRecord};
 use crate::net::buffers::{Buffer, ResourcePool};
+use crate::net::executor::Executor;
 use crate::net::http::{self, IncomingMessage};
+use crate::net::socket;
 use crate::net::timeout::timeout;
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_lock::Mutex;
-use futures_lite::AsyncReadExt;
 use futures_lite::future::or;
 use reply::Reply;
 use request::Request;
@@ -97,10 +97,10 @@
     /// The thread cannot be started.
     pub fn open(self, address: SocketAddr) -> io::Result<()> {
         let serve = move || {
-            let executor = Rc::new(LocalExecutor::new());
+            let executor = Rc::new(Executor::new());
             let server = Rc::new(ConsoleServer::new(self));
             executor.spawn(server.clone().follow_record()).detach();
-            async_io::block_on(executor.run(server.accept(address, executor.clone())));
+            executor.block_on(server.accept(address, executor.clone()));
         };
         std::thread::Builder::new().name("console".into()).spawn(serve).map(drop)
     }
@@ -124,7 +124,7 @@
         }
     }
 
-    async fn accept(self: Rc<Self>, address: SocketAddr, executor: Rc<LocalExecutor<'static>>) {
+    async fn accept(self: Rc<Self>, address: SocketAddr, executor: Rc<Executor>) {
         let listener = bind(address).await;
         tracing::info!("console: listening at {address}");
         loop {
@@ -132,7 +132,7 @@
                 self.close_longest_waiting();
                 Timer::after(FULL_RETRY_DELAY).await;
             }
-            match listener.accept().await {
+            match socket::accept(&listener).await {
                 Ok((stream, _)) => {
                     self.connections.set(self.connections.get() + 1);
                     let server = self.clone();
@@ -220,9 +220,9 @@
 
 /// Shuts down writing and reads the remaining bytes for a limited time. Closing a connection with unread bytes would reset
 /// it, and the reply in flight would be lost.
-async fn linger(mut stream: &Async<TcpStream>) {
+async fn linger(stream: &Async<TcpStream>) {
     let _ = stream.get_ref().shutdown(Shutdown::Write);
     let mut bytes = [0; 1024];
-    let drain = async { while matches!(stream.read(&mut bytes).await, Ok(1..)) {} };
+    let drain = async { while matches!(socket::read(stream, &mut bytes).await, Ok(1..)) {} };
     timeout(LINGER_TIMEOUT, drain).await;
 }
--- a/crates/sidecar/src/control/followers.rs
+++ b/crates/sidecar/src/control/followers.rs
@@ -7,7 +7,7 @@
 use super::task::ANSWER_BUFFERS;
 use crate::clock::Clock;
 use crate::net::buffers::ResourcePool;
-use async_executor::LocalExecutor;
+use crate::net::executor::Executor;
 use async_io::Timer;
 use landingspread_control::{ConfigError, ConfigHost, Contents, ControlMachine, Follower, Version};
 use std::fmt;
@@ -99,7 +99,7 @@
     }
     let machines = parse_machines(machines)?;
     let regions = regions_of(&machines);
-    let executor = LocalExecutor::new();
+    let executor = Executor::new();
     let (clock, mut statuses) = (Clock::start(), Vec::new());
     let resources = ResourcePool::buffers_only(CONCURRENT_ANSWERS * ANSWER_BUFFERS);
     for number in 0..count {
@@ -124,7 +124,7 @@
         executor.spawn(start).detach();
     }
     std::thread::spawn(exit_with_standard_input);
-    async_io::block_on(executor.run(report(&statuses)));
+    executor.block_on(report(&statuses));
     Ok(())
 }
 
--- a/crates/sidecar/src/control/machine/connections.rs
+++ b/crates/sidecar/src/control/machine/connections.rs
@@ -2,9 +2,10 @@
 
 use super::Server;
 use super::reply::Reply;
+use crate::net::executor::Executor;
 use crate::net::http::{self, IncomingMessage};
+use crate::net::socket;
 use crate::net::timeout::timeout;
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use landingspread_control::MAX_DELTA_BYTES;
 use std::io::{self, ErrorKind};
@@ -32,13 +33,9 @@
 
 impl Server {
     /// Accepts connections without end and spawns a task for each.
-    pub(super) async fn accept(
-        self: Rc<Self>,
-        listener: Async<TcpListener>,
-        executor: Rc<LocalExecutor<'static>>,
-    ) {
+    pub(super) async fn accept(self: Rc<Self>, listener: Async<TcpListener>, executor: Rc<Executor>) {
         loop {
-            match listener.accept().await {
+            match socket::accept(&listener).await {
                 // The connection is closed beyond the maximum, and the sidecar polls the next machine.
                 Ok(_) if self.connections.get() >= self.max_connections => {}
                 Ok((stream, _)) => {
--- a/crates/sidecar/src/control/machine/mod.rs
+++ b/crates/sidecar/src/control/machine/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::clock::Clock;
 use crate::net::buffers::ResourcePool;
-use async_executor::LocalExecutor;
+use crate::net::executor::Executor;
 use async_io::Async;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
@@ -104,18 +104,18 @@
         state_folder,
     });
     server.restore();
-    let executor = Rc::new(LocalExecutor::new());
+    let executor = Rc::new(Executor::new());
     for (number, pushes) in pushes.into_iter().enumerate() {
         executor.spawn(server.clone().synchronize(number, pushes)).detach();
     }
     executor.spawn(server.clone().expire()).detach();
-    let result = async_io::block_on(executor.run(server.run(executor.clone())));
+    let result = executor.block_on(server.run(executor.clone()));
     result.map_err(|error| MachineError::Io { listen, error })
 }
 
 impl Server {
     /// Serves connections until SIGTERM.
-    async fn run(self: Rc<Self>, executor: Rc<LocalExecutor<'static>>) -> io::Result<()> {
+    async fn run(self: Rc<Self>, executor: Rc<Executor>) -> io::Result<()> {
         let mut signals = Signals::new([Signal::Term])?;
         let listener = Async::<TcpListener>::bind(self.listen)?;
         rustix::net::listen(&listener, LISTEN_BACKLOG)?;
--- a/crates/sidecar/src/fleet/mod.rs
+++ b/crates/sidecar/src/fleet/mod.rs
@@ -20,8 +20,8 @@
 
 use crate::clock::Clock;
 use crate::configuration::FleetSettings;
+use crate::net::executor::Executor;
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use decision_link::{SharedObservations, SharedRequestRate};
 use landingspread_membership::{MemberConfig, Membership};
 use socket_host::SocketHost;
@@ -59,7 +59,7 @@
     clock: Clock,
     shared_socket: Option<SharedSocket>,
     failover: Option<FailoverSettings>,
-    executor: Option<&LocalExecutor<'static>>,
+    executor: Option<&Executor>,
 ) -> io::Result<(FleetHandle, DecisionLink)> {
     let (handle, tasks) = handle::task_channel();
     let (size_updates, fleet_sizes) = async_channel::bounded(1);
@@ -91,7 +91,7 @@
     match executor {
         Some(executor) => executor.spawn(run()).detach(),
         None => {
-            let run = move || async_io::block_on(run());
+            let run = move || Executor::new().block_on(run());
             std::thread::Builder::new().name("fleet".into()).spawn(run)?;
         }
     }
--- a/crates/sidecar/src/fleet/worker.rs
+++ b/crates/sidecar/src/fleet/worker.rs
@@ -5,6 +5,7 @@
 use super::socket_host::SocketHost;
 use super::state::FleetState;
 use crate::clock::Clock;
+use crate::net::socket;
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::future::{or, pending};
@@ -97,7 +98,7 @@
         let datagram = async {
             let Some(socket) = socket else { return pending().await };
             loop {
-                match socket.recv_from(buffer).await {
+                match socket::receive_from(socket, buffer).await {
                     Ok((length, _)) => return Event::Datagram(length),
                     Err(_) => Timer::after(READ_RETRY_DELAY).await,
                 };
--- a/crates/sidecar/src/net/clients/accept.rs
+++ b/crates/sidecar/src/net/clients/accept.rs
@@ -1,9 +1,11 @@
 //! Accepts connections, and closes others if no socket is free for a new one.
 
 use super::state::{ClientSide, IdleKey, PERMIT_POLL_INTERVAL};
+use crate::net::executor::until_operation_allowed;
 use crate::net::local_failure::{FailureCause, failure_cause};
+use crate::net::socket;
 use async_io::{Async, Timer};
-use futures_lite::future::{or, yield_now};
+use futures_lite::future::or;
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -28,7 +30,9 @@
                 self.accepting.closed().await;
                 None
             };
-            match or(async { Some(listener.accept().await) }, stopped).await {
+            // A yield within the accept would let `stopped` win while connections are queued.
+            until_operation_allowed().await;
+            match or(async { Some(socket::accept(&listener).await) }, stopped).await {
                 Some(Ok((stream, _))) => {
                     // A client that connects when only spare permits are left, and all other connections are busy, is
                     // still read and gets a rejection: a connection that is not accepted would lose what its client has
@@ -50,7 +54,7 @@
     async fn accept_failed(&self, error: &io::Error) {
         self.failed_accepts.record("accept", error);
         match failure_cause(error) {
-            FailureCause::Transient => yield_now().await,
+            FailureCause::Transient => {}
             FailureCause::Descriptors => {
                 // Partial requests are not closed: their clients have the same claim to a response as the queued ones.
                 let closed = self.pool.close_longest_idle()
--- a/crates/sidecar/src/net/clients/close.rs
+++ b/crates/sidecar/src/net/clients/close.rs
@@ -2,9 +2,9 @@
 
 use super::state::{ClientSide, PERMIT_POLL_INTERVAL};
 use crate::net::owner::Event;
+use crate::net::socket;
 use crate::net::timeout::timeout;
 use async_io::{Async, Timer};
-use futures_lite::AsyncReadExt;
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
@@ -48,11 +48,11 @@
 
     /// Reads and discards what the client still sends. Closing a connection with unread bytes resets it, and a response
     /// on its way would be lost.
-    pub(super) async fn linger(&self, mut stream: &Async<TcpStream>) {
+    pub(super) async fn linger(&self, stream: &Async<TcpStream>) {
         let _ = stream.get_ref().shutdown(Shutdown::Write);
         let discard = async {
             let (mut bytes, mut total) = ([0; LINGER_READ_SIZE], 0);
-            while let Ok(count @ 1..) = stream.read(&mut bytes).await {
+            while let Ok(count @ 1..) = socket::read(stream, &mut bytes).await {
                 total += count;
                 if total > MAX_LINGER_BYTES {
                     break;
--- a/crates/sidecar/src/net/clients/connection.rs
+++ b/crates/sidecar/src/net/clients/connection.rs
@@ -7,7 +7,6 @@
 use crate::net::read_ahead::ReadAhead;
 use crate::net::request::{ParsedMessage, rejection};
 use async_io::Async;
-use futures_lite::future::yield_now;
 use std::cell::Cell;
 use std::net::TcpStream;
 use std::rc::Rc;
@@ -51,11 +50,6 @@
                 break reason;
             }
             connected_at = None;
-            // If a client pipelines requests and reads responses fast enough, this loop never waits and would starve
-            // all other tasks.
-            if !read_ahead.is_empty() {
-                yield_now().await;
-            }
         };
         // A client that has left or asked to close expects no response, and none can follow an invalid request or an
         // incomplete response.
--- a/crates/sidecar/src/net/clients/state.rs
+++ b/crates/sidecar/src/net/clients/state.rs
@@ -5,13 +5,13 @@
 use crate::configuration::Configuration;
 use crate::net::attempts::RetryRule;
 use crate::net::buffers::ResourcePool;
+use crate::net::executor::Executor;
 use crate::net::local_failure::FailureLog;
 use crate::net::owner::EventQueue;
 use crate::net::request::RequestParser;
 use crate::net::upstream::ConnectionPool;
 use crate::start::StartupTimes;
 use async_channel::Sender;
-use async_executor::LocalExecutor;
 use landingspread_decisions::settings;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -55,7 +55,7 @@
     pub(super) start: Rc<StartupTimes>,
     pub(super) pool: Rc<ConnectionPool>,
     pub(super) failed_accepts: FailureLog,
-    pub(super) executor: Rc<LocalExecutor<'static>>,
+    pub(super) executor: Rc<Executor>,
 }
 
 /// The order in which idle connections are closed to free sockets: connections without a request before others, and the
@@ -82,7 +82,7 @@
         queue: EventQueue,
         start: Rc<StartupTimes>,
         pool: Rc<ConnectionPool>,
-        executor: Rc<LocalExecutor<'static>>,
+        executor: Rc<Executor>,
     ) -> ClientSide {
         let policy = &configuration.policy;
         let retry_rule = |class: &settings::RequestClass| RetryRule {
--- a/crates/sidecar/src/net/clients/write.rs
+++ b/crates/sidecar/src/net/clients/write.rs
@@ -8,7 +8,6 @@
 use crate::net::timeout::timeout;
 use crate::net::upstream::UpstreamResponse;
 use async_io::Async;
-use futures_lite::future::yield_now;
 use std::net::TcpStream;
 use std::time::Duration;
 
@@ -67,8 +66,6 @@
                 return Err(CloseReason::ResponseBroken);
             }
             written = self.write_buffered(stream, b"", &response, encoding).await;
-            // If both sides are fast enough, nothing in this loop waits; yielding lets all other tasks run.
-            yield_now().await;
         }
         let ended = written && timeout(WRITE_TIMEOUT, http::write_body_end(stream, encoding)).await.is_some();
         response.finish();
--- a/crates/sidecar/src/net/discovery_watch.rs
+++ b/crates/sidecar/src/net/discovery_watch.rs
@@ -2,8 +2,9 @@
 //! machines change the address.
 
 use super::discovery::Discovery;
+use super::executor::Executor;
 use async_channel::{Receiver, Sender};
-use async_executor::{LocalExecutor, Task};
+use async_executor::Task;
 use futures_lite::future::pending;
 use std::net::SocketAddr;
 
@@ -52,7 +53,7 @@
     }
 
     /// Starts to poll, if a discovery is configured.
-    pub(super) fn start(&mut self, executor: &LocalExecutor<'static>) {
+    pub(super) fn start(&mut self, executor: &Executor) {
         let client = self.client.clone();
         self.task = client.map(|client| executor.spawn(client.follow(self.poll_requests.clone())));
     }
@@ -84,7 +85,7 @@
     }
 
     /// Restarts the watch at the address that is in force.
-    pub(super) async fn apply_address(&mut self, executor: &LocalExecutor<'static>) {
+    pub(super) async fn apply_address(&mut self, executor: &Executor) {
         let address = self.control_address.or(self.file_address);
         let (Some(address), true) = (address, self.client.is_some()) else { return };
         if self.control_address.is_some() {
--- a/crates/sidecar/src/net/http/body.rs
+++ b/crates/sidecar/src/net/http/body.rs
@@ -4,9 +4,8 @@
 use crate::net::buffers::Buffer;
 #[cfg(test)]
 use crate::net::buffers::{BUFFER_SIZE, ResourcePool};
+use crate::net::socket;
 use async_io::Async;
-use futures_lite::AsyncReadExt;
-use std::io;
 use std::net::TcpStream;
 use std::ops::Range;
 #[cfg(test)]
@@ -55,21 +54,12 @@
 }
 
 /// Reads available bytes into the buffer, waiting for them if there are none. Returns their number.
-pub(super) async fn read_some(
-    mut stream: &Async<TcpStream>,
-    buffer: &mut Buffer,
-) -> Result<usize, HttpError> {
+pub(super) async fn read_some(stream: &Async<TcpStream>, buffer: &mut Buffer) -> Result<usize, HttpError> {
     let spare = buffer.spare();
     if spare.is_empty() {
         return Err(HttpError::TooLarge);
     }
-    let count = loop {
-        match stream.read(spare).await {
-            // A signal interrupted the read; the connection is intact.
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            read => break read?,
-        }
-    };
+    let count = socket::read(stream, spare).await?;
     buffer.fill(count);
     if count == 0 { Err(HttpError::Closed) } else { Ok(count) }
 }
--- a/crates/sidecar/src/net/http/write.rs
+++ b/crates/sidecar/src/net/http/write.rs
@@ -1,7 +1,7 @@
 //! Writes messages: the head and parts of a body, in as few packets as possible.
 
+use crate::net::socket;
 use async_io::Async;
-use futures_lite::AsyncWriteExt;
 use std::io::{self, IoSlice};
 use std::net::TcpStream;
 
@@ -49,7 +49,7 @@
 }
 
 async fn write_all<'a>(
-    mut stream: &Async<TcpStream>,
+    stream: &Async<TcpStream>,
     slices: impl IntoIterator<Item = &'a [u8]>,
 ) -> io::Result<()> {
     let mut pending = slices.into_iter().filter(|slice| !slice.is_empty());
@@ -64,11 +64,7 @@
         }
         let mut rest = &mut batch[..count];
         while !rest.is_empty() {
-            let written = match stream.write_vectored(rest).await {
-                // A signal interrupted the write; the connection is intact.
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                written => written?,
-            };
+            let written = socket::write_vectored(stream, rest).await?;
             if written == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
--- a/crates/sidecar/src/net/owner/event_loop.rs
+++ b/crates/sidecar/src/net/owner/event_loop.rs
@@ -12,10 +12,10 @@
 use crate::fleet;
 use crate::handover::maintenance_record::MaintenanceEntries;
 use crate::invariants::must_hold;
+use crate::net::executor::Executor;
 use crate::net::statistics_file::{self, FIRST_SAVE_AFTER, RestoredState, SAVE_INTERVAL, StatisticsWriter};
 use crate::net::upstream::AttemptResult;
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use async_io::Timer;
 use futures_lite::future::{or, pending};
 use landingspread_decisions::host::{AttemptEnd, Id, ReplicaView};
@@ -70,7 +70,7 @@
     configuration: Configuration,
     mut services: Services,
     operators: OperatorChannels,
-    executor: Rc<LocalExecutor<'static>>,
+    executor: Rc<Executor>,
     queue: EventQueue,
     events: Receiver<Event>,
 ) {
--- a/crates/sidecar/src/net/owner/request_table.rs
+++ b/crates/sidecar/src/net/owner/request_table.rs
@@ -8,13 +8,14 @@
 use crate::fleet;
 use crate::invariants::must_hold;
 use crate::net::attempts::Location;
+use crate::net::executor::Executor;
 use crate::net::peers::Peers;
 use crate::net::upstream::{
     AttemptResult, AttemptStage, ConnectionPool, OutgoingRequest, Target, UpstreamClient,
 };
 use crate::start::StartupTimes;
 use async_channel::Sender;
-use async_executor::{LocalExecutor, Task};
+use async_executor::Task;
 use async_io::Timer;
 use landingspread_decisions::host::{Id, Lifecycle, ListedServer, Outcome};
 use std::cell::Cell;
@@ -110,7 +111,7 @@
     /// No attempt lasts beyond this time.
     pub(super) shutdown_by: Duration,
     pub(super) services: Services,
-    pub(super) executor: Rc<LocalExecutor<'static>>,
+    pub(super) executor: Rc<Executor>,
     pub(super) queue: EventQueue,
 }
 
@@ -119,7 +120,7 @@
         clock: Clock,
         max_attempts: usize,
         services: Services,
-        executor: Rc<LocalExecutor<'static>>,
+        executor: Rc<Executor>,
         queue: EventQueue,
     ) -> RequestTable {
         RequestTable {
--- a/crates/sidecar/src/net/peers.rs
+++ b/crates/sidecar/src/net/peers.rs
@@ -2,6 +2,7 @@
 //! module owns the socket and does not interpret messages.
 
 use super::owner::{Event, EventQueue};
+use super::socket;
 use async_channel::Sender;
 use async_io::Async;
 use landingspread_decisions::peer_messages::MAX_MESSAGE_BYTES as MAX_PEER_MESSAGE_BYTES;
@@ -59,9 +60,7 @@
     pub async fn receive(self: Rc<Self>, queue: EventQueue) {
         let mut buffer = [0; MAX_FLEET_MESSAGE_BYTES + 1];
         loop {
-            // Under a flood the socket is always readable; yielding lets the decision engine and the clients run.
-            futures_lite::future::yield_now().await;
-            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else { continue };
+            let Ok((length, from)) = socket::receive_from(&self.socket, &mut buffer).await else { continue };
             let datagram = &buffer[..length];
             match &self.fleet {
                 // If the fleet's thread is behind, the datagram is dropped: the fleet tolerates lost datagrams.
--- a/crates/sidecar/src/net/peers_tests.rs
+++ b/crates/sidecar/src/net/peers_tests.rs
@@ -1,8 +1,8 @@
 //! Peer messages are received from known peers only, with the sender's ordinal.
 
 use super::*;
+use crate::net::executor::Executor;
 use crate::net::owner;
-use async_executor::LocalExecutor;
 use futures_lite::future::or;
 
 #[test]
@@ -24,7 +24,7 @@
     third.send(Some(1), &[7; 300]);
     third.send(Some(1), b"two");
     let (queue, events) = owner::queue();
-    let executor = LocalExecutor::new();
+    let executor = Executor::new();
     executor.spawn(second.clone().receive(queue)).detach();
     let received = async {
         let mut received = Vec::new();
@@ -39,16 +39,16 @@
         async_io::Timer::after(std::time::Duration::from_secs(5)).await;
         panic!("fewer than two messages received within 5 s");
     };
-    let received = async_io::block_on(executor.run(or(received, timed_out)));
+    let received = executor.block_on(or(received, timed_out));
     assert_eq!(received, [(0, b"one".to_vec()), (2, b"two".to_vec())]);
     assert!(events.is_empty());
     assert_eq!(second.dropped.get(), 2, "datagrams dropped: one of an unknown sender, one too long");
     // Nothing receives from the queue here, and it must stay within its bound.
     for _ in 0..2 * MAX_QUEUED_EVENTS {
         first.send(Some(1), b"again");
-        async_io::block_on(executor.run(futures_lite::future::yield_now()));
+        executor.block_on(futures_lite::future::yield_now());
     }
     let pause = async_io::Timer::after(std::time::Duration::from_millis(200));
-    async_io::block_on(executor.run(pause));
+    executor.block_on(pause);
     assert_eq!(events.len(), MAX_QUEUED_EVENTS);
 }
--- a/crates/sidecar/src/net/read_ahead.rs
+++ b/crates/sidecar/src/net/read_ahead.rs
@@ -7,12 +7,11 @@
 use super::buffers::{Buffer, ResourcePool};
 use super::http;
 use super::leaving;
+use super::socket;
 use crate::clock::Clock;
 use async_io::{Async, Timer};
-use futures_lite::AsyncReadExt;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io::ErrorKind;
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Duration;
@@ -159,9 +158,9 @@
 
     /// Returns when the client has disconnected. Unread bytes would hide this, so bytes are read and stored while there
     /// is space and `may_read` allows it; otherwise the end of the connection is looked for behind the unread bytes.
-    pub async fn until_disconnected(&self, mut stream: &Async<TcpStream>, may_read: impl Fn() -> bool) {
+    pub async fn until_disconnected(&self, stream: &Async<TcpStream>, may_read: impl Fn() -> bool) {
         let mut bytes = [0; READ_SIZE];
-        while matches!(stream.peek(&mut [0]).await, Ok(1..)) {
+        while matches!(socket::peek(stream, &mut [0]).await, Ok(1..)) {
             let max = if may_read() { self.free_space().min(bytes.len()) } else { 0 };
             if max == 0 {
                 if leaving::is_disconnected(stream) {
@@ -171,12 +170,11 @@
                 Timer::after(leaving::CHECK_INTERVAL).await;
                 continue;
             }
-            match stream.read(&mut bytes[..max]).await {
+            match socket::read(stream, &mut bytes[..max]).await {
                 Ok(count @ 1..) => {
                     self.arrivals.borrow_mut().record_read(count, self.clock.now());
                     self.store(&bytes[..count]);
                 }
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 _ => return,
             }
         }
--- a/crates/sidecar/src/net/serve.rs
+++ b/crates/sidecar/src/net/serve.rs
@@ -2,6 +2,7 @@
 
 use super::clients::ClientSide;
 use super::discovery_watch::DiscoveryWatch;
+use super::executor::Executor;
 use super::listener;
 use super::service::{self, Service};
 use super::timeout::timeout;
@@ -9,7 +10,7 @@
 use crate::counters;
 use crate::start::StartupTimes;
 use async_channel::Receiver;
-use async_executor::{LocalExecutor, Task};
+use async_executor::Task;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
@@ -42,15 +43,15 @@
 /// # Errors
 /// The listen address, the peers' address or the console's address is not available.
 pub fn serve(configuration: Configuration, file: Option<&Path>, start: StartupTimes) -> io::Result<()> {
-    let executor = Rc::new(LocalExecutor::new());
-    async_io::block_on(executor.run(run(configuration, file, Rc::new(start), executor.clone())))
+    let executor = Rc::new(Executor::new());
+    executor.block_on(run(configuration, file, Rc::new(start), executor.clone()))
 }
 
 async fn run(
     configuration: Configuration,
     file: Option<&Path>,
     start: Rc<StartupTimes>,
-    executor: Rc<LocalExecutor<'static>>,
+    executor: Rc<Executor>,
 ) -> io::Result<()> {
     let mut signals = Signals::new([Signal::Term, Signal::Hup])?;
     let mut reload_due = false;
@@ -81,7 +82,7 @@
     service: &Service,
     listener: Async<TcpListener>,
     takes_over: bool,
-    executor: &LocalExecutor<'static>,
+    executor: &Executor,
 ) -> Task<()> {
     let (clients, serving) = (service.clients.clone(), service.serving.clone());
     let (list_received, servers_known) = (service.list_received.clone(), service.servers_known);
@@ -120,7 +121,7 @@
     mut reload_due: bool,
     file: Option<&Path>,
     watch: &mut DiscoveryWatch,
-    executor: &LocalExecutor<'static>,
+    executor: &Executor,
 ) {
     loop {
         let next_signal = async {
@@ -205,7 +206,7 @@
 /// # Errors
 /// A socket of one of the sidecars cannot be opened.
 pub fn serve_without_clients(configurations: Vec<Configuration>) -> io::Result<()> {
-    let executor = Rc::new(LocalExecutor::new());
+    let executor = Rc::new(Executor::new());
     let run_all = async {
         let mut signals = Signals::new([Signal::Term])?;
         let start = |configuration| {
@@ -219,5 +220,5 @@
         }
         Ok(())
     };
-    async_io::block_on(executor.run(run_all))
+    executor.block_on(run_all)
 }
--- a/crates/sidecar/src/net/service.rs
+++ b/crates/sidecar/src/net/service.rs
@@ -4,6 +4,7 @@
 use super::clients::ClientSide;
 use super::discovery::Discovery;
 use super::discovery_watch::{DiscoveryWatch, WatchChannels};
+use super::executor::Executor;
 use super::owner::{self, OperatorChannels, Services};
 use super::peers::Peers;
 use super::upstream::{ConnectionPool, UpstreamClient};
@@ -15,7 +16,6 @@
 use crate::handover::{CHECK_INTERVAL, Presence};
 use crate::start::StartupTimes;
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use async_io::Timer;
 use std::cell::RefCell;
 use std::io;
@@ -101,7 +101,7 @@
     configuration: &mut Configuration,
     peers: Option<&Peers>,
     datagrams: Receiver<Vec<u8>>,
-    executor: Option<&LocalExecutor<'static>>,
+    executor: Option<&Executor>,
 ) -> io::Result<Option<(fleet::FleetHandle, fleet::DecisionLink)>> {
     let Some(settings) = configuration.fleet.take() else { return Ok(None) };
     let shared_socket = match peers.filter(|_| settings.uses_peer_socket) {
@@ -118,8 +118,8 @@
 fn open_peers_and_fleet(
     configuration: &mut Configuration,
     queue: &owner::EventQueue,
-    executor: &LocalExecutor<'static>,
-    fleet_executor: Option<&LocalExecutor<'static>>,
+    executor: &Executor,
+    fleet_executor: Option<&Executor>,
 ) -> io::Result<ReplicaLinks> {
     let (datagram_sender, datagrams) = fleet::datagram_channel();
     let datagram_sender =
@@ -146,7 +146,7 @@
     (poll, poll_requests): (Sender<()>, Receiver<()>),
     queue: &owner::EventQueue,
     clients: &Rc<ClientSide>,
-    executor: &LocalExecutor<'static>,
+    executor: &Executor,
 ) -> (DiscoveryWatch, Option<control::status::ControlStatus>) {
     let (address_sender, control_addresses) = async_channel::unbounded();
     let follower =
@@ -197,8 +197,8 @@
 pub(super) fn start(
     mut configuration: Configuration,
     start: Rc<StartupTimes>,
-    executor: &Rc<LocalExecutor<'static>>,
-    fleet_executor: Option<&LocalExecutor<'static>>,
+    executor: &Rc<Executor>,
+    fleet_executor: Option<&Executor>,
 ) -> io::Result<Service> {
     let resources = ResourcePool::new(&configuration);
     let pool = Rc::new(ConnectionPool::new(&configuration, resources.clone()));
--- a/crates/sidecar/src/net/upstream/exchange.rs
+++ b/crates/sidecar/src/net/upstream/exchange.rs
@@ -3,6 +3,7 @@
 use super::outgoing::{BodyEvent, OutgoingRequest, StreamedBody};
 use super::pool::{ConnectionPool, Target, UpstreamConnection};
 use crate::net::buffers::ResourcePool;
+use crate::net::executor::until_operation_allowed;
 use crate::net::http::{self, BodyEncoding, BodyPart, HttpError, IncomingMessage};
 use crate::net::timeout::timeout;
 use async_io::Timer;
@@ -35,6 +36,8 @@
     after_write: impl AsyncFnOnce() -> Outcome,
 ) -> Result<(IncomingMessage, UpstreamConnection), Outcome> {
     let (connection, idle) = pool.connection(to, run_once).await?;
+    // Nothing may come between the check and the first write, so a yield that is due precedes the check.
+    until_operation_allowed().await;
     if !may_start() {
         pool.put_back(to, connection);
         return Err(Outcome::NotSent);
