Bound a body's trailer fields and chunk extensions in sum, and its trailer fields in time

With the budget of socket operations the others are served, but the bad client goes on for as long as it likes, a lone one too.

Cause: the body decoder skips trailer fields and chunk extensions and takes them out of the buffer. Each line had a limit, their number and sum had none, so the buffer never filled and the message never ended. As bytes kept coming, the limits of time that count from the last byte did not end it either. The same decoder reads the responses of servers and discovery and the requests to the console and the control machines.

Change: the trailer fields of a body may have 16 KiB and 2.3 s from the last chunk on. The framing of a chunk may have 16 bytes and twice its data, and a body 16 KiB in excess of that, so chunks of one byte still pass. Beyond it the message fails with an error of its own, FramingTooLarge: 413 to a client, a failed attempt at a server. A response that is only too long to be buffered is passed on as before. A body that is buffered has to end within the 900 s that a streamed one has.

--- a/crates/sidecar/src/net/clients/exchange.rs
+++ b/crates/sidecar/src/net/clients/exchange.rs
@@ -1,7 +1,7 @@
 //! Serves one request: passes it to the owner, passes on the rest of a long body as it arrives, and awaits and writes
 //! the final response.
 
-use super::read::STALL_TIMEOUT;
+use super::read::{BODY_TIMEOUT, STALL_TIMEOUT};
 use super::state::ClientSide;
 use crate::counters::{self, CloseReason, RefusalReason};
 use crate::net::attempts::{AttemptGuard, RetryRule};
@@ -21,9 +21,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The time limit for a streamed body to arrive; the request has no other deadline until then.
-const BODY_TIMEOUT: Duration = Duration::from_secs(900);
-
 /// A long body while the rest of it is passed on.
 struct BodyUpload {
     id: Id,
--- a/crates/sidecar/src/net/clients/read.rs
+++ b/crates/sidecar/src/net/clients/read.rs
@@ -17,6 +17,8 @@
 
 /// How long the head of a client's later requests may take to arrive.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a body may take to be buffered, and again to be passed on; the request has no other deadline until then.
+pub(super) const BODY_TIMEOUT: Duration = Duration::from_secs(900);
 /// A client that sends nothing for this long within a request counts as stopped: it must get a response within 3 s.
 pub(super) const STALL_TIMEOUT: Duration = Duration::from_millis(2300);
 /// The stall timeout of a new client once `FIRST_REQUEST_TIMEOUT` has elapsed.
@@ -127,6 +129,7 @@
         let parsed = parsed.map_err(ReadError::Rejected)?;
         if matches!(parsed, ParsedMessage::Request(_)) {
             let body = self.buffer_body(stream, &mut message, &on_read);
+            let body = async { timeout(BODY_TIMEOUT, body).await.unwrap_or(Err(HttpError::TimedOut)) };
             or(body, self.stalled(last_read, connected_at)).await?;
         }
         Ok((message, parsed))
--- a/crates/sidecar/src/net/http/body.rs
+++ b/crates/sidecar/src/net/http/body.rs
@@ -1,18 +1,31 @@
 //! Decodes the body of a message while it is read: framed by its length, by chunks, or by the end of the connection.
 
 use super::error::HttpError;
-use crate::net::buffers::Buffer;
 #[cfg(test)]
-use crate::net::buffers::{BUFFER_SIZE, ResourcePool};
+use crate::net::buffers::ResourcePool;
+use crate::net::buffers::{BUFFER_SIZE, Buffer};
 use crate::net::socket;
+use crate::net::timeout::timeout;
 use async_io::Async;
 use std::net::TcpStream;
 use std::ops::Range;
 #[cfg(test)]
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
-/// The longest line with a chunk size or a trailer, in bytes.
+/// The longest line with a chunk size or a trailer that may arrive in parts, in bytes.
 const MAX_CHUNK_LINE: usize = 1024;
+/// The most bytes of all trailer fields of a body: as much as a head may have.
+const MAX_TRAILER_BYTES: usize = BUFFER_SIZE;
+/// How long the trailer fields may take to arrive, from the last chunk on.
+const TRAILER_TIMEOUT: Duration = Duration::from_millis(2300);
+/// The number of bytes that the framing of a chunk may have in addition to twice the chunk's data, so that bodies may be
+/// sent in chunks of one byte. What chunks have beyond it is their excess.
+const FRAMING_PER_CHUNK: usize = 16;
+/// The most bytes of excess framing in a body: chunk extensions are skipped, and could be far longer than the data.
+const MAX_EXCESS_FRAMING: usize = 16 * 1024;
+
+const LINE_END: &[u8] = b"\r\n";
 
 /// How the end of a body is determined.
 pub(super) enum Framing {
@@ -72,6 +85,11 @@
     /// The number of bytes still missing of the body, or of the current chunk.
     remaining: usize,
     state: ChunkState,
+    /// The framing of the chunks so far beyond what their data allows, in bytes.
+    excess_framing: usize,
+    trailer_bytes: usize,
+    /// When the trailer fields must be complete; None before the last chunk.
+    trailers_due: Option<Instant>,
     connection_ended: bool,
 }
 
@@ -86,16 +104,33 @@
 impl BodyDecoder {
     pub(super) fn new(framing: Framing) -> BodyDecoder {
         let remaining = if let Framing::Length(length) = framing { length } else { 0 };
-        BodyDecoder { framing, end: 0, remaining, state: ChunkState::Size, connection_ended: false }
+        BodyDecoder {
+            framing,
+            end: 0,
+            remaining,
+            state: ChunkState::Size,
+            excess_framing: 0,
+            trailer_bytes: 0,
+            trailers_due: None,
+            connection_ended: false,
+        }
     }
 
-    /// Reads more bytes into the buffer and returns their number.
+    /// Reads more bytes into the buffer and returns their number. Fails with `TimedOut` if the trailer fields are late.
     pub(super) async fn read_more(
         &mut self,
         stream: &Async<TcpStream>,
         buffer: &mut Buffer,
     ) -> Result<usize, HttpError> {
-        match read_some(stream, buffer).await {
+        let read = read_some(stream, buffer);
+        let read = match self.trailers_due {
+            None => read.await,
+            Some(due) => {
+                let remaining = due.saturating_duration_since(Instant::now());
+                timeout(remaining, read).await.unwrap_or(Err(HttpError::TimedOut))
+            }
+        };
+        match read {
             Err(HttpError::Closed) if matches!(self.framing, Framing::UntilClose) => {
                 self.connection_ended = true;
                 Ok(0)
@@ -126,6 +161,14 @@
         }
     }
 
+    /// Counts the framing of a chunk of `remaining` bytes, whose size line has `line` bytes.
+    fn count_framing(&mut self, line: usize) -> Result<(), HttpError> {
+        let allowed = self.remaining.saturating_mul(2).saturating_add(FRAMING_PER_CHUNK);
+        let framing = line + LINE_END.len();
+        self.excess_framing = (self.excess_framing + framing).saturating_sub(allowed);
+        if self.excess_framing > MAX_EXCESS_FRAMING { Err(HttpError::FramingTooLarge) } else { Ok(()) }
+    }
+
     /// Decodes chunks in place: raw bytes are decoded up to `read`, and decoded bytes end at `end`. Returns whether the
     /// body is complete.
     pub(super) fn decode_chunks(&mut self, bytes: &mut [u8], read: &mut usize) -> Result<bool, HttpError> {
@@ -136,13 +179,19 @@
                     let (line, size) = match httparse::parse_chunk_size(rest) {
                         Ok(httparse::Status::Complete(found)) => found,
                         Ok(httparse::Status::Partial) if rest.len() > MAX_CHUNK_LINE => {
-                            return Err(HttpError::TooLarge);
+                            return Err(HttpError::FramingTooLarge);
                         }
                         Ok(httparse::Status::Partial) => return Ok(false),
                         Err(_) => return Err(HttpError::Malformed),
                     };
                     self.remaining = usize::try_from(size).map_err(|_| HttpError::TooLarge)?;
-                    self.state = if size == 0 { ChunkState::Trailers } else { ChunkState::Data };
+                    self.count_framing(line)?;
+                    if size == 0 {
+                        self.state = ChunkState::Trailers;
+                        self.trailers_due = Some(Instant::now() + TRAILER_TIMEOUT);
+                    } else {
+                        self.state = ChunkState::Data;
+                    }
                     *read += line;
                 }
                 ChunkState::Data => {
@@ -151,23 +200,27 @@
                     (self.end, self.remaining, *read) =
                         (self.end + count, self.remaining - count, *read + count);
                     let rest = &bytes[*read..];
-                    if self.remaining > 0 || rest.len() < 2 {
+                    if self.remaining > 0 || rest.len() < LINE_END.len() {
                         return Ok(false);
                     }
-                    if !rest.starts_with(b"\r\n") {
+                    if !rest.starts_with(LINE_END) {
                         return Err(HttpError::Malformed);
                     }
-                    (self.state, *read) = (ChunkState::Size, *read + 2);
+                    (self.state, *read) = (ChunkState::Size, *read + LINE_END.len());
                 }
                 // Trailers are skipped, up to the empty line.
-                ChunkState::Trailers => match rest.windows(2).position(|pair| pair == b"\r\n") {
+                ChunkState::Trailers => match rest.windows(2).position(|pair| pair == LINE_END) {
                     Some(line) => {
-                        *read += line + 2;
+                        *read += line + LINE_END.len();
                         if line == 0 {
                             return Ok(true);
                         }
+                        self.trailer_bytes += line + LINE_END.len();
+                        if self.trailer_bytes > MAX_TRAILER_BYTES {
+                            return Err(HttpError::FramingTooLarge);
+                        }
                     }
-                    None if rest.len() > MAX_CHUNK_LINE => return Err(HttpError::TooLarge),
+                    None if rest.len() > MAX_CHUNK_LINE => return Err(HttpError::FramingTooLarge),
                     None => return Ok(false),
                 },
             }
--- a/crates/sidecar/src/net/http/http_tests.rs
+++ b/crates/sidecar/src/net/http/http_tests.rs
@@ -168,6 +168,43 @@
     }
 }
 
+/// Reads a request whose chunks are followed by these bytes, and returns the length of its body.
+fn read_chunked(after_head: &[u8]) -> Result<usize, HttpError> {
+    let head = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    read_written(&[head, after_head].concat(), 3, true).map(|(body, _)| body.len())
+}
+
+/// Guards against trailer fields without end: each line had a limit, their number and sum had none.
+#[test]
+fn trailer_fields_are_limited_in_sum() {
+    let field = "x:\r\n";
+    let fitting = BUFFER_SIZE / field.len();
+    for (count, fits) in [(fitting, true), (fitting + 1, false), (100 * fitting, false)] {
+        let text = format!("2\r\nok\r\n0\r\n{}\r\n", field.repeat(count));
+        match read_chunked(text.as_bytes()) {
+            Ok(length) => assert!(fits && length == 2, "{count}"),
+            Err(error) => assert!(!fits && matches!(error, HttpError::FramingTooLarge), "{count}: {error}"),
+        }
+    }
+}
+
+/// Guards against chunk extensions without end, which are skipped like trailer fields.
+#[test]
+fn chunk_extensions_are_limited_beside_their_data() {
+    let chunk = |size: usize, extension: usize| {
+        format!("{size:x};{}\r\n{}\r\n", "e".repeat(extension), "x".repeat(size))
+    };
+    let body = |chunks: usize, size: usize, extension: usize| {
+        read_chunked(format!("{}0\r\n\r\n", chunk(size, extension).repeat(chunks)).as_bytes())
+    };
+    // Chunks of one byte, with short extensions, and long chunks with longer ones.
+    assert!(matches!(body(60_000, 1, 8), Ok(60_000)));
+    assert!(matches!(body(60, 1000, 900), Ok(60_000)));
+    assert!(matches!(body(16, 1, 1000), Ok(16)));
+    assert!(matches!(body(18, 1, 1000), Err(HttpError::FramingTooLarge)));
+    assert!(matches!(body(10_000, 1, 1000), Err(HttpError::FramingTooLarge)));
+}
+
 #[test]
 fn ambiguous_framing_is_malformed() {
     let codings = ["chunked", "gzip", "identity", "xchunked", "gzip\r\nTransfer-Encoding: chunked", ""];
--- a/crates/sidecar/tests/endless_messages.rs
+++ b/crates/sidecar/tests/endless_messages.rs
@@ -2,14 +2,22 @@
 
 mod helpers;
 
+use helpers::bodies::*;
+use helpers::gate::OK;
 use helpers::*;
 use landingspread_lab::sockets::ScriptedBehavior;
 use serde_json::json;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+/// The data of a body that is too long to be buffered, in bytes.
+const STREAMED_BODY: usize = 200_000;
+/// The end of a chunked body without trailer fields.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 /// A peer that sends a message without end is told and closed within this time of its connecting.
 const CLOSED_WITHIN: Duration = Duration::from_secs(3);
 /// How long a peer goes on sending if its connection is not closed.
@@ -27,6 +35,10 @@
 }
 
 impl Ended {
+    fn is_error_or_close(&self) -> bool {
+        self.status == 0 || self.status >= 400
+    }
+
     fn is_in_time(&self) -> bool {
         self.told_after < CLOSED_WITHIN && self.closed_after < CLOSED_WITHIN
     }
@@ -82,6 +94,139 @@
     read_response(&mut stream).map(|(status, _, _)| status)
 }
 
+/// The head of a request, to be followed by a chunked body.
+fn chunked_head(id: &str) -> String {
+    let text = request_text("confirm", id, 1900);
+    text.replace("Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n")
+}
+
+/// The beginnings and the blocks of chunked bodies that never end, though their data does or hardly grows.
+fn endless_bodies() -> Vec<(&'static str, String, &'static str)> {
+    // 1,000 bytes of extension for each byte of data.
+    let chunk: &'static str = format!("1;{}\r\nx\r\n", "e".repeat(1000)).leak();
+    let streamed = format!("{:x}\r\n{}\r\n", STREAMED_BODY, "x".repeat(STREAMED_BODY));
+    vec![
+        ("trailers", "2\r\nok\r\n0\r\n".into(), "x:\r\n"),
+        ("long-trailers", "0\r\n".into(), "X-More: and more, and more, and more, and more\r\n"),
+        ("extensions", String::new(), chunk),
+        ("streamed-trailers", format!("{streamed}0\r\n"), "x:\r\n"),
+        ("streamed-extensions", streamed, chunk),
+    ]
+}
+
+/// A server that answers a GET, and reads the body of any other request for as long as it comes. Sets `completed` if a body
+/// came to its end.
+fn start_reading_server(completed: &Arc<AtomicBool>) -> SocketAddr {
+    let completed = completed.clone();
+    scripted_server(move |_, stream| {
+        while read_head(stream).is_some_and(|head| head.starts_with("GET")) {
+            let _ = stream.write_all(OK);
+        }
+        let (mut bytes, mut end) = ([0; 16 << 10], Vec::new());
+        while let Ok(count @ 1..) = stream.read(&mut bytes) {
+            end.extend_from_slice(&bytes[..count]);
+            end.drain(..end.len().saturating_sub(LAST_CHUNK.len()));
+            if end == LAST_CHUNK {
+                completed.store(true, Ordering::Relaxed);
+            }
+        }
+    })
+}
+
+/// Checks that all of 20 requests are answered in time while others send without end.
+fn assert_requests_are_served(sidecar: &Sidecar, name: &str) {
+    for number in 0..20 {
+        let (id, sent) = (format!("{name}-usual{number}"), Instant::now());
+        assert_eq!(sidecar.send_request("view", &id, 1900), 200, "{id} after {:?}", sent.elapsed());
+    }
+}
+
+/// Guards against trailer fields and chunk extensions without end, behind which the process served nothing, and of which a
+/// lone client was never told.
+#[test]
+fn endless_chunk_framing_is_rejected_and_delays_no_other_client() {
+    let completed = Arc::new(AtomicBool::new(false));
+    let at = start_reading_server(&completed);
+    let (sidecar, _discovery) = Sidecar::start_with_servers(&[("s1", at)]);
+    for (name, begin, block) in endless_bodies() {
+        for count in [1, 8] {
+            let start = |number| {
+                let head = chunked_head(&format!("{name}-bad{number}"));
+                send_without_end(sidecar.address, head + &begin, block, Duration::ZERO)
+            };
+            let senders: Vec<_> = (0..count).map(start).collect();
+            assert_requests_are_served(&sidecar, &format!("{name}{count}"));
+            for sender in senders {
+                let ended = sender.join().expect("the sending thread panicked");
+                assert!(ended.is_error_or_close() && ended.is_in_time(), "{count} {name}: {ended:?}");
+            }
+        }
+    }
+    assert!(!completed.load(Ordering::Relaxed), "an incomplete request reached the server complete");
+}
+
+/// Guards against trailer fields that arrive slowly and without end, and so kept a request open for as long as they came.
+#[test]
+fn slow_trailers_without_end_are_rejected_in_time() {
+    let completed = Arc::new(AtomicBool::new(false));
+    let at = start_reading_server(&completed);
+    let (sidecar, _discovery) = Sidecar::start_with_servers(&[("s1", at)]);
+    let cases = endless_bodies().into_iter().filter(|(name, ..)| name.contains("trailers"));
+    let start = |(name, begin, block): (&'static str, String, &'static str)| {
+        let head = chunked_head(&format!("{name}-slow"));
+        (name, send_without_end(sidecar.address, head + &begin, block, ms(50)))
+    };
+    let senders: Vec<_> = cases.map(start).collect();
+    for (name, sender) in senders {
+        let ended = sender.join().expect("the sending thread panicked");
+        assert!(ended.status == 408 && ended.is_in_time(), "{name}: {ended:?}");
+    }
+    assert!(!completed.load(Ordering::Relaxed), "an incomplete request reached the server complete");
+}
+
+/// Guards against servers whose chunk framing never ends, in the same way as clients.
+#[test]
+fn endless_chunk_framing_of_a_server_fails_the_attempt() {
+    let over = Arc::new(AtomicBool::new(false));
+    for (name, begin, block) in endless_bodies().into_iter().take(3) {
+        let stop = over.clone();
+        let at = scripted_server(move |_, stream| {
+            while read_head(stream).is_some_and(|head| head.starts_with("GET")) {
+                let _ = stream.write_all(OK);
+            }
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            let blocks = block.repeat((256 << 10) / block.len());
+            let mut open = stream.write_all(format!("{head}{begin}").as_bytes()).is_ok();
+            while open && !stop.load(Ordering::Relaxed) {
+                open = stream.write_all(blocks.as_bytes()).is_ok();
+            }
+        });
+        let (sidecar, _discovery) = Sidecar::start_with_servers(&[("s1", at)]);
+        let sent = Instant::now();
+        let status = sidecar.send_request("confirm", name, 1900);
+        assert!(status == 502 && sent.elapsed() < ms(2400), "{name}: {status} after {:?}", sent.elapsed());
+        assert_requests_are_served(&sidecar, name);
+    }
+    over.store(true, Ordering::Relaxed);
+}
+
+/// Guards against trailer fields without end in a request to the console, whose thread then answered no other request.
+#[test]
+fn endless_trailers_of_a_console_request_are_rejected() {
+    let server = start_endpoint(ScriptedBehavior::Respond);
+    let (_sidecar, console) = start_sidecar_with_console(server.address);
+    let begin = "GET /status HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    let senders: Vec<_> =
+        (0..4).map(|_| send_without_end(console, begin.into(), "x:\r\n", Duration::ZERO)).collect();
+    for round in 0..20 {
+        assert_eq!(console_status(console), Some(200), "round {round}");
+    }
+    for sender in senders {
+        let ended = sender.join().expect("the sending thread panicked");
+        assert!(matches!(ended.status, 0 | 413) && ended.is_in_time(), "{ended:?}");
+    }
+}
+
 /// Guards against bytes without end behind a console's request, which were discarded in a loop that let no other task and
 /// no timer of the console's thread run.
 #[test]
