Share the lingering close of clients and the console, which had no bound of bytes there

Cause: the console had its own copy of the loop that discards what a peer still sends before a close.

Change: net::linger has the loop, with the bound of 1 MB; both callers give their limit of time.

--- a/crates/sidecar/src/console/mod.rs
+++ b/crates/sidecar/src/console/mod.rs
@@ -12,6 +12,7 @@
 use crate::net::buffers::{Buffer, ResourcePool};
 use crate::net::executor::Executor;
 use crate::net::http::{self, IncomingMessage};
+use crate::net::linger::linger;
 use crate::net::socket;
 use crate::net::timeout::timeout;
 use async_channel::{Receiver, Sender};
@@ -23,7 +24,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -188,7 +189,7 @@
         };
         tracing::debug!(status = reply.status, "console: {}", reply.text.trim_end());
         let _ = timeout(REPLY_TIMEOUT, http::write(&stream, &reply.head(), reply.text.as_bytes())).await;
-        linger(&stream).await;
+        linger(&stream, LINGER_TIMEOUT).await;
     }
 
     async fn read(
@@ -219,12 +220,3 @@
         Timer::after(BIND_RETRY_DELAY).await;
     }
 }
-
-/// Shuts down writing and reads the remaining bytes for a limited time. Closing a connection with unread bytes would reset
-/// it, and the reply in flight would be lost.
-async fn linger(stream: &Async<TcpStream>) {
-    let _ = stream.get_ref().shutdown(Shutdown::Write);
-    let mut bytes = [0; 1024];
-    let drain = async { while matches!(socket::read(stream, &mut bytes).await, Ok(1..)) {} };
-    timeout(LINGER_TIMEOUT, drain).await;
-}
--- a/crates/sidecar/src/net/clients/close.rs
+++ b/crates/sidecar/src/net/clients/close.rs
@@ -1,19 +1,16 @@
 //! Closes connections: lingers after a response, and shuts down the client side.
 
 use super::state::{ClientSide, PERMIT_POLL_INTERVAL};
+use crate::net::linger::linger;
 use crate::net::owner::Event;
-use crate::net::socket;
-use crate::net::timeout::timeout;
 use async_io::{Async, Timer};
-use std::net::{Shutdown, TcpStream};
+use std::net::TcpStream;
 use std::time::Duration;
 
-/// How long, and up to how many bytes, a client's remaining input is read before its connection is closed.
+/// How long a client's remaining input is read before its connection is closed.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-const MAX_LINGER_BYTES: usize = 1024 * 1024;
 /// How long lingering may continue after the shutdown deadline, so that the process ends before it is killed.
 const SHUTDOWN_LINGER: Duration = Duration::from_millis(50);
-const LINGER_READ_SIZE: usize = 4096;
 
 impl ClientSide {
     /// Makes each response from now on the last one of its connection.
@@ -46,20 +43,9 @@
         self.shutdown_deadline.get().map(|deadline| deadline.saturating_sub(self.clock.now()))
     }
 
-    /// Reads and discards what the client still sends. Closing a connection with unread bytes resets it, and a response
-    /// on its way would be lost.
+    /// Reads and discards for a short time what the client still sends, so that it receives the response.
     pub(super) async fn linger(&self, stream: &Async<TcpStream>) {
-        let _ = stream.get_ref().shutdown(Shutdown::Write);
-        let discard = async {
-            let (mut bytes, mut total) = ([0; LINGER_READ_SIZE], 0);
-            while let Ok(count @ 1..) = socket::read(stream, &mut bytes).await {
-                total += count;
-                if total > MAX_LINGER_BYTES {
-                    break;
-                }
-            }
-        };
         let limit = self.time_to_shutdown().map_or(LINGER_TIMEOUT, |remaining| remaining + SHUTDOWN_LINGER);
-        timeout(LINGER_TIMEOUT.min(limit), discard).await;
+        linger(stream, LINGER_TIMEOUT.min(limit)).await;
     }
 }
--- a/crates/sidecar/src/net/mod.rs
+++ b/crates/sidecar/src/net/mod.rs
@@ -14,6 +14,7 @@
 pub mod http;
 mod leaving;
 mod legacy_fingerprint;
+pub mod linger;
 mod listener;
 mod local_failure;
 pub mod owner;
