Move tasks to the executor by pointer, and time a body only while it is incomplete

The wrapper that gives a task its budget was copied once more with the state of an attempt, and a request whose body had arrived with its head still made two timers and a watch for stalls.

Change: tasks are boxed, so that pointers are moved; the crate pin-project-lite is not needed. A complete body is not waited for. The future that reads late trailer fields is boxed too.

--- a/crates/sidecar/src/net/clients/read.rs
+++ b/crates/sidecar/src/net/clients/read.rs
@@ -127,7 +127,7 @@
         let mut message = or(head, self.stalled(last_read, connected_at)).await?;
         let parsed = self.parser.parse(&message.head, &self.time_limits.borrow());
         let parsed = parsed.map_err(ReadError::Rejected)?;
-        if matches!(parsed, ParsedMessage::Request(_)) {
+        if matches!(parsed, ParsedMessage::Request(_)) && !message.is_complete() {
             let body = self.buffer_body(stream, &mut message, &on_read);
             let body = async { timeout(BODY_TIMEOUT, body).await.unwrap_or(Err(HttpError::TimedOut)) };
             or(body, self.stalled(last_read, connected_at)).await?;
@@ -164,7 +164,7 @@
         message: &mut IncomingMessage,
         on_read: &dyn Fn(),
     ) -> Result<(), HttpError> {
-        if message.expects_continue && !message.is_complete() {
+        if message.expects_continue {
             let proceed = http::write(stream, b"HTTP/1.1 100 Continue\r\n\r\n", b"");
             timeout(WRITE_TIMEOUT, proceed).await.unwrap_or(Ok(()))?;
         }
--- a/crates/sidecar/src/net/executor.rs
+++ b/crates/sidecar/src/net/executor.rs
@@ -6,7 +6,6 @@
 
 use async_executor::{LocalExecutor, Task};
 use futures_lite::future::yield_now;
-use pin_project_lite::pin_project;
 use std::cell::Cell;
 use std::pin::Pin;
 use std::task::{Context, Poll};
@@ -20,20 +19,22 @@
     static REMAINING_OPERATIONS: Cell<u32> = const { Cell::new(OPERATIONS_PER_POLL) };
 }
 
-pin_project! {
-    /// A future that gets a new budget whenever it is polled.
-    struct WithBudget<F> {
-        #[pin]
-        future: F,
+/// A future that gets a new budget whenever it is polled. Boxed, as moving a pointer to the executor is cheaper than moving
+/// the state of a request.
+struct WithBudget<F>(Pin<Box<F>>);
+
+impl<F: Future> WithBudget<F> {
+    fn new(future: F) -> WithBudget<F> {
+        WithBudget(Box::pin(future))
     }
 }
 
 impl<F: Future> Future for WithBudget<F> {
     type Output = F::Output;
 
-    fn poll(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<F::Output> {
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<F::Output> {
         REMAINING_OPERATIONS.set(OPERATIONS_PER_POLL);
-        self.project().future.poll(context)
+        self.0.as_mut().poll(context)
     }
 }
 
@@ -49,12 +50,12 @@
 
     /// Starts a task, which is cancelled when the returned handle is dropped, unless it is detached.
     pub fn spawn<T: 'static>(&self, future: impl Future<Output = T> + 'static) -> Task<T> {
-        self.0.spawn(WithBudget { future })
+        self.0.spawn(WithBudget::new(future))
     }
 
     /// Runs all tasks on this thread until `main` ends, and returns its output.
     pub fn block_on<T>(&self, main: impl Future<Output = T>) -> T {
-        async_io::block_on(self.0.run(WithBudget { future: main }))
+        async_io::block_on(self.0.run(WithBudget::new(main)))
     }
 }
 
--- a/crates/sidecar/src/net/http/body.rs
+++ b/crates/sidecar/src/net/http/body.rs
@@ -77,6 +77,16 @@
     if count == 0 { Err(HttpError::Closed) } else { Ok(count) }
 }
 
+/// Like `read_some`, but fails with `TimedOut` if no bytes have arrived by the time `due`.
+async fn read_some_until(
+    due: Instant,
+    stream: &Async<TcpStream>,
+    buffer: &mut Buffer,
+) -> Result<usize, HttpError> {
+    let remaining = due.saturating_duration_since(Instant::now());
+    timeout(remaining, read_some(stream, buffer)).await.unwrap_or(Err(HttpError::TimedOut))
+}
+
 /// The decoder of a body while it is read. In the buffer, decoded bytes end at `end` and are followed by bytes that are
 /// not decoded yet.
 pub(super) struct BodyDecoder {
@@ -122,13 +132,10 @@
         stream: &Async<TcpStream>,
         buffer: &mut Buffer,
     ) -> Result<usize, HttpError> {
-        let read = read_some(stream, buffer);
         let read = match self.trailers_due {
-            None => read.await,
-            Some(due) => {
-                let remaining = due.saturating_duration_since(Instant::now());
-                timeout(remaining, read).await.unwrap_or(Err(HttpError::TimedOut))
-            }
+            None => read_some(stream, buffer).await,
+            // Boxed, as it is rare and would enlarge the future of each read.
+            Some(due) => Box::pin(read_some_until(due, stream, buffer)).await,
         };
         match read {
             Err(HttpError::Closed) if matches!(self.framing, Framing::UntilClose) => {
