Refuse versions longer than a message, and fetch what follows one that can't be used

A publication was accepted if the operator's text fits into 98,304 bytes, but the message that carries the version is longer than the text; one that is too long is stored where it is published and refused everywhere else, also at the machine's next start. A machine's poll of a peer ended at the first scope that it could not fetch, each second anew, so the scopes behind it in the alphabet were never fetched, and the peer counted as not available.

Change: publish refuses such a version with 413 and its length; the version in force stays. A poll skips a version that the peer sends and that can't be used, logs it once, and goes on; a peer that does not answer still ends the poll.

--- a/crates/control/src/delta.rs
+++ b/crates/control/src/delta.rs
@@ -142,6 +142,11 @@
         serde_json::from_slice(bytes).map_err(|error| DeltaError::Malformed(error.to_string()))
     }
 
+    /// Whether the delta's JSON has at most [`MAX_DELTA_BYTES`].
+    pub fn fits_message(&self) -> bool {
+        self.to_json().len() <= MAX_DELTA_BYTES
+    }
+
     /// Serializes the delta as JSON, the format of both messages and stored files.
     pub fn to_json(&self) -> String {
         // Strings and lists of strings can always be serialized.
--- a/crates/control/src/version_store.rs
+++ b/crates/control/src/version_store.rs
@@ -3,7 +3,7 @@
 //! was published. New versions result only from an operator's publication.
 
 use crate::config::{ConfigError, Contents};
-use crate::delta::{Delta, DeltaError, Snapshot};
+use crate::delta::{Delta, DeltaError, MAX_DELTA_BYTES, Snapshot};
 use crate::poll::{Poll, ReportedRefusal};
 use crate::scope_status::{FollowerStatus, ScopeStatus};
 use crate::version::{Digest, Version};
@@ -46,6 +46,8 @@
     UnknownVersion(Version),
     /// The contents or the scope's name are invalid.
     Config(ConfigError),
+    /// The message that would carry the version has this length in bytes, which is more than [`MAX_DELTA_BYTES`].
+    TooLong(usize),
     /// The machine has [`MAX_SCOPES`] scopes already.
     TooManyScopes,
 }
@@ -57,6 +59,12 @@
             PublishError::BaseMismatch(Some(version)) => write!(f, "base: {version} holds here"),
             PublishError::UnknownVersion(version) => write!(f, "back: {version} is not kept here"),
             PublishError::Config(error) => error.fmt(f),
+            PublishError::TooLong(length) => {
+                write!(
+                    f,
+                    "body: the version has {length} bytes as a message, expected at most {MAX_DELTA_BYTES}"
+                )
+            }
             PublishError::TooManyScopes => {
                 write!(f, "scope: there are {MAX_SCOPES} of them already")
             }
@@ -144,6 +152,11 @@
         let (epoch, number) =
             current.map_or((epoch, 1), |current| (current.epoch, current.number.saturating_add(1)));
         let next = Snapshot::new(scope, epoch, number, contents).map_err(PublishError::Config)?;
+        // A longer version could be stored here, but neither sent to other machines and followers nor restored.
+        let length = next.full_delta().to_json().len();
+        if length > MAX_DELTA_BYTES {
+            return Err(PublishError::TooLong(length));
+        }
         let version = next.version();
         self.scopes.entry(scope.into()).or_default().push(next);
         Ok(version)
@@ -188,8 +201,8 @@
         Ok(replaced.map_or(MergeOutcome::Updated, MergeOutcome::Replaced))
     }
 
-    /// The answer to a poll: a delta to the version that the follower acknowledged, or else a snapshot; `None` if the
-    /// follower needs no update.
+    /// The answer to a poll: a delta to the version that the follower acknowledged, if one fits into a message, or else a
+    /// snapshot; `None` if the follower needs no update.
     pub fn delta_for(&self, poll: &Poll) -> Option<Delta> {
         let scope = self.scopes.get(&poll.scope)?;
         let current = scope.current()?;
@@ -201,7 +214,9 @@
         }
         let is_base = |known: &&Snapshot| Some(known.version()) == poll.acknowledged && !poll.wants_snapshot;
         let base = scope.history.iter().find(is_base);
-        Some(base.map_or_else(|| current.full_delta(), |base| current.delta_since(base)))
+        // A delta names removed keys beside the new ones, so it can be longer than the snapshot.
+        let delta = base.map(|base| current.delta_since(base)).filter(Delta::fits_message);
+        Some(delta.unwrap_or_else(|| current.full_delta()))
     }
 
     /// Records the acknowledgement and the refusal that a poll reports.
--- a/crates/control/tests/protocol.rs
+++ b/crates/control/tests/protocol.rs
@@ -243,6 +243,65 @@
     assert_eq!(poll(&mut restarted, &mut follower, &mut host), Some(Ok(ApplyOutcome::Applied(next))));
 }
 
+/// Contents with the maximum number of keys, whose version has this length as a message.
+fn contents_of_message_length(length: usize) -> Contents {
+    let entry = |at: usize| (format!("tenants.t{at:05}.quota"), "1".repeat(60));
+    let mut contents: Contents = (0..MAX_KEYS - 1).map(entry).collect();
+    // The last key fills the message up.
+    contents.insert("z".into(), "1".into());
+    let snapshot =
+        Snapshot::new("basket", 100, 1, contents.clone()).expect("contents are within their bounds");
+    let missing = length - snapshot.full_delta().to_json().len();
+    for value in contents.values_mut().take(missing.div_ceil(100)) {
+        value.push_str(&"1".repeat(100));
+    }
+    let excess = missing.next_multiple_of(100) - missing;
+    if let Some(value) = contents.values_mut().next() {
+        value.truncate(value.len() - excess);
+    }
+    contents
+}
+
+/// Guards against a version that a machine stored though its message was too long for other machines, followers and its
+/// own next start.
+#[test]
+fn version_longer_than_a_message_is_rejected() {
+    let mut store = VersionStore::default();
+    let first = publish(&mut store, &[("a", "1")]);
+    let mut next_store = VersionStore::default();
+    let too_long = contents_of_message_length(MAX_DELTA_BYTES + 1);
+    assert_eq!(
+        next_store.publish("basket", None, too_long.clone(), 100),
+        Err(PublishError::TooLong(MAX_DELTA_BYTES + 1))
+    );
+    assert!(next_store.current("basket").is_none());
+    assert!(matches!(store.publish("basket", Some(first), too_long, 100), Err(PublishError::TooLong(_))));
+    assert_eq!(store.version("basket"), Some(first), "the current version stays");
+    let longest = contents_of_message_length(MAX_DELTA_BYTES);
+    let version = next_store.publish("basket", None, longest, 100).expect("the longest version is published");
+    let text = next_store.current("basket").expect("it is current").full_delta().to_json();
+    assert_eq!(text.len(), MAX_DELTA_BYTES);
+    let mut other = VersionStore::default();
+    assert_eq!(
+        other.merge(Delta::from_json(text.as_bytes()).expect("it is read")),
+        Ok(MergeOutcome::Updated)
+    );
+    assert_eq!(other.version("basket"), Some(version));
+}
+
+/// Guards against a delta that names so many removed and new keys that no follower reads it.
+#[test]
+fn delta_longer_than_a_message_is_sent_as_a_snapshot() {
+    let (mut store, mut follower, mut host) = (VersionStore::default(), follower(), RecordingHost::default());
+    let named = |prefix: &str| -> Contents {
+        (0..MAX_KEYS).map(|at| (format!("{prefix}{at:05}.{}", "k".repeat(70)), "1".into())).collect()
+    };
+    let first = store.publish("basket", None, named("a"), 100).expect("valid contents are published");
+    assert_eq!(poll(&mut store, &mut follower, &mut host), Some(Ok(ApplyOutcome::Applied(first))));
+    let next = store.publish("basket", Some(first), named("b"), 100).expect("valid contents are published");
+    assert_eq!(poll(&mut store, &mut follower, &mut host), Some(Ok(ApplyOutcome::Applied(next))));
+}
+
 #[test]
 fn contents_out_of_bounds_are_rejected_with_the_invalid_key() {
     let mut store = VersionStore::default();
--- a/crates/sidecar/src/control/machine/peers.rs
+++ b/crates/sidecar/src/control/machine/peers.rs
@@ -4,10 +4,12 @@
 use super::super::client::{CallError, ControlClient, Request};
 use super::Server;
 use crate::net::buffers;
+use crate::net::http::HttpError;
 use crate::net::timeout::timeout;
 use async_channel::{Receiver, Sender};
 use landingspread_control::{Delta, DeltaError, MAX_DELTA_BYTES, VersionSummary};
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -52,6 +54,19 @@
     Delta(DeltaError),
 }
 
+impl SyncError {
+    /// Whether the peer answered, so that its other versions may be usable.
+    fn concerns_one_version(&self) -> bool {
+        match self {
+            SyncError::Delta(_) | SyncError::Call(CallError::Status(_)) => true,
+            SyncError::Call(CallError::Http(error)) => {
+                matches!(error, HttpError::TooLarge | HttpError::FramingTooLarge | HttpError::Malformed)
+            }
+            SyncError::Summary(_) | SyncError::Call(CallError::Timeout(_) | CallError::Io(_)) => false,
+        }
+    }
+}
+
 impl fmt::Display for SyncError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -108,6 +123,7 @@
     pub(super) async fn synchronize(self: Rc<Self>, number: usize, pushes: Receiver<Push>) {
         let Some(peer) = self.peers.get(number) else { return };
         let (mut client, mut poll_at, mut was_available) = (ControlClient::default(), Instant::now(), None);
+        let mut unusable_scopes = BTreeSet::new();
         loop {
             let remaining = poll_at.saturating_duration_since(Instant::now());
             let result = match timeout(remaining, pushes.recv()).await {
@@ -117,7 +133,7 @@
                 }
                 Some(Err(_)) => return,
                 None => {
-                    let polled = self.poll(peer, &mut client).await;
+                    let polled = self.poll(peer, &mut client, &mut unusable_scopes).await;
                     poll_at = Instant::now() + POLL_INTERVAL;
                     polled
                 }
@@ -156,8 +172,14 @@
         Ok(())
     }
 
-    /// Fetches and merges the versions that are newer on the peer than here.
-    async fn poll(&self, peer: &Peer, client: &mut ControlClient) -> Result<(), SyncError> {
+    /// Fetches and merges the versions that are newer on the peer than here. A version that the peer sends and that can't be
+    /// used is skipped; `unusable` holds the scopes of such versions, so that each is logged once.
+    async fn poll(
+        &self,
+        peer: &Peer,
+        client: &mut ControlClient,
+        unusable: &mut BTreeSet<String>,
+    ) -> Result<(), SyncError> {
         let digest = self.request(peer, client, "GET /control/v1/digest", "", DIGEST_BUFFERS).await?;
         if digest == format!("{:032x}", self.digest()).into_bytes() {
             return Ok(());
@@ -165,13 +187,27 @@
         let summary = self.request(peer, client, "GET /control/v1/versions", "", SUMMARY_BUFFERS).await?;
         let summary: VersionSummary = serde_json::from_slice(&summary)?;
         let outdated = self.store.borrow().outdated_scopes(&summary);
+        unusable.retain(|scope| outdated.contains(scope));
         for scope in outdated {
-            let target = format!("GET /control/v1/snapshot?scope={scope}");
-            let bytes = self.request(peer, client, &target, "", SNAPSHOT_BUFFERS).await?;
-            self.merge(Delta::from_json(&bytes)?, peer.address)?;
+            match self.fetch(peer, client, &scope).await {
+                Err(error) if error.concerns_one_version() => {
+                    if unusable.insert(scope.clone()) {
+                        tracing::warn!(scope, machine = %peer.address, "control machine: version not fetched: {error}");
+                    }
+                }
+                fetched => fetched?,
+            }
         }
         Ok(())
     }
+
+    /// Fetches and merges the peer's current version of a scope.
+    async fn fetch(&self, peer: &Peer, client: &mut ControlClient, scope: &str) -> Result<(), SyncError> {
+        let target = format!("GET /control/v1/snapshot?scope={scope}");
+        let bytes = self.request(peer, client, &target, "", SNAPSHOT_BUFFERS).await?;
+        self.merge(Delta::from_json(&bytes)?, peer.address)?;
+        Ok(())
+    }
 }
 
 fn log_availability(peer: &Peer, result: Result<(), SyncError>) {
--- a/crates/sidecar/src/control/machine/routes.rs
+++ b/crates/sidecar/src/control/machine/routes.rs
@@ -63,6 +63,7 @@
             PublishError::BaseMismatch(_) => 409,
             PublishError::UnknownVersion(_) => 404,
             PublishError::Config(_) => 400,
+            PublishError::TooLong(_) => 413,
             PublishError::TooManyScopes => 507,
         };
         Reply::error(status, &error.to_string())
--- a/crates/sidecar/tests/control/outages.rs
+++ b/crates/sidecar/tests/control/outages.rs
@@ -4,6 +4,8 @@
 use crate::helpers::*;
 use crate::paths::partitionable_path;
 use crate::rig::*;
+use landingspread_control::Snapshot;
+use landingspread_lab::sockets::Peer;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -113,6 +115,61 @@
     }
 }
 
+/// A control machine whose first scope has a version that can't be used, and whose second scope is `good`. It answers the
+/// calls of other machines only.
+fn machine_with_an_unusable_version(unusable: &'static str, good: &Snapshot) -> SocketAddr {
+    let listener = bind_unused_port();
+    let address = listener.local_addr().expect("listener has a local address");
+    let version = good.version();
+    let summary = json!({"accounts": version, SCOPE: version}).to_string();
+    let snapshot = good.full_delta().to_json();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut peer = Peer::new(stream);
+            let (summary, snapshot) = (summary.clone(), snapshot.clone());
+            thread::spawn(move || {
+                while let Ok(Some(call)) = peer.read_request() {
+                    let (status, body) = match call.path() {
+                        path if path.ends_with("/digest") => (200, "0".repeat(32)),
+                        path if path.ends_with("/versions") => (200, summary.clone()),
+                        path if path.ends_with("scope=accounts") => match unusable {
+                            "missing" => (404, "nothing".into()),
+                            "too long" => (200, format!("{snapshot}{}", " ".repeat(100_000))),
+                            "far too long" => (200, " ".repeat(400_000)),
+                            _ => (200, snapshot[..snapshot.len() / 2].into()),
+                        },
+                        _ => (200, snapshot.clone()),
+                    };
+                    let head = format!("HTTP/1.1 {status} -\r\nContent-Length: {}\r\n\r\n", body.len());
+                    if peer.write(format!("{head}{body}").as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against a version of one service that can't be fetched, and that kept a restarted machine from fetching the
+/// versions of all services behind it.
+#[test]
+fn machine_fetches_versions_behind_one_that_it_cannot_use() {
+    let _turn = take_turn();
+    let folder = folder("unusable");
+    let contents = [("verbs.view.goal".to_string(), "1s".to_string())].into();
+    let good = Snapshot::new(SCOPE, 5, 2, contents).expect("snapshot is within its bounds");
+    for (number, unusable) in ["missing", "truncated", "too long", "far too long"].into_iter().enumerate() {
+        let other = machine_with_an_unusable_version(unusable, &good);
+        let machine = machine(&folder, &format!("m{number}"), address(), &[other]);
+        let expected = good.version().to_string();
+        wait_until(&format!("the version behind one that is {unusable} is fetched"), || {
+            current_version(machine.address).as_deref() == Some(&expected)
+        });
+        wait_until("the other machine counts as available", || peers_heard(machine.address) == 1);
+    }
+}
+
 #[test]
 fn versions_are_in_force_in_time_with_failing_machines() {
     let _turn = take_turn();
