--- a/crates/control/tests/protocol.rs
+++ b/crates/control/tests/protocol.rs
@@ -289,7 +289,7 @@
     assert_eq!(other.version("basket"), Some(version));
 }
 
-/// Guards against a delta that names so many removed and new keys that no follower reads it.
+/// Guards against a delta whose removed and new keys together exceed a message, which followers refuse to read.
 #[test]
 fn delta_longer_than_a_message_is_sent_as_a_snapshot() {
     let (mut store, mut follower, mut host) = (VersionStore::default(), follower(), RecordingHost::default());
--- a/crates/sidecar/src/net/executor_tests.rs
+++ b/crates/sidecar/src/net/executor_tests.rs
@@ -1,4 +1,4 @@
-//! Tasks whose sockets are always ready, beside other tasks and timers.
+//! Tasks whose sockets are always ready share a thread with other tasks and timers.
 
 use super::*;
 use crate::net::socket;
--- a/crates/sidecar/src/net/http/body.rs
+++ b/crates/sidecar/src/net/http/body.rs
@@ -95,7 +95,7 @@
     /// The number of bytes still missing of the body, or of the current chunk.
     remaining: usize,
     state: ChunkState,
-    /// The framing of the chunks so far beyond what their data allows, in bytes.
+    /// The framing of all decoded chunks beyond what their data allows, in bytes.
     excess_framing: usize,
     trailer_bytes: usize,
     /// When the trailer fields must be complete; None before the last chunk.
@@ -134,7 +134,7 @@
     ) -> Result<usize, HttpError> {
         let read = match self.trailers_due {
             None => read_some(stream, buffer).await,
-            // Boxed, as it is rare and would enlarge the future of each read.
+            // Boxed: this future is rare and would enlarge the future of every read.
             Some(due) => Box::pin(read_some_until(due, stream, buffer)).await,
         };
         match read {
--- a/crates/sidecar/src/net/socket.rs
+++ b/crates/sidecar/src/net/socket.rs
@@ -35,7 +35,7 @@
     uninterrupted(async || stream.write_vectored(slices).await).await
 }
 
-/// Accepts a connection. The errors include those of connections that ended before they were accepted.
+/// Accepts a connection. A connection that ended before it was accepted is an error too.
 pub async fn accept(listener: &Async<TcpListener>) -> io::Result<(Async<TcpStream>, SocketAddr)> {
     uninterrupted(async || listener.accept().await).await
 }
--- a/crates/sidecar/tests/endless_messages.rs
+++ b/crates/sidecar/tests/endless_messages.rs
@@ -18,9 +18,9 @@
 const STREAMED_BODY: usize = 200_000;
 /// The end of a chunked body without trailer fields.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
-/// A peer that sends a message without end is told and closed within this time of its connecting.
+/// The time limit, counted from connecting, for the response to an endless message and for the close.
 const CLOSED_WITHIN: Duration = Duration::from_secs(3);
-/// How long a peer goes on sending if its connection is not closed.
+/// How long a sender continues if its connection is not closed.
 const GIVES_UP_AFTER: Duration = Duration::from_secs(8);
 
 /// How the connection of a peer that sends without end ended.
@@ -114,7 +114,7 @@
     ]
 }
 
-/// A server that answers a GET, and reads the body of any other request for as long as it comes. Sets `completed` if a body
+/// A server that answers a GET, and reads the body of any other request until the connection ends. Sets `completed` if a body
 /// came to its end.
 fn start_reading_server(completed: &Arc<AtomicBool>) -> SocketAddr {
     let completed = completed.clone();
@@ -210,19 +210,24 @@
     over.store(true, Ordering::Relaxed);
 }
 
-/// Guards against trailer fields without end in a request to the console, whose thread then answered no other request.
-#[test]
-fn endless_trailers_of_a_console_request_are_rejected() {
+/// Sends to the console from four connections, without end, while 20 other requests to it are answered. Returns how the
+/// connections ended.
+fn flood_console(begin: &str, block: &'static str) -> Vec<Ended> {
     let server = start_endpoint(ScriptedBehavior::Respond);
     let (_sidecar, console) = start_sidecar_with_console(server.address);
-    let begin = "GET /status HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
-    let senders: Vec<_> =
-        (0..4).map(|_| send_without_end(console, begin.into(), "x:\r\n", Duration::ZERO)).collect();
+    let start = |_| send_without_end(console, begin.into(), block, Duration::ZERO);
+    let senders: Vec<_> = (0..4).map(start).collect();
     for round in 0..20 {
         assert_eq!(console_status(console), Some(200), "round {round}");
     }
-    for sender in senders {
-        let ended = sender.join().expect("the sending thread panicked");
+    senders.into_iter().map(|sender| sender.join().expect("the sending thread panicked")).collect()
+}
+
+/// Guards against trailer fields without end in a request to the console, whose thread then answered no other request.
+#[test]
+fn endless_trailers_of_a_console_request_are_rejected() {
+    let begin = "GET /status HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    for ended in flood_console(begin, "x:\r\n") {
         assert!(matches!(ended.status, 0 | 413) && ended.is_in_time(), "{ended:?}");
     }
 }
@@ -231,16 +236,7 @@
 /// no timer of the console's thread run.
 #[test]
 fn endless_bytes_behind_a_console_request_delay_no_other_operator() {
-    let server = start_endpoint(ScriptedBehavior::Respond);
-    let (_sidecar, console) = start_sidecar_with_console(server.address);
-    let begin = "GET /status HTTP/1.1\r\nHost: x\r\n\r\n";
-    let senders: Vec<_> =
-        (0..4).map(|_| send_without_end(console, begin.into(), "more", Duration::ZERO)).collect();
-    for round in 0..20 {
-        assert_eq!(console_status(console), Some(200), "round {round}");
-    }
-    for sender in senders {
-        let ended = sender.join().expect("the sending thread panicked");
+    for ended in flood_console("GET /status HTTP/1.1\r\nHost: x\r\n\r\n", "more") {
         assert!(ended.status == 200 && ended.is_in_time(), "{ended:?}");
     }
 }
