Keep the growth of the test's descriptor table out of 40 clients' first 20 ms

Cause: the test connects 40 clients and then writes 40 requests. A client that is silent for 20 ms after connecting may be closed to free a socket (docs/design.md, "sockets"). Some 455 descriptors of other tests are open in the same process at that point, so its descriptor table of 512 always grows within those 40 connects, and the kernel blocks the thread that makes a table grow that threads share until every processor has passed a quiescent state (an RCU grace period).

Alone the test never grows the table.

Change: the test makes the table large enough before it connects. The check is as it was: 40 clients, 40 responses.

--- a/crates/sidecar/tests/helpers/mod.rs
+++ b/crates/sidecar/tests/helpers/mod.rs
@@ -6,6 +6,7 @@
 
 use landingspread_lab::sockets::{self, Discovery, HttpMessage, Peer, ScriptedBehavior, ScriptedServer};
 use serde_json::{Value, json};
+use std::fs::File;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -21,6 +22,13 @@
     Duration::from_millis(count)
 }
 
+/// Makes the descriptor table of this process large enough for `count` descriptors besides those that are open. When the
+/// table of a process with several threads grows, the kernel blocks the thread for some 10 to 30 ms within `connect`.
+pub fn reserve_descriptors(count: usize) {
+    let open = || File::open("/dev/null").expect("failed to open /dev/null");
+    drop((0..count).map(|_| open()).collect::<Vec<_>>());
+}
+
 /// A listener at an unused port of 127.0.0.1.
 pub fn bind_unused_port() -> TcpListener {
     sockets::bind_loopback().expect("failed to bind to an unused port")
@@ -187,9 +195,7 @@
 fn spawn_program(config_file: &Path, environment: &[(&str, String)]) -> Child {
     let mut program = Command::new(env!("CARGO_BIN_EXE_landingspread"));
     program.arg("serve").env("NODE_CONFIG", config_file).env_remove("TMPDIR");
-    program.stderr(
-        std::fs::File::create(config_file.with_extension("log")).expect("failed to create the log file"),
-    );
+    program.stderr(File::create(config_file.with_extension("log")).expect("failed to create the log file"));
     program.envs(environment.iter().map(|(name, text)| (*name, text)));
     program.spawn().expect("failed to start landingspread")
 }
--- a/crates/sidecar/tests/sockets.rs
+++ b/crates/sidecar/tests/sockets.rs
@@ -215,6 +215,8 @@
 fn new_connection_is_not_closed_before_its_first_request() {
     let endpoint = start_endpoint(ScriptedBehavior::Respond);
     let (sidecar, _discovery) = Sidecar::start_with_servers(&[("s1", endpoint.address)]);
+    // A client that is silent for 20 ms after connecting may be closed to free a socket.
+    reserve_descriptors(256);
     let mut new: Vec<TcpStream> = (0..40).filter_map(|_| sidecar.connect()).collect();
     for (number, stream) in new.iter_mut().enumerate() {
         let _ = stream.write_all(request_text("confirm", &format!("f{number}"), 1900).as_bytes());
