Bound a request's body by limits.body_mb, so that data without end is rejected in time

Seen by callers: a client whose body never ends, at full speed, had neither an error nor a close for 900 s where its server reads on: a Content-Length of 900 GB, one chunk of 1 TB, chunks of 1,000 bytes without end.

Cause: the loop that passes a body on (pass_on_body) has a limit for the time since the last byte, which never comes to its end, and 900 s for slow uploads. Nothing bounded the sum of the data.

Change: limits.body_mb in both forms of the configuration (64 by default, at least 1). The decoder adds up the sizes of the chunks, or takes the Content-Length, and fails as soon as that exceeds the limit: 413, before more data is read. The connection to the server ends before the request's last byte, so nothing ran. A length is rejected at its head.

The fixture for an unknown key of [limits] names the new key; the others are as they were, and one is added (95).

--- a/crates/sidecar/src/configuration/operator_form/build.rs
+++ b/crates/sidecar/src/configuration/operator_form/build.rs
@@ -31,6 +31,7 @@
         seed: file.seed.unwrap_or_else(|| RandomState::new().hash_one(std::process::id())),
         max_sockets: file.limits.max_sockets as usize,
         memory_mb: file.limits.memory_mb as usize,
+        max_body_mb: file.limits.max_body_mb as usize,
         clock: Clock::start(),
         initial_catalog: initial_servers(&file),
         classes: file.classes.iter().map(request_class).collect(),
--- a/crates/sidecar/src/configuration/operator_form/checks.rs
+++ b/crates/sidecar/src/configuration/operator_form/checks.rs
@@ -76,6 +76,7 @@
 fn bounds(file: &File) -> Option<Refusal> {
     at_least("limits.sockets", file.limits.max_sockets, MIN_SOCKETS)
         .or_else(|| at_least("limits.memory_mb", file.limits.memory_mb, MIN_MEMORY_MB))
+        .or_else(|| at_least("limits.body_mb", file.limits.max_body_mb, 1))
         .or_else(|| at_least("limits.max_open", file.limits.max_open_requests, 1))
         .or_else(|| at_least("copies", u64::from(file.replicas), 1))
         .or_else(|| at_least("rules.relays", u64::from(file.rules.max_attempts), 1))
--- a/crates/sidecar/src/configuration/operator_form/operator_form_tests.rs
+++ b/crates/sidecar/src/configuration/operator_form/operator_form_tests.rs
@@ -41,8 +41,13 @@
     assert_eq!(shown.policy.capabilities.max_attempts, configuration.policy.capabilities.max_attempts);
     assert_eq!(format!("{:?}", shown.policy.slow_start), format!("{:?}", configuration.policy.slow_start));
     assert_eq!(
-        (shown.max_sockets, shown.memory_mb, shown.max_open_requests),
-        (configuration.max_sockets, configuration.memory_mb, configuration.max_open_requests)
+        (shown.max_sockets, shown.memory_mb, shown.max_body_mb, shown.max_open_requests),
+        (
+            configuration.max_sockets,
+            configuration.memory_mb,
+            configuration.max_body_mb,
+            configuration.max_open_requests
+        )
     );
     assert_eq!(
         (shown.idle_connection_timeout, shown.connect_timeout),
--- a/crates/sidecar/src/configuration/operator_form/schema.rs
+++ b/crates/sidecar/src/configuration/operator_form/schema.rs
@@ -5,8 +5,8 @@
 
 use super::{control, fleet, localities};
 use crate::configuration::settings::{
-    DEFAULT_CONNECT_TIMEOUT, DEFAULT_IDLE_CONNECTION_TIMEOUT, DEFAULT_MAX_OPEN_REQUESTS, DEFAULT_MAX_SOCKETS,
-    DEFAULT_MEMORY_MB,
+    DEFAULT_CONNECT_TIMEOUT, DEFAULT_IDLE_CONNECTION_TIMEOUT, DEFAULT_MAX_BODY_MB, DEFAULT_MAX_OPEN_REQUESTS,
+    DEFAULT_MAX_SOCKETS, DEFAULT_MEMORY_MB,
 };
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -145,6 +145,8 @@
     #[serde(rename = "sockets")]
     pub max_sockets: u64,
     pub memory_mb: u64,
+    #[serde(rename = "body_mb")]
+    pub max_body_mb: u64,
     #[serde(rename = "max_open")]
     pub max_open_requests: u64,
     #[serde(rename = "conn_idle", with = "humantime_serde")]
@@ -158,6 +160,7 @@
         Limits {
             max_sockets: DEFAULT_MAX_SOCKETS,
             memory_mb: DEFAULT_MEMORY_MB,
+            max_body_mb: DEFAULT_MAX_BODY_MB,
             max_open_requests: DEFAULT_MAX_OPEN_REQUESTS,
             idle_connection_timeout: DEFAULT_IDLE_CONNECTION_TIMEOUT,
             connect_timeout: DEFAULT_CONNECT_TIMEOUT,
--- a/crates/sidecar/src/configuration/platform_form/mod.rs
+++ b/crates/sidecar/src/configuration/platform_form/mod.rs
@@ -7,8 +7,9 @@
 use super::environment::{Environment, NODE_CONSOLE, NODE_DISCOVERY, NODE_LISTEN, NODE_NAME, TMPDIR};
 use super::error::{BrokenRule, ConfigError, Problem, at_key};
 use super::settings::{
-    Configuration, DEFAULT_CONNECT_TIMEOUT, DEFAULT_IDLE_CONNECTION_TIMEOUT, DEFAULT_MAX_OPEN_REQUESTS,
-    DEFAULT_MAX_SOCKETS, DEFAULT_MEMORY_MB, MIN_MEMORY_MB, MIN_SOCKETS, RequestClass,
+    Configuration, DEFAULT_CONNECT_TIMEOUT, DEFAULT_IDLE_CONNECTION_TIMEOUT, DEFAULT_MAX_BODY_MB,
+    DEFAULT_MAX_OPEN_REQUESTS, DEFAULT_MAX_SOCKETS, DEFAULT_MEMORY_MB, MIN_MEMORY_MB, MIN_SOCKETS,
+    RequestClass,
 };
 use crate::catalog::Catalog;
 use crate::clock::Clock;
@@ -47,6 +48,7 @@
         seed: seed(root)?,
         max_sockets: number_at(root, "limits.sockets", DEFAULT_MAX_SOCKETS, MIN_SOCKETS)? as usize,
         memory_mb: number_at(root, "limits.memory_mb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB)? as usize,
+        max_body_mb: number_at(root, "limits.body_mb", DEFAULT_MAX_BODY_MB, 1)? as usize,
         clock,
         initial_catalog,
         zones,
--- a/crates/sidecar/src/configuration/settings.rs
+++ b/crates/sidecar/src/configuration/settings.rs
@@ -20,6 +20,8 @@
 pub const DEFAULT_MEMORY_MB: u64 = 192;
 /// The smallest accepted memory bound in MB. With less the process can't serve.
 pub const MIN_MEMORY_MB: u64 = 16;
+/// The default length of the longest request body in MB.
+pub const DEFAULT_MAX_BODY_MB: u64 = 64;
 /// The default time after which servers close idle connections.
 pub const DEFAULT_IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(30);
 /// The default timeout for connecting to a server.
@@ -80,6 +82,8 @@
     /// The maximum number of open file descriptors.
     pub max_sockets: usize,
     pub memory_mb: usize,
+    /// The length of the longest request body.
+    pub max_body_mb: usize,
     pub clock: Clock,
     /// The servers that are known before discovery sends the first endpoint list.
     pub initial_catalog: Catalog,
--- a/crates/sidecar/src/console/mod.rs
+++ b/crates/sidecar/src/console/mod.rs
@@ -178,9 +178,9 @@
                 Reply::error(408, "the call did not come whole in time")
             }
             Some(Err(http::HttpError::Closed | http::HttpError::Broken)) => return,
-            Some(Err(http::HttpError::TooLarge | http::HttpError::FramingTooLarge)) => {
-                Reply::error(413, "the call is too large")
-            }
+            Some(Err(
+                http::HttpError::TooLarge | http::HttpError::BodyTooLong | http::HttpError::FramingTooLarge,
+            )) => Reply::error(413, "the call is too large"),
             Some(Err(http::HttpError::Malformed)) => Reply::error(400, "this is no HTTP/1.1 message"),
             Some(Ok(message)) => match Request::parse(&message.head, &message.body_bytes()) {
                 Err(reply) => reply,
--- a/crates/sidecar/src/control/machine/connections.rs
+++ b/crates/sidecar/src/control/machine/connections.rs
@@ -74,9 +74,11 @@
                 | Some(Err(http::HttpError::TimedOut | http::HttpError::Closed | http::HttpError::Broken)) => {
                     return;
                 }
-                Some(Err(http::HttpError::TooLarge | http::HttpError::FramingTooLarge)) => {
-                    (Reply::error(413, "the call is too large"), false)
-                }
+                Some(Err(
+                    http::HttpError::TooLarge
+                    | http::HttpError::BodyTooLong
+                    | http::HttpError::FramingTooLarge,
+                )) => (Reply::error(413, "the call is too large"), false),
                 Some(Err(http::HttpError::Malformed)) => {
                     (Reply::error(400, "this is no HTTP/1.1 message"), false)
                 }
--- a/crates/sidecar/src/net/buffers.rs
+++ b/crates/sidecar/src/net/buffers.rs
@@ -32,7 +32,8 @@
 /// at most this many, and at most 1 / `SPARE_DIVISOR` of all client permits.
 const MAX_SPARE_PERMITS: usize = 16;
 const SPARE_DIVISOR: usize = 8;
-const BYTES_PER_MB: usize = 1024 * 1024;
+/// The number of bytes that settings in MB count as one.
+pub const BYTES_PER_MB: usize = 1024 * 1024;
 
 /// The buffers and socket permits of this process.
 pub struct ResourcePool {
--- a/crates/sidecar/src/net/clients/read.rs
+++ b/crates/sidecar/src/net/clients/read.rs
@@ -127,6 +127,7 @@
         let mut message = or(head, self.stalled(last_read, connected_at)).await?;
         let parsed = self.parser.parse(&message.head, &self.time_limits.borrow());
         let parsed = parsed.map_err(ReadError::Rejected)?;
+        message.limit_body(self.max_body_bytes)?;
         if matches!(parsed, ParsedMessage::Request(_)) && !message.is_complete() {
             let body = self.buffer_body(stream, &mut message, &on_read);
             let body = async { timeout(BODY_TIMEOUT, body).await.unwrap_or(Err(HttpError::TimedOut)) };
--- a/crates/sidecar/src/net/clients/state.rs
+++ b/crates/sidecar/src/net/clients/state.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::configuration::Configuration;
 use crate::net::attempts::RetryRule;
-use crate::net::buffers::ResourcePool;
+use crate::net::buffers::{BYTES_PER_MB, ResourcePool};
 use crate::net::executor::Executor;
 use crate::net::local_failure::FailureLog;
 use crate::net::owner::EventQueue;
@@ -34,6 +34,8 @@
     /// The retry rules by request class.
     pub(super) retry_rules: Vec<RetryRule>,
     pub(super) max_open_requests: usize,
+    /// The length of the longest request body.
+    pub(super) max_body_bytes: u64,
     pub(super) open_requests: Cell<usize>,
     /// When the last request must have its final response; set by SIGTERM.
     pub(super) shutdown_deadline: Cell<Option<Duration>>,
@@ -103,6 +105,7 @@
             time_limits: RefCell::new(configuration.classes.iter().map(|class| class.time_limit).collect()),
             retry_rules: policy.classes.iter().map(retry_rule).collect(),
             max_open_requests: configuration.max_open_requests,
+            max_body_bytes: configuration.max_body_mb.saturating_mul(BYTES_PER_MB) as u64,
             open_requests: Cell::new(0),
             shutdown_deadline: Cell::new(None),
             closing_connections: Cell::new(false),
--- a/crates/sidecar/src/net/http/body.rs
+++ b/crates/sidecar/src/net/http/body.rs
@@ -95,6 +95,9 @@
     /// The number of bytes still missing of the body, or of the current chunk.
     remaining: usize,
     state: ChunkState,
+    /// The length of the body as far as its head, or the sizes of its chunks, have announced it, in bytes.
+    announced_length: u64,
+    max_length: u64,
     /// The framing of all decoded chunks beyond what their data allows, in bytes.
     excess_framing: usize,
     trailer_bytes: usize,
@@ -119,6 +122,8 @@
             end: 0,
             remaining,
             state: ChunkState::Size,
+            announced_length: remaining as u64,
+            max_length: u64::MAX,
             excess_framing: 0,
             trailer_bytes: 0,
             trailers_due: None,
@@ -126,6 +131,16 @@
         }
     }
 
+    /// Limits the length of the body, which has no limit before. Fails with `BodyTooLong` if the announced length exceeds it.
+    pub(super) fn limit_length(&mut self, max_length: u64) -> Result<(), HttpError> {
+        self.max_length = max_length;
+        self.check_length()
+    }
+
+    fn check_length(&self) -> Result<(), HttpError> {
+        if self.announced_length > self.max_length { Err(HttpError::BodyTooLong) } else { Ok(()) }
+    }
+
     /// Reads more bytes into the buffer and returns their number. Fails with `TimedOut` if the trailer fields are late.
     pub(super) async fn read_more(
         &mut self,
@@ -193,6 +208,8 @@
                     };
                     self.remaining = usize::try_from(size).map_err(|_| HttpError::TooLarge)?;
                     self.count_framing(line)?;
+                    self.announced_length = self.announced_length.saturating_add(size);
+                    self.check_length()?;
                     if size == 0 {
                         self.state = ChunkState::Trailers;
                         self.trailers_due = Some(Instant::now() + TRAILER_TIMEOUT);
--- a/crates/sidecar/src/net/http/error.rs
+++ b/crates/sidecar/src/net/http/error.rs
@@ -10,6 +10,8 @@
     Malformed,
     /// The head or the body is larger than what may be buffered.
     TooLarge,
+    /// The body is longer than its limit.
+    BodyTooLong,
     /// The chunk sizes, chunk extensions or trailer fields of a body are larger than what is skipped.
     FramingTooLarge,
     /// The rest of the message did not arrive in time.
@@ -25,6 +27,7 @@
         f.write_str(match self {
             HttpError::Malformed => "malformed message",
             HttpError::TooLarge => "message too large",
+            HttpError::BodyTooLong => "body too long",
             HttpError::FramingTooLarge => "chunk framing or trailer fields too large",
             HttpError::TimedOut => "message timed out",
             HttpError::Closed => "connection closed within a message",
--- a/crates/sidecar/src/net/http/message.rs
+++ b/crates/sidecar/src/net/http/message.rs
@@ -120,6 +120,12 @@
         self.complete
     }
 
+    /// Limits the length of the body. From now on, a longer one fails with `BodyTooLong` as soon as its head or the sizes
+    /// of its chunks show that.
+    pub fn limit_body(&mut self, max_length: u64) -> Result<(), HttpError> {
+        self.decoder.limit_length(max_length)
+    }
+
     /// Returns the number of bytes read from the connection since the last call.
     pub fn take_bytes_read(&mut self) -> usize {
         std::mem::take(&mut self.bytes_read)
--- a/crates/sidecar/src/net/request.rs
+++ b/crates/sidecar/src/net/request.rs
@@ -112,6 +112,7 @@
     match error {
         HttpError::Malformed => Some(rejection(400, "this is no HTTP/1.1 message")),
         HttpError::TooLarge => Some(rejection(413, "a head is too large")),
+        HttpError::BodyTooLong => Some(rejection(413, "a body is too long")),
         HttpError::FramingTooLarge => Some(rejection(413, "chunk extensions or trailers are too large")),
         HttpError::TimedOut => Some(rejection(408, "it took too long to come")),
         HttpError::Closed | HttpError::Broken => None,
--- a/crates/sidecar/tests/configuration.rs
+++ b/crates/sidecar/tests/configuration.rs
@@ -32,7 +32,7 @@
     let mut inputs: Vec<PathBuf> =
         paths.filter(|path| path.extension().is_none_or(|ending| ending != "txt")).collect();
     inputs.sort();
-    assert_eq!(inputs.len(), 94, "number of fixtures");
+    assert_eq!(inputs.len(), 95, "number of fixtures");
     for input in inputs {
         let expected =
             std::fs::read_to_string(input.with_extension("txt")).expect("failed to read the expected output");
--- a/crates/sidecar/tests/endless_messages.rs
+++ b/crates/sidecar/tests/endless_messages.rs
@@ -10,7 +10,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -20,6 +20,8 @@
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 /// The time limit, counted from connecting, for the response to an endless message and for the close.
 const CLOSED_WITHIN: Duration = Duration::from_secs(3);
+/// The same for a client that has 60 MB or more to send before its request can be seen to be too long.
+const LONG_BODY_CLOSED_WITHIN: Duration = Duration::from_secs(6);
 /// How long a sender continues if its connection is not closed.
 const GIVES_UP_AFTER: Duration = Duration::from_secs(8);
 
@@ -40,7 +42,11 @@
     }
 
     fn is_in_time(&self) -> bool {
-        self.told_after < CLOSED_WITHIN && self.closed_after < CLOSED_WITHIN
+        self.is_within(CLOSED_WITHIN)
+    }
+
+    fn is_within(&self, limit: Duration) -> bool {
+        self.told_after < limit && self.closed_after < limit
     }
 }
 
@@ -94,10 +100,14 @@
     read_response(&mut stream).map(|(status, _, _)| status)
 }
 
+/// The head of a request with this framing header, to be followed by a body.
+fn framed_head(id: &str, framing: &str) -> String {
+    request_text("confirm", id, 1900).replace("Content-Length: 4\r\n\r\nbody", &format!("{framing}\r\n\r\n"))
+}
+
 /// The head of a request, to be followed by a chunked body.
 fn chunked_head(id: &str) -> String {
-    let text = request_text("confirm", id, 1900);
-    text.replace("Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n")
+    framed_head(id, "Transfer-Encoding: chunked")
 }
 
 /// The beginnings and the blocks of chunked bodies that never end, though their data does or hardly grows.
@@ -165,6 +175,67 @@
     assert!(!completed.load(Ordering::Relaxed), "an incomplete request reached the server complete");
 }
 
+/// Guards against bodies whose data never ends, of which no client was told for 900 s where the server reads all of it: of a
+/// huge length, in a huge chunk, and in chunks without end.
+#[test]
+fn endless_data_is_rejected_and_delays_no_other_client() {
+    let completed = Arc::new(AtomicBool::new(false));
+    let at = start_reading_server(&completed);
+    let (sidecar, _discovery) = Sidecar::start_with_servers(&[("s1", at)]);
+    let data = "x".repeat(1000);
+    let chunk: &'static str = format!("3e8\r\n{data}\r\n").leak();
+    let bodies = [
+        ("length", "Content-Length: 900000000000", "", "x", CLOSED_WITHIN),
+        ("long-chunk", "Transfer-Encoding: chunked", "e8d4a51000\r\n", "x", CLOSED_WITHIN),
+        ("chunks", "Transfer-Encoding: chunked", "", chunk, LONG_BODY_CLOSED_WITHIN),
+    ];
+    for (name, framing, begin, block, limit) in bodies {
+        for count in [1, 8] {
+            let start = |number| {
+                let head = framed_head(&format!("{name}-bad{count}-{number}"), framing);
+                send_without_end(sidecar.address, head + begin, block, Duration::ZERO)
+            };
+            let senders: Vec<_> = (0..count).map(start).collect();
+            assert_requests_are_served(&sidecar, &format!("{name}{count}"));
+            for sender in senders {
+                let ended = sender.join().expect("the sending thread panicked");
+                assert!(ended.is_error_or_close() && ended.is_within(limit), "{count} {name}: {ended:?}");
+            }
+        }
+    }
+    assert!(!completed.load(Ordering::Relaxed), "an incomplete request reached the server complete");
+}
+
+/// Guards against a limit of a body's length that rejects a body within it, or lets a longer one reach the server complete.
+#[test]
+fn body_is_rejected_beyond_its_limit_only() {
+    let received = Arc::new(AtomicUsize::new(0));
+    let counted = received.clone();
+    let at = scripted_server(move |_, stream| {
+        while let Some(head) = read_head(stream) {
+            if read_body(stream, content_length(&head)) {
+                counted.fetch_add(1, Ordering::Relaxed);
+            }
+            let _ = stream.write_all(OK);
+        }
+    });
+    let discovery = start_discovery();
+    let known = endpoint_list(1, &[("s1", at, "ready")]);
+    let sidecar =
+        Sidecar::start_as(&known, discovery.address, |config| config["limits"]["body_mb"] = json!(1));
+    for (id, length, expected) in [("within", 1 << 20, 200), ("beyond", (1 << 20) + 1, 413)] {
+        let mut stream = sidecar.connect().expect("failed to connect to the sidecar");
+        let head = framed_head(id, &format!("Content-Length: {length}"));
+        stream.write_all(head.as_bytes()).expect("failed to write to the connection");
+        let mut body = stream.try_clone().expect("failed to clone the connection");
+        let writes = thread::spawn(move || write_body(&mut body, length));
+        assert_eq!(read_response(&mut stream).map(|(status, _, _)| status), Some(expected), "{id}");
+        drop(stream);
+        let _ = writes.join().expect("the writing thread panicked");
+    }
+    assert_eq!(received.load(Ordering::Relaxed), 1, "only the body within the limit reaches the server");
+}
+
 /// Guards against trailer fields that arrive slowly and without end, and so kept a request open for as long as they came.
 #[test]
 fn slow_trailers_without_end_are_rejected_in_time() {
