Tell every verdict on zones in turn, and let the newest command of an operator prevail

Cause: a report holds eight verdicts, of zones in service always the newest ones, so with ten verdicts two were in no report at all. The restarted replica never learned that the last command on the zone had number 2, gave its own number 1, and the others dropped it. A second fault shows with three zones: a command that is given before the first report is numbered too low in the same way, and nothing corrected it.

Change: where there are more verdicts than places, those of the last 2 s and those on zones that are not in service take at most six, and the others share the rest at random. Reports of up to eight verdicts are unchanged (fixtures of pins, byte for byte), and older builds read the others as before. A replica that took a command and hears of an older one with a greater number, by the age in the report, gives its own the number after that. Commands within 0.1 s of each other at different replicas count as concurrent, as a report's ages are too low by its way.

--- a/crates/lab/src/fleet/check.rs
+++ b/crates/lab/src/fleet/check.rs
@@ -26,7 +26,7 @@
 const CHUNK_SIZE: usize = 2_000;
 /// Bounds per sequence: how often the zone fails or recovers, and how many operator commands there are.
 const MAX_ZONE_CHANGES: u8 = 2;
-const MAX_OPERATOR_COMMANDS: u8 = 1;
+const MAX_OPERATOR_COMMANDS: u8 = 2;
 
 /// Verdicts that a replica issued since they were last collected.
 #[derive(Clone, Debug, Default)]
@@ -196,7 +196,9 @@
         self.deliver_reports(next);
         if let Some(leave) = next.operator_command {
             let command = if leave { OperatorCommand::Evacuate } else { OperatorCommand::Return };
-            self.replicas[0].failover.operator_command(self.now, ZONES[OTHER_ZONE], command);
+            // Commands reach different replicas, which may not know of each other's command.
+            let receiver = usize::from(self.operator_commands - 1) % self.replicas.len();
+            self.replicas[receiver].failover.operator_command(self.now, ZONES[OTHER_ZONE], command);
         }
         let mut violations = Vec::new();
         for number in 0..self.replicas.len() {
--- a/crates/localities/src/failover/mod.rs
+++ b/crates/localities/src/failover/mod.rs
@@ -27,6 +27,14 @@
     verdict: Verdict,
     /// When the verdict was issued, by the local clock.
     issued_at: Duration,
+    /// Whether it is an operator's command that this replica received from the operator.
+    commanded_here: bool,
+}
+
+impl KnownVerdict {
+    fn new(verdict: Verdict, issued_at: Duration) -> KnownVerdict {
+        KnownVerdict { verdict, issued_at, commanded_here: false }
+    }
 }
 
 /// The decoded report of another live replica.
@@ -56,6 +64,8 @@
     trials: Vec<Option<u64>>,
     report: ZoneReport,
     report_bytes: Vec<u8>,
+    /// The number of reports that were encoded.
+    report_number: u64,
     reported_at: Duration,
     started_at: Option<Duration>,
     isolated: bool,
@@ -78,6 +88,7 @@
             config,
             report: ZoneReport::default(),
             report_bytes: Vec::new(),
+            report_number: 0,
             reported_at: Duration::ZERO,
             started_at: None,
             isolated: false,
--- a/crates/localities/src/failover/own_report.rs
+++ b/crates/localities/src/failover/own_report.rs
@@ -1,11 +1,16 @@
 //! The report that this replica sends to its peers.
 
 use super::*;
-use crate::report::ZoneObservation;
+use crate::report::{MAX_VERDICTS, ZoneObservation};
 use std::mem::{Discriminant, discriminant};
 
 /// The report is encoded again after at most this time, because the ages in it grow.
 const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// A verdict takes precedence in reports for this time after it was issued, in which all replicas should receive it.
+const NEWS_AGE: Duration = Duration::from_secs(2);
+/// The least number of places in a report that the verdicts without precedence share in turn, so that none is left out for
+/// ever.
+const SHARED_PLACES: usize = 2;
 
 impl<H: Host> ZoneFailover<H> {
     pub(super) fn reported_observations(&self) -> Vec<ZoneObservation> {
@@ -20,7 +25,6 @@
         let with_age = |known: &KnownVerdict| (known.verdict, now.saturating_sub(known.issued_at));
         let all = self.operator_verdicts.values().chain(self.verdicts.values());
         self.report.verdicts = all.map(with_age).collect();
-        // A report may be too short for all verdicts; those on zones that are not in service take precedence.
         self.report.verdicts.sort_by_key(|(verdict, age)| (verdict.stage == ZoneStage::InService, *age));
         let report = &self.report;
         let verdicts_changed = verdicts(report) != verdicts(previous);
@@ -29,11 +33,32 @@
             || verdicts_changed;
         let urgent = changed && (any_silent(report) || any_silent(previous) || verdicts_changed);
         if changed || self.reported_at + REPORT_INTERVAL <= now {
-            self.report_bytes = report::encode(report);
+            let verdicts = self.selected_verdicts();
+            self.report_bytes = report::encode(&ZoneReport { verdicts, ..self.report.clone() });
             self.reported_at = now;
+            self.report_number += 1;
         }
         urgent
     }
+
+    /// The verdicts for the next report. If there are too many, new ones and those on zones that are not in service take
+    /// precedence, and the others share the remaining places at random: replicas that receive every n-th report only
+    /// would miss some of them in any fixed order.
+    fn selected_verdicts(&self) -> Vec<(Verdict, Duration)> {
+        let mut selected = self.report.verdicts.clone();
+        if selected.len() <= MAX_VERDICTS {
+            return selected;
+        }
+        selected.sort_by_key(|(_, age)| *age >= NEWS_AGE);
+        let precedes =
+            |(verdict, age): &(Verdict, Duration)| *age < NEWS_AGE || verdict.stage != ZoneStage::InService;
+        let preceding = selected.iter().filter(|verdict| precedes(verdict)).count();
+        let others = &mut selected[preceding.min(MAX_VERDICTS - SHARED_PLACES)..];
+        let first = mix_bits(&[self.config.id, self.report_number]) % others.len() as u64;
+        others.rotate_left(first as usize);
+        selected.truncate(MAX_VERDICTS);
+        selected
+    }
 }
 
 fn verdicts(report: &ZoneReport) -> Vec<Verdict> {
--- a/crates/localities/src/failover/verdicts.rs
+++ b/crates/localities/src/failover/verdicts.rs
@@ -18,6 +18,9 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(60);
 /// A verdict whose number is more than this ahead of the known one is rejected as implausible.
 const MAX_NUMBER_ADVANCE: u32 = 1 << 24;
+/// Of two commands of operators that are further apart than this, the order is known from their ages: the ages in reports
+/// are too low by the time that the reports take.
+const COMMAND_ORDER_MARGIN: Duration = Duration::from_millis(100);
 
 impl<H: Host> ZoneFailover<H> {
     /// Applies an operator's command on a zone, for the whole fleet. Returns `false` if there is no zone of this name.
@@ -33,11 +36,30 @@
         let verdict = Verdict { zone: id, number, stage, by_operator: true, evacuations: 0 };
         self.host.verdict_issued(zone, &verdict, &self.evidence[index]);
         self.adopt_operator_verdict(now, verdict, Duration::ZERO);
+        self.operator_verdicts.entry(id).and_modify(|known| known.commanded_here = true);
         // Makes the report due, so that the next tick encodes it.
         self.reported_at = Duration::ZERO;
         true
     }
 
+    /// Whether this replica received a command on the zone from an operator after the one that is `age` old. A replica that
+    /// has just started, or was cut off, numbers a command without knowing the earlier ones.
+    fn has_newer_command(&self, now: Duration, verdict: &Verdict, age: Duration) -> bool {
+        self.operator_verdicts.get(&verdict.zone).is_some_and(|known| {
+            let own_age = now.saturating_sub(known.issued_at);
+            known.commanded_here
+                && known.verdict.stage != verdict.stage
+                && own_age + COMMAND_ORDER_MARGIN <= age
+        })
+    }
+
+    /// Gives this replica's command on a zone the number after `number`, so that it prevails over an earlier command.
+    fn renumber_command(&mut self, zone: usize, number: u32) {
+        let Some(known) = self.operator_verdicts.get_mut(&self.zone_ids[zone]) else { return };
+        known.verdict.number = number.saturating_add(1);
+        self.host.verdict_issued(&self.config.zones[zone], &known.verdict, &self.evidence[zone]);
+    }
+
     pub(super) fn adopt_verdicts(&mut self, now: Duration, peer: &PeerReport, report: &ZoneReport) {
         let same_zone = zone_id(peer.zone) == self.own_zone;
         for (verdict, age) in &report.verdicts {
@@ -45,13 +67,17 @@
             if !(verdict.by_operator || same_zone) || !self.is_acceptable(verdict) {
                 continue;
             }
-            self.host.verdict_adopted(&self.config.zones[zone], verdict, peer.name);
             let age = *age + peer.age;
+            if verdict.by_operator && self.has_newer_command(now, verdict, age) {
+                self.renumber_command(zone, verdict.number);
+                continue;
+            }
+            self.host.verdict_adopted(&self.config.zones[zone], verdict, peer.name);
             if verdict.by_operator {
                 self.adopt_operator_verdict(now, *verdict, age);
             } else {
                 let issued_at = now.saturating_sub(age);
-                self.verdicts.insert(verdict.zone, KnownVerdict { verdict: *verdict, issued_at });
+                self.verdicts.insert(verdict.zone, KnownVerdict::new(*verdict, issued_at));
             }
         }
     }
@@ -70,7 +96,7 @@
     fn adopt_operator_verdict(&mut self, now: Duration, verdict: Verdict, age: Duration) {
         let was_evacuated = self.stage_by_id(verdict.zone) == ZoneStage::Evacuated;
         let issued_at = now.saturating_sub(age);
-        self.operator_verdicts.insert(verdict.zone, KnownVerdict { verdict, issued_at });
+        self.operator_verdicts.insert(verdict.zone, KnownVerdict::new(verdict, issued_at));
         if !was_evacuated || verdict.stage == ZoneStage::Evacuated {
             return;
         }
@@ -82,7 +108,7 @@
             by_operator: false,
             evacuations: known.map_or(0, |known| known.evacuations),
         };
-        self.verdicts.insert(verdict.zone, KnownVerdict { verdict: first_step, issued_at });
+        self.verdicts.insert(verdict.zone, KnownVerdict::new(first_step, issued_at));
     }
 
     fn issue_verdict(&mut self, now: Duration, zone: usize, stage: ZoneStage) {
@@ -94,7 +120,7 @@
         let evacuations = evacuations.saturating_add(u8::from(stage == ZoneStage::Evacuated));
         let verdict = Verdict { zone: id, number, stage, by_operator: false, evacuations };
         self.host.verdict_issued(&self.config.zones[zone], &verdict, &self.evidence[zone]);
-        self.verdicts.insert(id, KnownVerdict { verdict, issued_at: now });
+        self.verdicts.insert(id, KnownVerdict::new(verdict, now));
     }
 
     /// Collects the evidence on a zone, and issues a verdict if the evidence calls for one.
--- a/crates/localities/src/report.rs
+++ b/crates/localities/src/report.rs
@@ -18,7 +18,8 @@
 const OBSERVATION_BYTES: usize = 6;
 const VERDICT_BYTES: usize = 12;
 const MAX_OBSERVATIONS: usize = 8;
-const MAX_VERDICTS: usize = 8;
+/// The most verdicts that a report holds.
+pub(crate) const MAX_VERDICTS: usize = 8;
 /// The longest report, in bytes.
 pub const MAX_REPORT_BYTES: usize =
     HEADER_BYTES + OBSERVATION_BYTES * MAX_OBSERVATIONS + VERDICT_BYTES * MAX_VERDICTS;
