Reuse a connection within 25 ms only where a late copy of a response is recognized

Cause: a connection rests for 25 ms before it is used again, so that a copy is seen before the next request. For retryable requests, where eight connections to a server were idle and none had rested for so long, the longest idle one was used again after 3 ms; a copy that came after that was read as the response.

Change: each connection keeps digests of its last eight responses, and the pool compares the successive 200s of each server. A connection is used again within 25 ms only if the server's responses all differ, and an equal one of the last 60 ms is then a copy: the attempt has failed and may have run, the connection is closed, and connections rest for 60 ms for a minute. Where all are equal a copy does no harm; where some are, nothing is used early. An equal rejection ends the attempt as before and its connection. Health checks use no connection early.

Evidence: copy_that_crosses_the_next_request_is_not_taken_for_its_response failed 3 of 3 before (19 to 25 foreign responses beside 1,400) and passes.

--- a/crates/sidecar/src/net/upstream/exchange.rs
+++ b/crates/sidecar/src/net/upstream/exchange.rs
@@ -1,7 +1,7 @@
 //! One exchange with a server: writes the request once, and awaits the response at the same time.
 
 use super::outgoing::{BodyEvent, OutgoingRequest, StreamedBody};
-use super::pool::{ConnectionPool, Target, UpstreamConnection};
+use super::pool::{ConnectionPool, Purpose, Target, UpstreamConnection};
 use crate::net::buffers::ResourcePool;
 use crate::net::executor::until_operation_allowed;
 use crate::net::http::{self, BodyEncoding, BodyPart, HttpError, IncomingMessage};
@@ -30,12 +30,12 @@
     pool: &ConnectionPool,
     resources: &Rc<ResourcePool>,
     to: &Target,
-    run_once: bool,
+    purpose: Purpose,
     may_start: impl FnOnce() -> bool,
     write: impl AsyncFnOnce(&UpstreamConnection, &Cell<bool>) -> Result<(), Outcome>,
     after_write: impl AsyncFnOnce() -> Outcome,
 ) -> Result<(IncomingMessage, UpstreamConnection), Outcome> {
-    let (connection, idle) = pool.connection(to, run_once).await?;
+    let (connection, idle) = pool.connection(to, purpose).await?;
     // Nothing may come between the check and the first write, so a yield that is due precedes the check.
     until_operation_allowed().await;
     if !may_start() {
--- a/crates/sidecar/src/net/upstream/mod.rs
+++ b/crates/sidecar/src/net/upstream/mod.rs
@@ -7,6 +7,7 @@
 mod outgoing;
 mod pool;
 mod response;
+mod response_digest;
 
 pub use outgoing::{AttemptStage, BodyEvent, OutgoingRequest, StreamedBody};
 pub use pool::{ConnectionPool, Target};
@@ -19,8 +20,9 @@
 use async_io::Timer;
 use futures_lite::future::{or, pending};
 use landingspread_decisions::host::{LoadReport, Outcome};
-use pool::UpstreamConnection;
+use pool::{Purpose, ResponseOrigin, UpstreamConnection};
 use response::{is_connection_reusable, read_load_report, read_outcome};
+use response_digest::ResponseDigest;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -92,8 +94,8 @@
             Outcome::Timeout
         };
         let (pool, resources) = (&self.pool, &self.resources);
-        let sent =
-            exchange::send_once(pool, resources, to, request.run_once, may_start, write, after_write).await;
+        let purpose = if request.run_once { Purpose::RunOnceRequest } else { Purpose::RetryableRequest };
+        let sent = exchange::send_once(pool, resources, to, purpose, may_start, write, after_write).await;
         match sent {
             Ok((message, connection)) => {
                 self.read_response(to, request, response_due, message, connection).await
@@ -138,7 +140,7 @@
         &self,
         to: &Target,
         message: &mut IncomingMessage,
-        connection: UpstreamConnection,
+        mut connection: UpstreamConnection,
         forwarded: bool,
     ) -> Result<Option<UpstreamConnection>, HttpError> {
         let long = message.length().is_some_and(|length| length > MAX_BUFFERED_BODY as u64);
@@ -152,6 +154,15 @@
                 timeout(BUFFER_TIMEOUT, read).await
             }
         };
+        let digest = ResponseDigest::of(message);
+        match self.pool.record_response(&to.server, &mut connection, digest, forwarded) {
+            ResponseOrigin::Own => {}
+            ResponseOrigin::Uncertain => message.keep_alive = false,
+            ResponseOrigin::LateCopy => {
+                tracing::debug!("server {} sent a late copy of an earlier response", to.server);
+                return Err(HttpError::Broken);
+            }
+        }
         match buffered {
             Some(Ok(())) => {
                 if is_connection_reusable(message) {
@@ -184,7 +195,8 @@
         };
         let after_write = async || pending().await;
         let (pool, resources) = (&self.pool, &self.resources);
-        let sent = exchange::send_once(pool, resources, to, false, || true, write, after_write).await;
+        let sent =
+            exchange::send_once(pool, resources, to, Purpose::HealthCheck, || true, write, after_write).await;
         let (mut response, connection) = match sent {
             Ok(response) => response,
             Err(outcome) => return (outcome, LoadReport::default()),
--- a/crates/sidecar/src/net/upstream/pool.rs
+++ b/crates/sidecar/src/net/upstream/pool.rs
@@ -3,6 +3,7 @@
 //! message.
 
 use super::idle_breaks::IdleBreakStats;
+use super::response_digest::{RecentResponses, ResponseDigest, ResponseVariety, Variety};
 use crate::configuration::Configuration;
 use crate::net::attempts::Location;
 use crate::net::buffers::{ResourcePool, SocketPermit};
@@ -25,9 +26,10 @@
 
 /// A duplicate response or other bytes may arrive some time after a response, and nothing in a response names its request.
 /// A connection is therefore used again only once it has been quiet for a while; otherwise late bytes would be read as
-/// the next request's response. This is the shortest quiet time, for retryable requests while many connections are idle.
+/// the next request's response. This is the shortest quiet time, for retryable requests while many connections are idle
+/// and a copy would be recognized (see `super::response_digest`).
 const MIN_QUIET: Duration = Duration::from_millis(3);
-/// The quiet time for requests that must not run twice, and while few connections are idle.
+/// The quiet time for all other reuse, and the latest arrival of a copy that is expected.
 const QUIET: Duration = Duration::from_millis(25);
 /// The quiet time after any server has sent bytes beyond its response.
 const QUIET_AFTER_SURPLUS: Duration = Duration::from_millis(60);
@@ -51,6 +53,8 @@
 /// An open connection to a server.
 pub struct UpstreamConnection {
     pub stream: Async<TcpStream>,
+    recent: RecentResponses,
+    copy_risk: CopyRisk,
     _permit: SocketPermit,
 }
 
@@ -73,6 +77,38 @@
     }
 }
 
+/// What a message is used for, which decides on the connections that it may reuse.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Purpose {
+    /// A request that can be sent again if its connection breaks.
+    RetryableRequest,
+    /// A request that cannot be sent again, so no connection is used that is likely to break.
+    RunOnceRequest,
+    HealthCheck,
+}
+
+/// What the late copy of an earlier response on a connection may do to the message that is sent on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CopyRisk {
+    /// None is expected: the connection is new, or was quiet for long enough.
+    None,
+    /// The connection was reused early, and a response that is equal to an earlier one is a copy.
+    Recognized,
+    /// The connection was reused early, and a copy is equal to the response that it is taken for.
+    Harmless,
+}
+
+/// Whether a response was made for the message that was sent last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ResponseOrigin {
+    Own,
+    /// A rejection or an error that an earlier message on the connection was answered with as well. It ends the attempt in the
+    /// same way, but another response may follow, so the connection must not be reused.
+    Uncertain,
+    /// The late copy of the response to an earlier message.
+    LateCopy,
+}
+
 struct IdleConnection {
     connection: UpstreamConnection,
     address: SocketAddr,
@@ -83,6 +119,8 @@
 pub struct ConnectionPool {
     idle: RefCell<BTreeMap<Id, Vec<IdleConnection>>>,
     idle_breaks: RefCell<IdleBreakStats>,
+    /// By server; those of servers without idle connections are dropped.
+    varieties: RefCell<BTreeMap<Id, ResponseVariety>>,
     /// When any server last sent bytes beyond its response.
     last_surplus_at: Cell<Option<Instant>>,
     failed_dials: FailureLog,
@@ -107,6 +145,7 @@
         ConnectionPool {
             idle: RefCell::default(),
             idle_breaks: RefCell::default(),
+            varieties: RefCell::default(),
             last_surplus_at: Cell::default(),
             failed_dials: FailureLog::default(),
             resources,
@@ -120,14 +159,13 @@
         self.idle_breaks.borrow_mut().record(idle, broke);
     }
 
-    /// Takes an idle connection or dials a new one. Also returns how long a reused connection had been idle. If
-    /// `run_once` is set, the request cannot be sent again, so no connection is used that is likely to break.
-    pub async fn connection(
+    /// Takes an idle connection or dials a new one. Also returns how long a reused connection had been idle.
+    pub(super) async fn connection(
         &self,
         to: &Target,
-        run_once: bool,
+        purpose: Purpose,
     ) -> Result<(UpstreamConnection, Option<Duration>), ConnectError> {
-        if let Some(idle) = self.take_idle(to, run_once) {
+        if let Some(idle) = self.take_idle(to, purpose) {
             return Ok((idle.connection, Some(idle.idle_since.elapsed())));
         }
         let permit = loop {
@@ -139,7 +177,8 @@
         };
         let stream = self.dial(to).await?;
         let _ = stream.get_ref().set_nodelay(true);
-        Ok((UpstreamConnection { stream, _permit: permit }, None))
+        let recent = RecentResponses::default();
+        Ok((UpstreamConnection { stream, recent, copy_risk: CopyRisk::None, _permit: permit }, None))
     }
 
     /// Dials within the dial timeout. Failures on this machine are retried and not attributed to the server.
@@ -171,7 +210,7 @@
     /// Takes the most recently used connection that has been quiet for long enough, as it is the least likely to have
     /// ended. Only candidates are inspected, since each inspection is a system call on the request path; `reap` closes
     /// the others.
-    fn take_idle(&self, to: &Target, run_once: bool) -> Option<IdleConnection> {
+    fn take_idle(&self, to: &Target, purpose: Purpose) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&to.server)?;
         for index in (0..connections.len()).rev() {
@@ -180,18 +219,68 @@
                 continue;
             }
             // The connections before this one have been idle for even longer.
-            if run_once && self.idle_breaks.borrow().breaks_often_after(idle_for) {
+            if purpose == Purpose::RunOnceRequest && self.idle_breaks.borrow().breaks_often_after(idle_for) {
                 return None;
             }
-            let candidate = connections.remove(index);
+            let mut candidate = connections.remove(index);
+            candidate.connection.copy_risk = CopyRisk::None;
             if self.is_usable_for(to, &candidate) {
                 return Some(candidate);
             }
         }
-        let reuse_early = !run_once && connections.len() >= MANY_IDLE && self.required_quiet() == QUIET;
-        let quiet = connections.first().is_some_and(|first| first.idle_since.elapsed() >= MIN_QUIET);
-        let longest_idle = (reuse_early && quiet).then(|| connections.remove(0));
-        longest_idle.filter(|candidate| self.is_usable_for(to, candidate))
+        let reuse_early = purpose == Purpose::RetryableRequest
+            && connections.len() >= MANY_IDLE
+            && self.required_quiet() == QUIET;
+        if !reuse_early || connections.first()?.idle_since.elapsed() < MIN_QUIET {
+            return None;
+        }
+        let copy_risk = self.early_copy_risk(&to.server, connections.first()?)?;
+        let mut longest_idle = connections.remove(0);
+        longest_idle.connection.copy_risk = copy_risk;
+        Some(longest_idle).filter(|candidate| self.is_usable_for(to, candidate))
+    }
+
+    /// The risk of reusing a connection that has been quiet for less than `QUIET`; None if a copy could be taken for the
+    /// next response.
+    fn early_copy_risk(&self, server: &Id, idle: &IdleConnection) -> Option<CopyRisk> {
+        match self.varieties.borrow().get(server)?.get() {
+            Variety::AllDiffer if idle.connection.recent.recognizes_copies() => Some(CopyRisk::Recognized),
+            Variety::AllEqual => Some(CopyRisk::Harmless),
+            Variety::AllDiffer | Variety::Unclear => None,
+        }
+    }
+
+    /// Records the response to a message on this connection, with a digest if it is complete, and returns whether it can be
+    /// trusted. `is_ok` is set for a response that is passed on to a client.
+    pub(super) fn record_response(
+        &self,
+        server: &Id,
+        connection: &mut UpstreamConnection,
+        digest: Option<ResponseDigest>,
+        is_ok: bool,
+    ) -> ResponseOrigin {
+        let is_repeated = |digest| connection.recent.contain(digest, QUIET_AFTER_SURPLUS);
+        let is_repeated = connection.copy_risk != CopyRisk::None && digest.is_some_and(is_repeated);
+        if is_repeated && !is_ok {
+            return ResponseOrigin::Uncertain;
+        }
+        if is_repeated && connection.copy_risk == CopyRisk::Recognized {
+            self.record_surplus(server);
+            return ResponseOrigin::LateCopy;
+        }
+        connection.recent.record(digest);
+        if let Some(digest) = digest.filter(|_| is_ok) {
+            self.record_variety(server, digest);
+        }
+        ResponseOrigin::Own
+    }
+
+    fn record_variety(&self, server: &Id, digest: ResponseDigest) {
+        let mut varieties = self.varieties.borrow_mut();
+        match varieties.get_mut(server) {
+            Some(variety) => variety.record(digest),
+            None => varieties.entry(server.clone()).or_default().record(digest),
+        }
     }
 
     fn is_usable_for(&self, to: &Target, candidate: &IdleConnection) -> bool {
@@ -269,6 +358,8 @@
                 connections.retain(|idle| self.is_usable(server, idle));
                 !connections.is_empty()
             });
+            let idle = self.idle.borrow();
+            self.varieties.borrow_mut().retain(|server, _| idle.contains_key(server));
         }
     }
 }
