--- a/crates/localities/src/failover/mod.rs
+++ b/crates/localities/src/failover/mod.rs
@@ -64,8 +64,6 @@
     trials: Vec<Option<u64>>,
     report: ZoneReport,
     report_bytes: Vec<u8>,
-    /// The number of reports that were encoded.
-    report_number: u64,
     reported_at: Duration,
     started_at: Option<Duration>,
     isolated: bool,
@@ -88,7 +86,6 @@
             config,
             report: ZoneReport::default(),
             report_bytes: Vec::new(),
-            report_number: 0,
             reported_at: Duration::ZERO,
             started_at: None,
             isolated: false,
--- a/crates/localities/src/failover/own_report.rs
+++ b/crates/localities/src/failover/own_report.rs
@@ -33,10 +33,9 @@
             || verdicts_changed;
         let urgent = changed && (any_silent(report) || any_silent(previous) || verdicts_changed);
         if changed || self.reported_at + REPORT_INTERVAL <= now {
-            let verdicts = self.selected_verdicts();
+            let verdicts = self.selected_verdicts(now);
             self.report_bytes = report::encode(&ZoneReport { verdicts, ..self.report.clone() });
             self.reported_at = now;
-            self.report_number += 1;
         }
         urgent
     }
@@ -44,7 +43,7 @@
     /// The verdicts for the next report. If there are too many, new ones and those on zones that are not in service take
     /// precedence, and the others share the remaining places at random: replicas that receive every n-th report only
     /// would miss some of them in any fixed order.
-    fn selected_verdicts(&self) -> Vec<(Verdict, Duration)> {
+    fn selected_verdicts(&self, now: Duration) -> Vec<(Verdict, Duration)> {
         let mut selected = self.report.verdicts.clone();
         if selected.len() <= MAX_VERDICTS {
             return selected;
@@ -54,7 +53,7 @@
             |(verdict, age): &(Verdict, Duration)| *age < NEWS_AGE || verdict.stage != ZoneStage::InService;
         let preceding = selected.iter().filter(|verdict| precedes(verdict)).count();
         let others = &mut selected[preceding.min(MAX_VERDICTS - SHARED_PLACES)..];
-        let first = mix_bits(&[self.config.id, self.report_number]) % others.len() as u64;
+        let first = mix_bits(&[self.config.id, now.as_micros() as u64]) % others.len() as u64;
         others.rotate_left(first as usize);
         selected.truncate(MAX_VERDICTS);
         selected
